Add the workspace skeleton, core package, inner protocol and design page

Starts the repository: clock, procedure driver, ids, errors, log events, the platform interface with its HTTP adapter and the generated inner protocol.

--- /dev/null
+++ b/packages/core/src/errors.ts
@@ -0,0 +1,49 @@
+/** Error numbers. A number is never reused; messages name the failing value and what was expected. */
+export const ERROR_CODES = {
+  invariantViolated: 1,
+  settingInvalid: 100,
+  settingMissing: 101,
+  platformUnavailable: 200,
+  platformOutcomeUnknown: 201,
+  platformConflict: 202,
+  platformNotFound: 203,
+  platformRejected: 204,
+  authorityLost: 210,
+  configInvalid: 300,
+  configNotFresh: 301,
+  keyMissing: 310,
+  keyUnknown: 311,
+  routeNotFound: 400,
+  modelNotFound: 401,
+  modelNotAllowed: 402,
+  requestMalformed: 403,
+  requestTooLarge: 404,
+  rateExceeded: 410,
+  noCapacity: 411,
+  deadlineExceeded: 412,
+  tooManyRequestsInFlight: 413,
+  idempotencyInProgress: 420,
+  idempotencyMismatch: 421,
+  idempotencyUnavailable: 422,
+  targetFailed: 430,
+  outcomeUnknown: 431,
+  shuttingDown: 440,
+} as const;
+
+export type ErrorName = keyof typeof ERROR_CODES;
+
+/** Base of all errors raised by radishgw packages. */
+export class RadishError extends Error {
+  /** Number from {@link ERROR_CODES}. */
+  readonly code: number;
+
+  constructor(
+    readonly errorName: ErrorName,
+    message: string,
+    options?: ErrorOptions,
+  ) {
+    super(message, options);
+    this.name = 'RadishError';
+    this.code = ERROR_CODES[errorName];
+  }
+}
--- /dev/null
+++ b/packages/core/src/events.ts
@@ -0,0 +1,80 @@
+import {Logger} from 'tslog';
+
+/** Severity of a log event. */
+export type EventLevel = 'debug' | 'info' | 'warn' | 'error';
+
+/** Numbered log events. `docs/EVENTS.md` is checked against this table by a test. */
+export const LOG_EVENTS = {
+  hostStarted: {number: 1000, level: 'info', text: 'host started'},
+  hostStopping: {number: 1001, level: 'info', text: 'graceful shutdown started'},
+  hostStopped: {number: 1002, level: 'info', text: 'graceful shutdown finished'},
+  settingInvalid: {number: 1003, level: 'error', text: 'setting is missing or invalid'},
+  invariantViolated: {number: 1004, level: 'error', text: 'invariant violated'},
+  platformUnreachable: {number: 1100, level: 'warn', text: 'platform is not reachable'},
+  platformReachable: {number: 1101, level: 'info', text: 'platform is reachable again'},
+  sessionStarted: {number: 1110, level: 'info', text: 'host session started'},
+  sessionLost: {number: 1111, level: 'warn', text: 'host session lost'},
+  roleAcquired: {number: 1120, level: 'info', text: 'role acquired'},
+  roleLost: {number: 1121, level: 'warn', text: 'role lost'},
+  roleReleased: {number: 1122, level: 'info', text: 'role released'},
+  configApplied: {number: 1200, level: 'info', text: 'configuration applied'},
+  configRejected: {number: 1201, level: 'error', text: 'configuration object rejected'},
+  configStale: {number: 1202, level: 'warn', text: 'configuration is not fresh'},
+  configFresh: {number: 1203, level: 'info', text: 'configuration is fresh again'},
+  requestFinished: {number: 1300, level: 'info', text: 'request finished'},
+  requestRefused: {number: 1301, level: 'info', text: 'request refused'},
+  attemptFailed: {number: 1302, level: 'warn', text: 'attempt failed'},
+  streamResumed: {number: 1303, level: 'info', text: 'stream resumed'},
+  shardAcquired: {number: 1400, level: 'info', text: 'shard acquired'},
+  shardLost: {number: 1401, level: 'warn', text: 'shard lost'},
+  peerUnreachable: {number: 1500, level: 'warn', text: 'peer is not reachable'},
+  peerReachable: {number: 1501, level: 'info', text: 'peer is reachable again'},
+  orderSent: {number: 1600, level: 'info', text: 'order sent'},
+  orderFinished: {number: 1601, level: 'info', text: 'order finished'},
+  orderFailed: {number: 1602, level: 'warn', text: 'order failed'},
+  usageFrozen: {number: 1700, level: 'info', text: 'usage window frozen'},
+  usageReported: {number: 1701, level: 'info', text: 'usage window reported'},
+  usageReportFailed: {number: 1702, level: 'warn', text: 'usage report failed'},
+} as const satisfies Record<string, {number: number; level: EventLevel; text: string}>;
+
+export type LogEventName = keyof typeof LOG_EVENTS;
+
+/** Fields of a log event. Keys and key digests must never appear here. */
+export type LogFields = Readonly<Record<string, unknown>>;
+
+/** Writes numbered events. */
+export interface EventLog {
+  write(event: LogEventName, fields?: LogFields): void;
+}
+
+/** Options of {@link createEventLog}. */
+export interface EventLogOptions {
+  readonly format: 'json' | 'pretty';
+  readonly minLevel: EventLevel;
+}
+
+const TSLOG_LEVELS: Record<EventLevel, number> = {debug: 2, info: 3, warn: 4, error: 5};
+
+/** Event log on standard error, so that standard output stays free for results. */
+export function createEventLog(options: EventLogOptions): EventLog {
+  const logger = new Logger({
+    type: options.format,
+    minLevel: TSLOG_LEVELS[options.minLevel],
+    hideLogPositionForProduction: true,
+    overwrite: {
+      transportJSON: json => process.stderr.write(JSON.stringify(json) + '\n'),
+      transportFormatted: (meta, args) => {
+        process.stderr.write(meta + args.map(arg => JSON.stringify(arg)).join(' ') + '\n');
+      },
+    },
+  });
+  return {
+    write: (event, fields = {}) => {
+      const {number, level, text} = LOG_EVENTS[event];
+      logger[level]({event: number, name: event, text, ...fields});
+    },
+  };
+}
+
+/** Drops all events; for measurements and tests. */
+export const SILENT_LOG: EventLog = {write: () => undefined};
--- /dev/null
+++ b/packages/core/src/random.ts
@@ -0,0 +1,39 @@
+import {randomBytes} from 'node:crypto';
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+
+/** Source of random numbers, passed in so that runs can be repeated. */
+export interface RandomSource {
+  /** Uniform in [0, 1). */
+  next(): number;
+  /** Uniform integer in [0, bound). */
+  nextInt(bound: number): number;
+  /** Identifier of `bytes` random bytes in hexadecimal. */
+  nextHex(bytes: number): string;
+}
+
+/** Repeatable source for tests and measurements. */
+export function createSeededRandom(seed: number): RandomSource {
+  const generator = xoroshiro128plus(seed);
+  const next = () => uniformFloat64(generator);
+  const nextInt = (bound: number) => Math.floor(next() * bound);
+  return {
+    next,
+    nextInt,
+    nextHex: bytes => {
+      let hex = '';
+      for (let i = 0; i < bytes; i++) hex += nextInt(256).toString(16).padStart(2, '0');
+      return hex;
+    },
+  };
+}
+
+/** Source for production: ids come from the system's cryptographic generator. */
+export function createSystemRandom(): RandomSource {
+  const next = () => randomBytes(6).readUIntBE(0, 6) / 2 ** 48;
+  return {
+    next,
+    nextInt: bound => Math.floor(next() * bound),
+    nextHex: bytes => randomBytes(bytes).toString('hex'),
+  };
+}
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,2 @@
+export * from './http-platform.js';
+export * from './platform.js';
--- /dev/null
+++ b/packages/platform/src/platform.ts
@@ -0,0 +1,104 @@
+import {Result} from 'ts-results';
+import {FailureDomain, HostId, OrderId, PoolId} from '@radishgw/core';
+
+/** Position in the platform's history: one rising counter for the whole store; 0 is before all. */
+export type Revision = number;
+
+/** An object of the platform's versioned store. `value` is JSON text of at most one megabyte. */
+export interface PlatformObject {
+  readonly key: string;
+  readonly revision: Revision;
+  readonly value: string;
+}
+
+/** A change seen by a watch; `removed` objects have an empty value. */
+export interface PlatformEvent extends PlatformObject {
+  readonly removed: boolean;
+}
+
+/** Objects under a prefix and the store's revision at which they were read. */
+export interface ObjectList {
+  readonly objects: readonly PlatformObject[];
+  readonly revision: Revision;
+}
+
+/** Changes after a revision, in order. `compacted` means that the caller must list again. */
+export interface WatchResult {
+  readonly events: readonly PlatformEvent[];
+  readonly revision: Revision;
+  readonly compacted: boolean;
+}
+
+/** An entry of the platform's lagging list of hosts. */
+export interface ListedHost {
+  readonly hostId: HostId;
+  readonly state: 'live' | 'leaving';
+}
+
+/** An absolute order for targets of one pool in one failure domain. */
+export interface TargetOrder {
+  readonly orderId: OrderId;
+  readonly pool: PoolId;
+  readonly failureDomain: FailureDomain;
+  /** Number of targets wanted in all, not a change. */
+  readonly desiredCount: number;
+  readonly cheap: boolean;
+  /** Epoch of the `fleet` role. */
+  readonly fencingNumber: number;
+}
+
+/** Figures of one window; the body is stored before it is sent and is sent unchanged. */
+export interface UsageReport {
+  readonly windowId: string;
+  readonly body: string;
+  /** Epoch of the `usage` role. */
+  readonly fencingNumber: number;
+}
+
+/** Asks for a share of the weight store's rate before targets load a model. */
+export interface WeightTransferRequest {
+  readonly pool: PoolId;
+  readonly bytes: number;
+}
+
+/** Answer of the weight store: when the transfer may start, counted from now. */
+export interface WeightTransferReservation {
+  readonly startDelayMs: number;
+  readonly bytesPerSecond: number;
+}
+
+/**
+ * Why a platform call failed.
+ * - `unavailable`: the call was not sent or was refused before it took effect.
+ * - `outcomeUnknown`: sent, but no answer came; it may have taken effect.
+ * - `conflict`: the condition did not hold; `revision` is the current one, 0 if the object is absent.
+ */
+export type PlatformError =
+  | {readonly kind: 'unavailable'; readonly detail: string}
+  | {readonly kind: 'outcomeUnknown'; readonly detail: string}
+  | {readonly kind: 'conflict'; readonly revision: Revision}
+  | {readonly kind: 'notFound'}
+  | {readonly kind: 'rejected'; readonly detail: string};
+
+/** Answer of a platform call. */
+export type PlatformAnswer<T> = Promise<Result<T, PlatformError>>;
+
+/** Condition of an update: the object's current revision; 0 when it must not exist. */
+export interface UpdateCondition {
+  readonly ifRevision: Revision;
+}
+
+/** The users' platform. Implementations never throw; each passes the contract test. */
+export interface Platform {
+  get(key: string): PlatformAnswer<PlatformObject>;
+  list(prefix: string): PlatformAnswer<ObjectList>;
+  put(key: string, value: string, condition?: UpdateCondition): PlatformAnswer<Revision>;
+  remove(key: string, condition?: UpdateCondition): PlatformAnswer<Revision>;
+  /** Waits up to `waitMs` for changes under `prefix` after `afterRevision`. */
+  watch(prefix: string, afterRevision: Revision, waitMs: number): PlatformAnswer<WatchResult>;
+  listHosts(): PlatformAnswer<readonly ListedHost[]>;
+  /** Places an order; a repeated order id has no further effect. */
+  orderTargets(order: TargetOrder): PlatformAnswer<void>;
+  reportUsage(report: UsageReport): PlatformAnswer<void>;
+  reserveWeightTransfer(request: WeightTransferRequest): PlatformAnswer<WeightTransferReservation>;
+}
--- /dev/null
+++ b/packages/protocol/src/service.ts
@@ -0,0 +1,50 @@
+import {create, DescMessage, fromBinary, MessageShape, toBinary} from '@bufbuild/protobuf';
+import {MethodDefinition, ServiceDefinition} from '@grpc/grpc-js';
+import * as pb from './gen/radishgw/inner/v1/inner_pb.js';
+
+/** Builds the grpc-js definition of one method from its generated message descriptors. */
+function defineMethod<Req extends DescMessage, Res extends DescMessage>(
+  name: string,
+  request: Req,
+  response: Res,
+  responseStream = false,
+): MethodDefinition<MessageShape<Req>, MessageShape<Res>> {
+  return {
+    path: `/radishgw.inner.v1.Inner/${name}`,
+    requestStream: false,
+    responseStream,
+    requestSerialize: message => Buffer.from(toBinary(request, message)),
+    requestDeserialize: bytes => fromBinary(request, bytes),
+    responseSerialize: message => Buffer.from(toBinary(response, message)),
+    responseDeserialize: bytes => fromBinary(response, bytes),
+  };
+}
+
+/** Methods of the service `radishgw.inner.v1.Inner`. */
+export const INNER_SERVICE = {
+  heartbeat: defineMethod('Heartbeat', pb.HeartbeatRequestSchema, pb.HeartbeatResponseSchema),
+  subscribeConfig: defineMethod(
+    'SubscribeConfig',
+    pb.SubscribeConfigRequestSchema,
+    pb.ConfigUpdateSchema,
+    true,
+  ),
+  acquireGrant: defineMethod(
+    'AcquireGrant',
+    pb.AcquireGrantRequestSchema,
+    pb.AcquireGrantResponseSchema,
+  ),
+  confirmReserve: defineMethod(
+    'ConfirmReserve',
+    pb.ConfirmReserveRequestSchema,
+    pb.ConfirmReserveResponseSchema,
+  ),
+  handOverShards: defineMethod(
+    'HandOverShards',
+    pb.HandOverShardsRequestSchema,
+    pb.HandOverShardsResponseSchema,
+  ),
+  pushUsage: defineMethod('PushUsage', pb.PushUsageRequestSchema, pb.PushUsageResponseSchema),
+} satisfies ServiceDefinition;
+
+export {create};
