--- /dev/null
+++ b/packages/bench/src/registry.ts
@@ -0,0 +1,8 @@
+import {Bench} from './bench.js';
+import {SoakSuite} from './soak-suite.js';
+
+/** Measurements by name, in the order in which `all` runs them. */
+export const BENCHES: Readonly<Record<string, Bench>> = {};
+
+/** Randomised suites by name. */
+export const SOAK_SUITES: Readonly<Record<string, SoakSuite>> = {};
