Serve requests end to end through separate processes

A request goes from the caller through an entry host to an engine stand-in and streams back; the team's key is checked and the configuration comes from the platform stand-in through a watch. Limits, queueing and membership are not in the path yet: the limiter admits everything and the dispatcher takes the target with the fewest requests in flight.

ts-results is a CommonJS package whose named exports Node.js cannot find from an ES module, so core re-exports Ok, Err and Result.

--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from './keys.js';
+export * from './schema.js';
+export * from './store.js';
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -6,3 +6,4 @@
 export * from './invariants.js';
 export * from './procedure.js';
 export * from './random.js';
+export * from './result.js';
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './settings.js';
+export * from './wire.js';
--- /dev/null
+++ b/packages/gateway/src/request/body.ts
@@ -0,0 +1,66 @@
+import {IncomingMessage} from 'node:http';
+import {z} from 'zod';
+import {Refusal} from './refusal.js';
+
+/** Reads a body of at most `maxBytes` bytes. */
+export async function readBody(request: IncomingMessage, maxBytes: number): Promise<Buffer> {
+  const announced = Number(request.headers['content-length'] ?? 0);
+  if (announced > maxBytes) throw tooLarge(maxBytes);
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of request as AsyncIterable<Buffer>) {
+    size += chunk.length;
+    if (size > maxBytes) throw tooLarge(maxBytes);
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks);
+}
+
+function tooLarge(maxBytes: number): Refusal {
+  return new Refusal('requestTooLarge', `request body exceeds ${maxBytes} bytes`);
+}
+
+const modelRequestSchema = z.looseObject({
+  model: z.string().min(1),
+  stream: z.boolean().nullish(),
+  stream_options: z.looseObject({include_usage: z.boolean().nullish()}).nullish(),
+  max_tokens: z.number().int().positive().nullish(),
+  max_completion_tokens: z.number().int().positive().nullish(),
+  n: z.number().int().positive().nullish(),
+});
+const chatSchema = modelRequestSchema.extend({messages: z.array(z.looseObject({})).min(1)});
+const completionSchema = modelRequestSchema.extend({
+  prompt: z.union([z.string(), z.array(z.unknown())]),
+});
+
+/** The two kinds of model request, by path. */
+export const MODEL_REQUEST_KINDS = {
+  '/v1/chat/completions': {schema: chatSchema, answerKind: 'chat.completion'},
+  '/v1/completions': {schema: completionSchema, answerKind: 'text_completion'},
+} as const;
+
+export type ModelRequestPath = keyof typeof MODEL_REQUEST_KINDS;
+
+/** Fields of a model request that the host uses; the others are passed on unchanged. */
+export type ModelRequest = z.infer<typeof modelRequestSchema>;
+
+/** Parses a model request; refuses it with the path of the first wrong field. */
+export function parseModelRequest(path: ModelRequestPath, body: Buffer): ModelRequest {
+  let json: unknown;
+  try {
+    json = JSON.parse(body.toString('utf8'));
+  } catch {
+    throw new Refusal('requestMalformed', 'request body is not JSON');
+  }
+  const parsed = MODEL_REQUEST_KINDS[path].schema.safeParse(json);
+  if (parsed.success) return parsed.data;
+  const issue = parsed.error.issues[0];
+  throw new Refusal('requestMalformed', `${issue.path.join('.') || 'body'}: ${issue.message}`);
+}
+
+const BYTES_PER_TOKEN = 4;
+
+/** Estimate of the prompt's tokens from its size; corrected by the engine's count at the end. */
+export function estimatePromptTokens(bodyBytes: number): number {
+  return Math.ceil(bodyBytes / BYTES_PER_TOKEN);
+}
--- /dev/null
+++ b/packages/gateway/src/request/ports.ts
@@ -0,0 +1,48 @@
+import {TargetConfig, Team, WorkClass} from '@radishgw/config';
+import {Procedure, RequestId} from '@radishgw/core';
+
+/** Tokens charged to a team for one request. */
+export interface Charge {
+  /** Replaces the estimate by the actual cost; called once. */
+  settle(actualTokens: number): void;
+}
+
+/** Enforces rate and burst; throws a refusal when the team has exceeded them. */
+export interface RequestLimiter {
+  acquire(team: Team, costTokens: number, deadlineMs: number): Procedure<Charge>;
+}
+
+/** What is known of a request when a target is chosen. */
+export interface DispatchRequest {
+  readonly requestId: RequestId;
+  readonly pool: string;
+  readonly team: Team | undefined;
+  readonly workClass: WorkClass;
+  readonly costTokens: number;
+  readonly promptTokens: number;
+  /** Identifies the prompt's beginning for prefix affinity; undefined for service calls. */
+  readonly prefixHashes: readonly number[];
+  /** Whether the request may be run more than once. */
+  readonly repeatable: boolean;
+  readonly deadlineMs: number;
+  /** Targets that have failed this request. */
+  readonly excluded: ReadonlySet<string>;
+}
+
+/** How an attempt at a target ended. */
+export type AttemptOutcome = 'succeeded' | 'failed' | 'cancelled';
+
+/** A place at a target, held for one attempt. */
+export interface Dispatch {
+  readonly target: TargetConfig;
+  /** Corrects the cost as tokens come out. */
+  reportProgress(outputTokens: number): void;
+  release(outcome: AttemptOutcome): void;
+}
+
+/** Queues a request and chooses its target; throws a refusal when there is none in time. */
+export interface Dispatcher {
+  acquire(request: DispatchRequest): Procedure<Dispatch>;
+  /** Whether the retry budget allows another attempt now. */
+  allowRetry(): boolean;
+}
--- /dev/null
+++ b/packages/gateway/src/settings.ts
@@ -0,0 +1,90 @@
+import {RadishError} from '@radishgw/core';
+import yargs from 'yargs';
+import {z} from 'zod';
+
+/** Prefix of the environment variable of each flag: `--platform-url` is `RADISHGW_PLATFORM_URL`. */
+export const ENV_PREFIX = 'RADISHGW';
+
+const idPattern = /^[a-z0-9][a-z0-9._-]{0,62}$/;
+const addressPattern = /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$/;
+const address = z.string().regex(addressPattern, 'expected IP:PORT');
+const positive = z.number().positive();
+
+const settingsSchema = z.object({
+  hostId: z.string().regex(idPattern, 'expected 1 to 63 of a-z, 0-9, ".", "_", "-"'),
+  failureDomain: z.string().regex(idPattern, 'expected 1 to 63 of a-z, 0-9, ".", "_", "-"'),
+  platformUrl: z.url('expected a URL'),
+  callerAddress: address,
+  operatorAddress: address,
+  innerAddress: address,
+  platformTimeoutMs: positive,
+  maxBodyBytes: positive,
+  maxInFlight: positive,
+  defaultDeadlineMs: positive,
+  progressTimeoutMs: positive,
+  shutdownTimeoutMs: positive,
+  logFormat: z.enum(['json', 'pretty']),
+  logLevel: z.enum(['debug', 'info', 'warn', 'error']),
+});
+
+/** Settings of an entry host; times in milliseconds, sizes in bytes. */
+export type Settings = z.infer<typeof settingsSchema>;
+
+/** Reads settings from flags and environment variables; flags go first. */
+export function parseSettings(argv: readonly string[]): Settings {
+  const parser = yargs([...argv])
+    .scriptName('radishgw')
+    .usage('$0 [flags]\n\nEntry host. Each flag can also be given as RADISHGW_<FLAG>.')
+    .env(ENV_PREFIX)
+    .options({
+      'host-id': {type: 'string', describe: 'Name of this host, unique in the deployment'},
+      'failure-domain': {type: 'string', describe: 'Failure domain of this host'},
+      'platform-url': {type: 'string', describe: 'Base URL of the platform'},
+      'caller-address': {type: 'string', describe: "IP:PORT of the callers' API"},
+      'operator-address': {type: 'string', describe: "IP:PORT of the operators' API"},
+      'inner-address': {type: 'string', describe: 'IP:PORT for the other hosts'},
+      'platform-timeout-ms': {type: 'number', default: 2000, describe: 'Bound on a platform call'},
+      'max-body-bytes': {type: 'number', default: 8_388_608, describe: 'Bound on a request body'},
+      'max-in-flight': {type: 'number', default: 4096, describe: 'Bound on requests in flight'},
+      'default-deadline-ms': {
+        type: 'number',
+        default: 600_000,
+        describe: 'Deadline of requests without the header x-radishgw-deadline-ms',
+      },
+      'progress-timeout-ms': {
+        type: 'number',
+        default: 2000,
+        describe: 'Silence after which a stream is resumed on a new connection',
+      },
+      'shutdown-timeout-ms': {
+        type: 'number',
+        default: 900_000,
+        describe: 'Bound on the wait for requests in flight during a graceful shutdown',
+      },
+      'log-format': {type: 'string', default: 'json', choices: ['json', 'pretty']},
+      'log-level': {type: 'string', default: 'info', choices: ['debug', 'info', 'warn', 'error']},
+    })
+    .strict()
+    .version('0.1.0')
+    .fail((message, error) => {
+      throw error ?? new RadishError('settingInvalid', message);
+    });
+  return checkSettings(parser.parseSync());
+}
+
+function checkSettings(values: Record<string, unknown>): Settings {
+  const parsed = settingsSchema.safeParse(values);
+  if (parsed.success) return parsed.data;
+  const issue = parsed.error.issues[0];
+  const name = String(issue.path[0]);
+  const flag = name.replace(/[A-Z]/g, letter => `-${letter.toLowerCase()}`);
+  const variable = `${ENV_PREFIX}_${flag.replaceAll('-', '_').toUpperCase()}`;
+  const given = values[name];
+  if (given === undefined) {
+    throw new RadishError('settingMissing', `setting --${flag} (${variable}) is missing`);
+  }
+  throw new RadishError(
+    'settingInvalid',
+    `setting --${flag} (${variable}): ${issue.message}, got "${String(given)}"`,
+  );
+}
--- a/packages/platform/src/platform.ts
+++ b/packages/platform/src/platform.ts
@@ -1,5 +1,4 @@
-import {Result} from 'ts-results';
-import {FailureDomain, HostId, OrderId, PoolId} from '@radishgw/core';
+import {FailureDomain, HostId, OrderId, PoolId, Result} from '@radishgw/core';
 
 /** Position in the platform's history: one rising counter for the whole store; 0 is before all. */
 export type Revision = number;
--- /dev/null
+++ b/packages/testkit/src/deployment.ts
@@ -0,0 +1,227 @@
+import {fileURLToPath} from 'node:url';
+import {
+  BASE_KEY,
+  BaseConfig,
+  issueKey,
+  SCHEMA_VERSION,
+  TargetConfig,
+  TeamConfig,
+  teamKey,
+} from '@radishgw/config';
+import {createSystemRandom, KeyId, toId} from '@radishgw/core';
+import {HttpPlatform} from '@radishgw/platform';
+import {Child, findFreePorts, startChild, startStandIn, waitForUrl} from './child.js';
+
+/** Size and behaviour of a deployment on the loopback interface. */
+export interface DeploymentOptions {
+  readonly hosts: number;
+  readonly engines: number;
+  readonly services: number;
+  readonly failureDomains: readonly string[];
+  readonly decodeMsPerToken: number;
+  /** Further flags for each host. */
+  readonly hostFlags?: readonly string[];
+  readonly tokensPerSecond?: number;
+  readonly burstTokens?: number;
+}
+
+/** An entry host of a deployment. */
+export interface HostHandle {
+  readonly hostId: string;
+  readonly child: Child;
+  readonly entryUrl: string;
+  readonly operatorUrl: string;
+  readonly innerAddress: string;
+}
+
+/** Processes of a deployment and what is needed to call them. */
+export interface Deployment {
+  readonly platformUrl: string;
+  readonly platform: HttpPlatform;
+  readonly platformChild: Child;
+  readonly hosts: HostHandle[];
+  readonly engines: {child: Child; url: string}[];
+  readonly services: {child: Child; url: string}[];
+  readonly key: string;
+  readonly teamId: string;
+  readonly model: string;
+  readonly base: BaseConfig;
+  readonly team: TeamConfig;
+  /** Starts the host with this index again, or a further one. */
+  startHost(index: number): Promise<HostHandle>;
+  /** Ends all processes; hosts first, by SIGTERM. */
+  stop(): Promise<void>;
+}
+
+export const DEMO_MODEL = 'stitch-small';
+export const DEMO_TEAM = 'monogram-desk';
+export const DEMO_ROUTE = '/orders';
+export const DEMO_LOOKUP_ROUTE = '/catalogue';
+
+const GATEWAY_MAIN = fileURLToPath(new URL('../../../gateway/dist/src/main.js', import.meta.url));
+const PORTS_PER_HOST = 3;
+const START_TIMEOUT_MS = 60_000;
+
+function buildBase(targets: TargetConfig[]): BaseConfig {
+  return {
+    schemaVersion: SCHEMA_VERSION,
+    templates: [
+      {
+        templateId: 'desk',
+        parameters: {
+          models: [DEMO_MODEL],
+          routes: ['orders', 'catalogue'],
+          tokensPerSecond: 100_000,
+          burstTokens: 500_000,
+          classRules: [{work: 'monogram-check', class: 'urgent'}],
+        },
+      },
+    ],
+    models: [{model: DEMO_MODEL, pool: 'models', maxOutputTokens: 256}],
+    routes: [
+      {
+        routeId: 'orders',
+        method: 'POST',
+        path: DEMO_ROUTE,
+        pool: 'orders',
+        idempotent: false,
+        access: 'key',
+        costTokens: 10,
+      },
+      {
+        routeId: 'catalogue',
+        method: 'GET',
+        path: DEMO_LOOKUP_ROUTE,
+        pool: 'orders',
+        idempotent: true,
+        access: 'open',
+        costTokens: 0,
+      },
+    ],
+    targets,
+  };
+}
+
+function describeTargets(
+  kind: 'engine' | 'service',
+  pool: string,
+  urls: readonly string[],
+  failureDomains: readonly string[],
+): TargetConfig[] {
+  return urls.map((url, index) => ({
+    targetId: `${kind}-${index + 1}`,
+    kind,
+    pool,
+    url,
+    failureDomain: failureDomains[index % failureDomains.length],
+    cheap: false,
+    checksFencing: true,
+    state: 'active',
+    slots: 64,
+  }));
+}
+
+/** Starts platform, targets and hosts as separate processes and waits until the hosts are ready. */
+export async function startDeployment(options: DeploymentOptions): Promise<Deployment> {
+  const {child: platformChild, url: platformUrl} = await startStandIn('platform', 'platform');
+  const engineFlags = [
+    '--models',
+    DEMO_MODEL,
+    '--decode-ms-per-token',
+    String(options.decodeMsPerToken),
+  ];
+  const engines = await Promise.all(
+    Array.from({length: options.engines}, (_, i) =>
+      startStandIn(`engine-${i + 1}`, 'engine', engineFlags),
+    ),
+  );
+  const services = await Promise.all(
+    Array.from({length: options.services}, (_, i) => startStandIn(`service-${i + 1}`, 'service')),
+  );
+  const platform = new HttpPlatform({baseUrl: platformUrl, callTimeoutMs: 5000});
+  const base = buildBase([
+    ...describeTargets(
+      'engine',
+      'models',
+      engines.map(engine => engine.url),
+      options.failureDomains,
+    ),
+    ...describeTargets(
+      'service',
+      'orders',
+      services.map(service => service.url),
+      options.failureDomains,
+    ),
+  ]);
+  const key = issueKey(toId<KeyId>('demo'), createSystemRandom());
+  const parameters: TeamConfig['parameters'] = {};
+  if (options.tokensPerSecond) parameters.tokensPerSecond = options.tokensPerSecond;
+  if (options.burstTokens) parameters.burstTokens = options.burstTokens;
+  const team: TeamConfig = {
+    schemaVersion: SCHEMA_VERSION,
+    teamId: DEMO_TEAM,
+    template: 'desk',
+    parameters,
+    keys: [key.record],
+  };
+  (await platform.put(BASE_KEY, JSON.stringify(base))).unwrap();
+  (await platform.put(teamKey(DEMO_TEAM), JSON.stringify(team))).unwrap();
+
+  const startHost = async (index: number): Promise<HostHandle> => {
+    const [callerPort, operatorPort, innerPort] = await findFreePorts(PORTS_PER_HOST);
+    const hostId = `host-${index + 1}`;
+    const entryUrl = `http://127.0.0.1:${callerPort}`;
+    const operatorUrl = `http://127.0.0.1:${operatorPort}`;
+    const innerAddress = `127.0.0.1:${innerPort}`;
+    const child = startChild(hostId, GATEWAY_MAIN, [
+      '--host-id',
+      hostId,
+      '--failure-domain',
+      options.failureDomains[index % options.failureDomains.length],
+      '--platform-url',
+      platformUrl,
+      '--caller-address',
+      `127.0.0.1:${callerPort}`,
+      '--operator-address',
+      `127.0.0.1:${operatorPort}`,
+      '--inner-address',
+      innerAddress,
+      ...(options.hostFlags ?? []),
+    ]);
+    await Promise.race([
+      waitForUrl(`${operatorUrl}/readyz`, AbortSignal.timeout(START_TIMEOUT_MS)),
+      new Promise<never>((_, reject) => {
+        child.process.once('exit', code => {
+          reject(new Error(`${hostId} exited with ${code}: ${child.logLines.join('\n')}`));
+        });
+      }),
+    ]);
+    return {hostId, child, entryUrl, operatorUrl, innerAddress};
+  };
+
+  const hosts = await Promise.all(Array.from({length: options.hosts}, (_, i) => startHost(i)));
+  return {
+    platformUrl,
+    platform,
+    platformChild,
+    hosts,
+    engines,
+    services,
+    key: key.text,
+    teamId: DEMO_TEAM,
+    model: DEMO_MODEL,
+    base,
+    team,
+    startHost,
+    stop: async () => {
+      const stopIfRunning = (child: Child) =>
+        child.process.exitCode === null && child.process.signalCode === null
+          ? child.stop()
+          : Promise.resolve(null);
+      await Promise.all(hosts.map(host => stopIfRunning(host.child)));
+      await Promise.all([...engines, ...services].map(({child}) => stopIfRunning(child)));
+      await stopIfRunning(platformChild);
+      await platform.close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/testkit/src/platform/platform-server.ts
@@ -0,0 +1,184 @@
+import {IncomingMessage, ServerResponse} from 'node:http';
+import {TargetOrder, UsageReport} from '@radishgw/platform';
+import {Listening, listen, readText, sendJson} from '../http.js';
+import {ObjectStore} from './object-store.js';
+
+/** Faults that a test switches on and off through `POST /faults`. */
+export interface PlatformFaults {
+  /** Calls are refused with 503. */
+  outage: boolean;
+  /** Added before each answer, in milliseconds. */
+  latencyMs: number;
+  /** Updates take effect but their answer is lost. */
+  loseAnswers: boolean;
+}
+
+/** What the stand-in received, for checks of whole-system properties. */
+export interface PlatformRecord {
+  readonly targetOrders: TargetOrder[];
+  readonly usageReports: UsageReport[];
+  callCount: number;
+}
+
+/** Platform stand-in over HTTP. */
+export interface PlatformServer extends Listening {
+  readonly store: ObjectStore;
+  readonly faults: PlatformFaults;
+  readonly record: PlatformRecord;
+}
+
+type Handler = (
+  context: PlatformContext,
+  request: IncomingMessage,
+  response: ServerResponse,
+  url: URL,
+) => Promise<void> | void;
+
+interface PlatformContext {
+  readonly store: ObjectStore;
+  readonly faults: PlatformFaults;
+  readonly record: PlatformRecord;
+  readonly leavingHosts: Set<string>;
+}
+
+const WEIGHT_STORE_BYTES_PER_SECOND = 1_000_000_000;
+
+function readCondition(url: URL): number | undefined {
+  const text = url.searchParams.get('ifRevision');
+  return text === null ? undefined : Number(text);
+}
+
+function readKey(url: URL): string {
+  return decodeURIComponent(url.pathname.slice('/objects/'.length));
+}
+
+async function watch(context: PlatformContext, response: ServerResponse, url: URL): Promise<void> {
+  const prefix = url.searchParams.get('prefix') ?? '';
+  const after = Number(url.searchParams.get('afterRevision') ?? 0);
+  const waitMs = Number(url.searchParams.get('waitMs') ?? 0);
+  if (context.store.eventsAfter(prefix, after).length === 0) {
+    await new Promise<void>(resolve => {
+      const timer = setTimeout(finish, waitMs);
+      const stopWaiting = context.store.waitForChange(prefix, finish);
+      response.once('close', finish);
+      function finish(): void {
+        clearTimeout(timer);
+        stopWaiting();
+        resolve();
+      }
+    });
+  }
+  sendJson(response, 200, {
+    events: context.store.eventsAfter(prefix, after),
+    revision: context.store.revision,
+    compacted: false,
+  });
+}
+
+/** Handlers by method and first path segment. */
+const HANDLERS: Readonly<Record<string, Handler>> = {
+  'GET /objects': ({store}, _request, response, url) => {
+    if (url.pathname === '/objects') {
+      const prefix = url.searchParams.get('prefix') ?? '';
+      sendJson(response, 200, {objects: store.list(prefix), revision: store.revision});
+      return;
+    }
+    const object = store.get(readKey(url));
+    sendJson(response, object ? 200 : 404, object ?? {});
+  },
+  'PUT /objects': async ({store}, request, response, url) => {
+    const body = JSON.parse(await readText(request)) as {value: string};
+    const outcome = store.put(readKey(url), body.value, readCondition(url));
+    sendJson(response, outcome.ok ? 200 : 409, {revision: outcome.revision});
+  },
+  'DELETE /objects': ({store}, _request, response, url) => {
+    const outcome = store.remove(readKey(url), readCondition(url));
+    sendJson(response, outcome.ok ? 200 : 409, {revision: outcome.revision});
+  },
+  'GET /watch': (context, _request, response, url) => watch(context, response, url),
+  'GET /hosts': ({store, leavingHosts}, _request, response) => {
+    const hosts = store.list('hosts/').map(object => {
+      const hostId = object.key.slice('hosts/'.length);
+      return {hostId, state: leavingHosts.has(hostId) ? 'leaving' : 'live'};
+    });
+    sendJson(response, 200, {hosts});
+  },
+  'POST /target-orders': async ({record}, request, response) => {
+    const order = JSON.parse(await readText(request)) as TargetOrder;
+    if (!record.targetOrders.some(known => known.orderId === order.orderId)) {
+      record.targetOrders.push(order);
+    }
+    sendJson(response, 200, {});
+  },
+  'POST /usage-reports': async ({record}, request, response) => {
+    record.usageReports.push(JSON.parse(await readText(request)) as UsageReport);
+    sendJson(response, 200, {});
+  },
+  'POST /weight-transfers': (_context, _request, response) => {
+    sendJson(response, 200, {startDelayMs: 0, bytesPerSecond: WEIGHT_STORE_BYTES_PER_SECOND});
+  },
+};
+
+/** Calls of the test itself; they aren't subject to faults. */
+const TEST_HANDLERS: Readonly<Record<string, Handler>> = {
+  'POST /faults': async ({faults}, request, response) => {
+    Object.assign(faults, JSON.parse(await readText(request)));
+    sendJson(response, 200, faults);
+  },
+  'GET /record': ({record}, _request, response) => sendJson(response, 200, record),
+  'POST /leaving-hosts': async ({leavingHosts}, request, response) => {
+    const body = JSON.parse(await readText(request)) as {hostIds: string[]};
+    leavingHosts.clear();
+    for (const hostId of body.hostIds) leavingHosts.add(hostId);
+    sendJson(response, 200, {});
+  },
+};
+
+async function dispatch(
+  context: PlatformContext,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const url = new URL(request.url ?? '/', 'http://platform');
+  const name = `${request.method} /${url.pathname.split('/')[1]}`;
+  const testHandler = TEST_HANDLERS[name];
+  if (testHandler) {
+    await testHandler(context, request, response, url);
+    return;
+  }
+  context.record.callCount++;
+  const {faults} = context;
+  if (faults.latencyMs > 0) await new Promise(resolve => setTimeout(resolve, faults.latencyMs));
+  if (faults.outage) {
+    sendJson(response, 503, {});
+    return;
+  }
+  const handler = HANDLERS[name];
+  if (!handler) {
+    sendJson(response, 400, {message: `no such call: ${name}`});
+    return;
+  }
+  if (faults.loseAnswers && request.method !== 'GET') {
+    response.end = (() => {
+      request.socket.destroy();
+      return response;
+    }) as typeof response.end;
+  }
+  await handler(context, request, response, url);
+}
+
+/** Starts the stand-in on the loopback interface; port 0 chooses a free port. */
+export async function startPlatformServer(port = 0): Promise<PlatformServer> {
+  const context: PlatformContext = {
+    store: new ObjectStore(),
+    faults: {outage: false, latencyMs: 0, loseAnswers: false},
+    record: {targetOrders: [], usageReports: [], callCount: 0},
+    leavingHosts: new Set(),
+  };
+  const listening = await listen((request, response) => {
+    dispatch(context, request, response).catch(error => {
+      if (!response.headersSent) sendJson(response, 400, {message: String(error)});
+    });
+  }, port);
+  return {...listening, ...context};
+}
