--- a/packages/gateway/src/caller/caller-server.ts
+++ b/packages/gateway/src/caller/caller-server.ts
@@ -1,85 +1,125 @@
-import {createServer, IncomingMessage, Server, ServerResponse} from 'node:http';
-import {ConfigStore, RouteConfig} from '@radishgw/config';
-import {
-  Clock,
-  EffectHandlers,
-  EventLog,
-  Procedure,
-  RandomSource,
-  RequestId,
-  startTask,
-  toId,
-} from '@radishgw/core';
+import {createServer as createHttpServer, IncomingMessage, ServerResponse} from 'node:http';
+import {createServer as createHttpsServer, Server as HttpsServer} from 'node:https';
+import {Server as NetServer} from 'node:net';
+import {Duplex} from 'node:stream';
+import {RouteConfig} from '@radishgw/config';
+import {EffectHandlers, RequestId, startTask, toId} from '@radishgw/core';
 import findMyWay from 'find-my-way';
 import {Metrics} from '../operator/metrics.js';
-import {authenticate, Caller} from '../request/authenticate.js';
-import {ModelRequestPath} from '../request/body.js';
-import {RequestContext} from '../request/context.js';
+import {parseDeadlineMs} from '../request/caller-headers.js';
+import {AbortReason, RequestContext} from '../request/context.js';
 import {Refusal} from '../request/refusal.js';
-import {ModelServices, serveModel} from '../request/serve-model.js';
-import {serveService, ServiceServices} from '../request/serve-service.js';
+import {
+  createRefusingEndpoint,
+  createRouteEndpoint,
+  Endpoint,
+  EndpointServices,
+  FIXED_ENDPOINTS,
+} from './endpoints.js';
 import {sendRefusal} from './errors.js';
+import {InFlight} from './in-flight.js';
+import {answerParserError, refuseConnect} from './parser-errors.js';
+import {readTlsFiles, TlsFiles} from './tls.js';
 
 /** What the callers' API needs. */
-export interface CallerServices extends ModelServices, ServiceServices {
-  readonly clock: Clock;
+export interface CallerServices extends EndpointServices {
   readonly handlers: EffectHandlers;
-  readonly config: ConfigStore;
-  readonly log: EventLog;
-  readonly random: RandomSource;
   readonly metrics: Metrics;
   readonly maxInFlight: number;
   readonly defaultDeadlineMs: number;
-  /** Throws a refusal if requests with a key must not be served now. */
-  checkFreshness(): void;
-  /** Hosts to use, in order, for a team. */
-  listEntryHosts(caller: Caller): EntryAnswer;
+  /** Bound on the time in which a whole request must arrive, in milliseconds. */
+  readonly requestTimeoutMs: number;
+  /** TLS towards callers; plain HTTP if undefined. */
+  readonly tls: TlsFiles | undefined;
 }
 
-/** Answer of `GET /v1/entry`. */
-export interface EntryAnswer {
-  /** Base URLs in the order in which to try them. */
-  readonly hosts: readonly string[];
-  /** How long the answer may be kept, in milliseconds. */
-  readonly maxAgeMs: number;
-}
-
-type Endpoint = (services: CallerServices, context: RequestContext) => Procedure<void>;
-
 const REQUEST_ID_BYTES = 12;
-const HEADERS_TIMEOUT_MS = 20_000;
 const MAX_HEADER_BYTES = 32_768;
+/** Node.js checks all connections at this interval, so a slow request may last this much longer. */
+const TIMEOUT_CHECK_MS = 1000;
+/** How long a stopping host still serves requests that come on open connections. */
+const KEEP_ALIVE_GRACE_MS = 500;
+const DRAIN_MS = 1000;
 
-/** The server for callers, with the number of requests in flight. */
+const refuseRoute = createRefusingEndpoint(
+  path => new Refusal('routeNotFound', `no route for ${path}`),
+);
+const refuseExpectation = createRefusingEndpoint(
+  () => new Refusal('requestMalformed', 'header expect: only "100-continue" is supported'),
+);
+const refuseUrl = createRefusingEndpoint(
+  path => new Refusal('requestMalformed', `request target is malformed: ${path}`),
+);
+
+interface ActiveRequest {
+  readonly context: RequestContext;
+  abort(reason: AbortReason): void;
+}
+
+/** The server for callers. */
 export class CallerServer {
-  readonly server: Server;
-  private inFlight = 0;
-  private onIdle: (() => void) | undefined;
+  readonly server: ReturnType<typeof createHttpServer> | HttpsServer;
+  private readonly inFlight: InFlight;
+  private readonly active = new Set<ActiveRequest>();
   private router!: findMyWay.Instance<findMyWay.HTTPVersion.V1>;
   private routesFrom: readonly RouteConfig[] | undefined;
+  private stopping = false;
 
   constructor(private readonly services: CallerServices) {
+    this.inFlight = new InFlight(services.maxInFlight);
     this.buildRouter();
-    this.server = createServer(
-      {
-        maxHeaderSize: MAX_HEADER_BYTES,
-        headersTimeout: HEADERS_TIMEOUT_MS,
-        requestTimeout: 0,
-      },
-      (request, response) => this.route(request, response),
-    );
+    const options = {
+      maxHeaderSize: MAX_HEADER_BYTES,
+      headersTimeout: services.requestTimeoutMs,
+      requestTimeout: services.requestTimeoutMs,
+      connectionsCheckingInterval: Math.min(TIMEOUT_CHECK_MS, services.requestTimeoutMs),
+    };
+    const {tls} = services;
+    this.server = tls
+      ? createHttpsServer({...options, ...readTlsFiles(tls)})
+      : createHttpServer(options);
+    const route = (request: IncomingMessage, response: ServerResponse) => {
+      this.route(request, response);
+    };
+    this.server.on('request', route);
+    // The endpoint itself sends "100 Continue" when it is about to read the body.
+    this.server.on('checkContinue', route);
+    this.server.on('checkExpectation', (request, response) => {
+      this.serve(request, response, refuseExpectation);
+    });
+    this.server.on('connect', (_request, socket: Duplex) => refuseConnect(socket));
+    this.server.on('clientError', (error, socket) => this.takeParserError(error, socket));
   }
 
   getInFlight(): number {
-    return this.inFlight;
+    return this.inFlight.getTotal();
   }
 
-  /** Resolves when no request is in flight. */
-  waitUntilIdle(): Promise<void> {
-    if (this.inFlight === 0) return Promise.resolve();
-    return new Promise(resolve => {
-      this.onIdle = resolve;
+  /** Reads the certificate again for new connections; throws and keeps the old one if it's wrong. */
+  reloadTls(): void {
+    const {tls} = this.services;
+    if (tls) (this.server as HttpsServer).setSecureContext(readTlsFiles(tls));
+  }
+
+  /**
+   * Stops gracefully: takes no new connections, serves what comes on open ones for a moment and
+   * tells them to close, and waits for requests in flight, at most `timeoutMs` milliseconds.
+   */
+  async stop(timeoutMs: number): Promise<void> {
+    this.stopping = true;
+    // Node's own `close` would at once close idle connections on which a request may be under way.
+    NetServer.prototype.close.call(this.server);
+    for (const {context} of this.active) announceClose(context.response);
+    const {clock} = this.services;
+    await new Promise<void>(resolve => clock.setTimer(KEEP_ALIVE_GRACE_MS, resolve));
+    const timer = clock.setTimer(timeoutMs, () => {
+      for (const request of [...this.active]) request.abort('shutdown');
+      clock.setTimer(DRAIN_MS, () => this.server.closeAllConnections());
     });
+    this.server.closeIdleConnections();
+    await this.inFlight.waitUntilIdle();
+    timer.cancel();
+    this.server.closeAllConnections();
   }
 
   private route(request: IncomingMessage, response: ServerResponse): void {
@@ -88,69 +128,94 @@
   }
 
   private buildRouter(): void {
+    const refuseWith = (endpoint: Endpoint) => (request: unknown, response: unknown) => {
+      this.serve(request as IncomingMessage, response as ServerResponse, endpoint);
+    };
     const router = findMyWay({
-      defaultRoute: (request, response) => {
-        this.serve(request as IncomingMessage, response as ServerResponse, refuseRoute);
-      },
+      defaultRoute: refuseWith(refuseRoute),
+      onBadUrl: (_path, request, response) => refuseWith(refuseUrl)(request, response),
     });
     const add = (method: findMyWay.HTTPMethod, path: string, endpoint: Endpoint) => {
       router.on(method, path, (request, response) => {
         this.serve(request as IncomingMessage, response as ServerResponse, endpoint);
       });
     };
-    for (const path of ['/v1/chat/completions', '/v1/completions'] as const) {
-      add('POST', path, createModelEndpoint(path));
-    }
-    add('GET', '/v1/models', listModels);
-    add('GET', '/v1/entry', answerEntry);
+    for (const {method, path, endpoint} of FIXED_ENDPOINTS) add(method, path, endpoint);
     this.routesFrom = this.services.config.getRoutes();
     for (const route of this.routesFrom) add(route.method, route.path, createRouteEndpoint(route));
     this.router = router;
   }
 
   private serve(request: IncomingMessage, response: ServerResponse, endpoint: Endpoint): void {
-    const context = this.createContext(request, response);
-    if (this.inFlight >= this.services.maxInFlight) {
-      const message = `${this.services.maxInFlight} requests are in flight`;
-      this.finish(context, new Refusal('tooManyRequestsInFlight', message));
+    const controller = new AbortController();
+    const {context, refusal} = this.createContext(request, response, controller.signal);
+    if (this.stopping) announceClose(response);
+    if (!this.inFlight.tryEnter()) {
+      this.finish(context, this.inFlight.refuse());
       return;
     }
-    this.inFlight++;
-    const task = startTask(endpoint(this.services, context), this.services.handlers);
-    task.done
-      .then(
-        () => this.finish(context, undefined),
-        error => this.finish(context, error),
-      )
-      .finally(() => {
-        this.inFlight--;
-        if (this.inFlight === 0) this.onIdle?.();
+    const {clock, handlers} = this.services;
+    const abort = (reason: AbortReason) => {
+      if (controller.signal.aborted) return;
+      controller.abort(reason);
+      task.cancel();
+      // A caller that doesn't read must not hold its place for longer.
+      clock.setTimer(DRAIN_MS, () => response.destroyed || response.destroy());
+    };
+    const active: ActiveRequest = {context, abort};
+    this.active.add(active);
+    const deadline = clock.setTimer(context.deadlineMs - clock.nowMs(), () => abort('deadline'));
+    const closed = new Promise<void>(resolve => {
+      response.once('close', () => {
+        if (!context.outlivesCaller) abort('closed');
+        resolve();
       });
+    });
+    const run = refusal ? createRefusingEndpoint(() => refusal) : endpoint;
+    const task = startTask(run(this.services, this.inFlight, context), handlers);
+    const done = task.done.then(
+      () => this.finish(context, controller.signal.aborted ? controller.signal : undefined),
+      error => this.finish(context, error),
+    );
+    // The response is only over when its last byte has left, which may be later than the work.
+    void Promise.all([done, closed]).finally(() => {
+      deadline.cancel();
+      this.active.delete(active);
+      if (context.team) this.inFlight.leaveTeam(context.team);
+      this.inFlight.leave();
+    });
   }
 
-  private createContext(request: IncomingMessage, response: ServerResponse): RequestContext {
+  private createContext(
+    request: IncomingMessage,
+    response: ServerResponse,
+    signal: AbortSignal,
+  ): {context: RequestContext; refusal: Refusal | undefined} {
     const {clock, random, defaultDeadlineMs} = this.services;
+    let allowedMs = defaultDeadlineMs;
+    let refusal: Refusal | undefined;
+    try {
+      allowedMs = parseDeadlineMs(request.headers) ?? defaultDeadlineMs;
+    } catch (error) {
+      refusal = error as Refusal;
+    }
     const requestId = toId<RequestId>(random.nextHex(REQUEST_ID_BYTES));
-    const header = Number(request.headers['x-radishgw-deadline-ms']);
-    const deadlineMs = clock.nowMs() + (header > 0 ? header : defaultDeadlineMs);
-    const abort = new AbortController();
-    const timer = clock.setTimer(deadlineMs - clock.nowMs(), () => abort.abort('deadline'));
-    response.once('close', () => {
-      timer.cancel();
-      abort.abort('closed');
-    });
     response.setHeader('x-request-id', requestId);
-    return {
+    const arrivedMs = clock.nowMs();
+    const context: RequestContext = {
       requestId,
       request,
       response,
-      arrivedMs: clock.nowMs(),
-      deadlineMs,
-      signal: abort.signal,
+      arrivedMs,
+      deadlineMs: arrivedMs + allowedMs,
+      signal,
+      outlivesCaller: false,
+      mayHaveRun: false,
       workClass: 'standard',
       resource: '',
       attempts: 0,
     };
+    return {context, refusal};
   }
 
   private finish(context: RequestContext, error: unknown): void {
@@ -167,10 +232,12 @@
       attempts: context.attempts,
     };
     if (error !== undefined) {
-      const refusal = this.toRefusal(context, error);
+      const refusal = toRefusal(context, error);
       sendRefusal(context.response, refusal, context.requestId);
+      this.boundRestOfBody(context.request);
       metrics.count('radishgw_refusals_total', {team: labels.team, code: refusal.kind.code});
-      log.write('requestRefused', {...fields, code: refusal.kind.code, detail: refusal.message});
+      const {execution, message} = refusal;
+      log.write('requestRefused', {...fields, code: refusal.kind.code, execution, detail: message});
       return;
     }
     const totalMs = clock.nowMs() - context.arrivedMs;
@@ -183,71 +250,49 @@
     log.write('requestFinished', {...fields, totalMs});
   }
 
-  private toRefusal(context: RequestContext, error: unknown): Refusal {
-    if (error instanceof Refusal) return error;
-    const execution = context.attempts === 0 ? 'not_run' : 'unknown';
-    if (context.signal.reason === 'deadline') {
-      return new Refusal('deadlineExceeded', 'deadline passed', execution);
-    }
-    if (context.signal.aborted) {
-      return new Refusal('outcomeUnknown', 'caller disconnected', execution);
-    }
-    return new Refusal('targetFailed', (error as Error).message, execution);
+  /**
+   * Reads the rest of a refused request's body, so that the caller gets the refusal instead of a
+   * reset connection, but closes the connection when the rest is too long.
+   */
+  private boundRestOfBody(request: IncomingMessage): void {
+    if (request.complete || request.destroyed) return;
+    let size = 0;
+    request.on('error', () => undefined);
+    request.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > this.services.maxBodyBytes) request.socket.destroy();
+    });
+    request.resume();
   }
-}
 
-// eslint-disable-next-line require-yield
-function* refuseRoute(_services: CallerServices, context: RequestContext): Procedure<void> {
-  const {method, url} = context.request;
-  throw new Refusal('routeNotFound', `no route for ${method} ${url?.split('?')[0]}`);
-}
-
-function authenticateRequest(services: CallerServices, context: RequestContext): Caller {
-  services.checkFreshness();
-  const caller = authenticate(services.config, context.request.headers);
-  context.team = caller.team;
-  return caller;
-}
-
-function createModelEndpoint(path: ModelRequestPath): Endpoint {
-  return function* (services, context) {
-    const caller = authenticateRequest(services, context);
-    yield* serveModel(services, context, caller.team, path);
-  };
-}
-
-function createRouteEndpoint(route: RouteConfig): Endpoint {
-  return function* (services, context) {
-    if (route.access === 'open') {
-      yield* serveService(services, context, route, undefined, undefined);
-      return;
-    }
-    const caller = authenticateRequest(services, context);
-    yield* serveService(services, context, route, caller.team, caller.secretHex);
-  };
+  private takeParserError(error: Error, socket: Duplex): void {
+    // Bytes written now would be taken for the response to an earlier request on the connection.
+    const isAnswering = [...this.active].some(
+      ({context}) => context.response.socket === socket && context.request.complete,
+    );
+    if (isAnswering) socket.destroy();
+    else answerParserError(error, socket);
+  }
 }
 
-// eslint-disable-next-line require-yield
-function* listModels(services: CallerServices, context: RequestContext): Procedure<void> {
-  const caller = authenticateRequest(services, context);
-  const data = caller.team.parameters.models
-    .filter(model => services.config.findModel(model))
-    .map(id => ({id, object: 'model', created: 0, owned_by: 'radishgw'}));
-  sendJson(context.response, {object: 'list', data});
+function announceClose(response: ServerResponse): void {
+  if (!response.headersSent) response.setHeader('connection', 'close');
 }
 
-// eslint-disable-next-line require-yield
-function* answerEntry(services: CallerServices, context: RequestContext): Procedure<void> {
-  const caller = authenticateRequest(services, context);
-  const answer = services.listEntryHosts(caller);
-  sendJson(context.response, {hosts: answer.hosts, max_age_ms: answer.maxAgeMs});
+/** A refusal that says "not run" only if no attempt can have been run. */
+function toRefusal(context: RequestContext, error: unknown): Refusal {
+  const execution = context.mayHaveRun ? 'unknown' : 'not_run';
+  const {reason} = context.signal as {reason?: AbortReason};
+  if (context.signal.aborted && reason) return describeAbort(reason, execution);
+  if (!(error instanceof Refusal)) {
+    return new Refusal('targetFailed', (error as Error).message, execution);
+  }
+  if (error.execution === 'unknown' || execution === 'not_run') return error;
+  return new Refusal(error.refusalName, error.message, execution, error.retryAfterMs);
 }
 
-function sendJson(response: ServerResponse, body: unknown): void {
-  const text = JSON.stringify(body);
-  response.writeHead(200, {
-    'content-type': 'application/json',
-    'content-length': Buffer.byteLength(text),
-  });
-  response.end(text);
+function describeAbort(reason: AbortReason, execution: Refusal['execution']): Refusal {
+  if (reason === 'deadline') return new Refusal('deadlineExceeded', 'deadline passed', execution);
+  if (reason === 'shutdown') return new Refusal('shuttingDown', 'the host stops', execution);
+  return new Refusal('outcomeUnknown', 'caller disconnected', execution);
 }
--- /dev/null
+++ b/packages/gateway/src/caller/endpoints.ts
@@ -0,0 +1,118 @@
+import {ServerResponse} from 'node:http';
+import {ConfigStore, RouteConfig} from '@radishgw/config';
+import {Procedure} from '@radishgw/core';
+import {authenticate, Caller} from '../request/authenticate.js';
+import {ModelRequestPath} from '../request/body.js';
+import {RequestContext} from '../request/context.js';
+import {Refusal} from '../request/refusal.js';
+import {ModelServices, serveModel} from '../request/serve-model.js';
+import {serveService, ServiceServices} from '../request/serve-service.js';
+import {InFlight} from './in-flight.js';
+
+/** What the endpoints need. */
+export interface EndpointServices extends ModelServices, ServiceServices {
+  readonly config: ConfigStore;
+  /** Throws a refusal if requests with a key must not be served now. */
+  checkFreshness(): void;
+  /** Hosts to use, in order, for a team. */
+  listEntryHosts(caller: Caller): EntryAnswer;
+}
+
+/** Answer of `GET /v1/entry`. */
+export interface EntryAnswer {
+  /** Base URLs in the order in which to try them. */
+  readonly hosts: readonly string[];
+  /** How long the answer may be kept, in milliseconds. */
+  readonly maxAgeMs: number;
+}
+
+/** Serves one request. */
+export type Endpoint = (
+  services: EndpointServices,
+  inFlight: InFlight,
+  context: RequestContext,
+) => Procedure<void>;
+
+/** Paths that every host serves, by method and path. */
+export const FIXED_ENDPOINTS: readonly {
+  readonly method: 'GET' | 'POST';
+  readonly path: string;
+  readonly endpoint: Endpoint;
+}[] = [
+  {
+    method: 'POST',
+    path: '/v1/chat/completions',
+    endpoint: createModelEndpoint('/v1/chat/completions'),
+  },
+  {method: 'POST', path: '/v1/completions', endpoint: createModelEndpoint('/v1/completions')},
+  {method: 'GET', path: '/v1/models', endpoint: listModels},
+  {method: 'GET', path: '/v1/entry', endpoint: answerEntry},
+];
+
+/** Endpoint of a service route from the configuration. */
+export function createRouteEndpoint(route: RouteConfig): Endpoint {
+  return function* (services, inFlight, context) {
+    if (route.access === 'open') {
+      yield* serveService(services, context, route, undefined, undefined);
+      return;
+    }
+    const caller = admit(services, inFlight, context);
+    yield* serveService(services, context, route, caller.team, caller.secretHex);
+  };
+}
+
+/** Endpoint that refuses each request. */
+export function createRefusingEndpoint(createRefusal: (path: string) => Refusal): Endpoint {
+  // eslint-disable-next-line require-yield
+  return function* (_services, _inFlight, context) {
+    throw createRefusal(`${context.request.method} ${context.request.url?.split('?')[0]}`);
+  };
+}
+
+function admit(services: EndpointServices, inFlight: InFlight, context: RequestContext): Caller {
+  services.checkFreshness();
+  const caller = authenticate(services.config, context.request.headers);
+  inFlight.enterTeam(caller.team);
+  context.team = caller.team;
+  return caller;
+}
+
+function createModelEndpoint(path: ModelRequestPath): Endpoint {
+  return function* (services, inFlight, context) {
+    const {team, secretHex} = admit(services, inFlight, context);
+    yield* serveModel(services, context, team, secretHex, path);
+  };
+}
+
+// eslint-disable-next-line require-yield
+function* listModels(
+  services: EndpointServices,
+  inFlight: InFlight,
+  context: RequestContext,
+): Procedure<void> {
+  const {team} = admit(services, inFlight, context);
+  const data = team.parameters.models
+    .filter(model => services.config.findModel(model))
+    .map(id => ({id, object: 'model', created: 0, owned_by: 'radishgw'}));
+  sendJson(context.response, {object: 'list', data});
+}
+
+// eslint-disable-next-line require-yield
+function* answerEntry(
+  services: EndpointServices,
+  inFlight: InFlight,
+  context: RequestContext,
+): Procedure<void> {
+  const caller = admit(services, inFlight, context);
+  const answer = services.listEntryHosts(caller);
+  sendJson(context.response, {hosts: answer.hosts, max_age_ms: answer.maxAgeMs});
+}
+
+function sendJson(response: ServerResponse, body: unknown): void {
+  const text = JSON.stringify(body);
+  response.writeHead(200, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+  });
+  response.end(text);
+}
--- a/packages/gateway/src/caller/errors.ts
+++ b/packages/gateway/src/caller/errors.ts
@@ -1,39 +1,59 @@
 import {ServerResponse} from 'node:http';
-import {RequestId} from '@radishgw/core';
-import {Refusal} from '../request/refusal.js';
+import {Execution, Refusal} from '../request/refusal.js';
 
 const MS_PER_SECOND = 1000;
 
+/** Fields of the error object of OpenAI's API. */
+interface ErrorFields {
+  readonly message: string;
+  readonly type: string;
+  readonly code: string;
+  readonly execution: Execution;
+  readonly requestId: string | null;
+}
+
 /** The error object of OpenAI's API with the fields of radishgw beside it. */
-function formatRefusal(refusal: Refusal, requestId: RequestId): string {
+export function formatError(fields: ErrorFields): string {
   return JSON.stringify({
     error: {
-      message: refusal.message,
-      type: refusal.kind.type,
-      code: refusal.kind.code,
+      message: fields.message,
+      type: fields.type,
+      code: fields.code,
       param: null,
-      execution: refusal.execution,
-      request_id: requestId,
+      execution: fields.execution,
+      request_id: fields.requestId,
     },
   });
 }
 
 /** Answers with a refusal; on a stream that has begun, ends it with an error event. */
-export function sendRefusal(response: ServerResponse, refusal: Refusal, requestId: RequestId) {
+export function sendRefusal(response: ServerResponse, refusal: Refusal, requestId: string): void {
   if (response.writableEnded || response.destroyed) return;
-  const body = formatRefusal(refusal, requestId);
+  const {message, execution} = refusal;
+  const {statusCode, type, code} = refusal.kind;
+  const body = formatError({message, type, code, execution, requestId});
   if (response.headersSent) {
-    response.write(`data: ${body}\n\n`, () => response.destroy());
+    endStartedResponse(response, body);
     return;
   }
-  response.writeHead(refusal.kind.statusCode, {
+  // A caller that waits for "100 Continue" sends no body now; what follows can't be told apart.
+  if (response.req.headers.expect !== undefined && !response.req.complete) {
+    response.setHeader('connection', 'close');
+  }
+  response.writeHead(statusCode, {
     'content-type': 'application/json',
     'content-length': Buffer.byteLength(body),
-    'x-radishgw-execution': refusal.execution,
-    'x-request-id': requestId,
+    'x-radishgw-execution': execution,
     ...(refusal.retryAfterMs === undefined
       ? {}
       : {'retry-after': String(Math.max(1, Math.ceil(refusal.retryAfterMs / MS_PER_SECOND)))}),
   });
   response.end(body);
 }
+
+/** The missing `[DONE]` and the unfinished transfer show that the response is not whole. */
+function endStartedResponse(response: ServerResponse, body: string): void {
+  const isEventStream = String(response.getHeader('content-type')).startsWith('text/event-stream');
+  if (isEventStream) response.write(`data: ${body}\n\n`, () => response.destroy());
+  else response.destroy();
+}
--- /dev/null
+++ b/packages/gateway/src/caller/parser-errors.ts
@@ -0,0 +1,71 @@
+import {STATUS_CODES} from 'node:http';
+import {Duplex} from 'node:stream';
+import {formatError} from './errors.js';
+
+interface ParserErrorKind {
+  readonly statusCode: number;
+  readonly code: string;
+  readonly message: string;
+}
+
+/** Errors of Node's HTTP parser and timeouts by code; all others are malformed requests. */
+const PARSER_ERROR_KINDS: Readonly<Record<string, ParserErrorKind>> = {
+  HPE_HEADER_OVERFLOW: {
+    statusCode: 431,
+    code: 'request_too_large',
+    message: 'request headers are too large',
+  },
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: {
+    statusCode: 413,
+    code: 'request_too_large',
+    message: 'chunk extensions are too large',
+  },
+  ERR_HTTP_REQUEST_TIMEOUT: {
+    statusCode: 408,
+    code: 'request_timeout',
+    message: 'the request was not received in time',
+  },
+};
+
+/** Answers a request that could not be parsed and closes the connection. */
+export function answerParserError(error: Error, socket: Duplex): void {
+  const {code = '', reason} = error as {code?: string; reason?: string};
+  if (code === 'ECONNRESET' || !socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const kind = PARSER_ERROR_KINDS[code] ?? {
+    statusCode: 400,
+    code: 'malformed_request',
+    message: `not a valid HTTP request: ${reason ?? code}`,
+  };
+  sendRaw(socket, kind);
+}
+
+/** Answers a `CONNECT` request, which Node.js gives out as a bare socket. */
+export function refuseConnect(socket: Duplex): void {
+  sendRaw(socket, {
+    statusCode: 405,
+    code: 'method_not_allowed',
+    message: 'method CONNECT is not served',
+  });
+}
+
+/** The request was never handed on, so it can't have run. */
+function sendRaw(socket: Duplex, kind: ParserErrorKind): void {
+  const body = formatError({
+    message: kind.message,
+    type: 'invalid_request_error',
+    code: kind.code,
+    execution: 'not_run',
+    requestId: null,
+  });
+  const head = [
+    `HTTP/1.1 ${kind.statusCode} ${STATUS_CODES[kind.statusCode]}`,
+    'content-type: application/json',
+    `content-length: ${Buffer.byteLength(body)}`,
+    'x-radishgw-execution: not_run',
+    'connection: close',
+  ];
+  socket.end(`${head.join('\r\n')}\r\n\r\n${body}`, () => socket.destroy());
+}
--- a/packages/gateway/src/engine/answer.ts
+++ b/packages/gateway/src/engine/answer.ts
@@ -4,7 +4,8 @@
   readonly outputTokens: number;
 }
 
-interface Chunk {
+/** A chunk of an OpenAI stream; fields that the host doesn't use are passed on unchanged. */
+export interface Chunk {
   id?: string;
   model?: string;
   created?: number;
@@ -12,7 +13,7 @@
   usage?: {prompt_tokens: number; completion_tokens: number; total_tokens: number} | null;
 }
 
-interface ChunkChoice {
+export interface ChunkChoice {
   index: number;
   delta?: Record<string, unknown>;
   text?: string;
@@ -21,6 +22,42 @@
 
 type Fields = Record<string, unknown>;
 
+/** Parses the data of an engine's event; throws when it isn't a chunk. */
+export function parseChunk(data: string): Chunk {
+  const chunk = JSON.parse(data) as Chunk | null;
+  if (typeof chunk !== 'object' || chunk === null || Array.isArray(chunk)) {
+    throw new Error('event is not an object');
+  }
+  if (chunk.choices !== undefined && !isChoiceList(chunk.choices)) {
+    throw new Error('choices: expected a list of objects with an index');
+  }
+  if (chunk.usage && !hasTokenCounts(chunk.usage)) {
+    throw new Error('usage: expected token counts');
+  }
+  return chunk;
+}
+
+function isChoiceList(value: unknown): boolean {
+  return (
+    Array.isArray(value) &&
+    value.every(
+      choice =>
+        typeof choice === 'object' &&
+        choice !== null &&
+        Number.isInteger(choice.index) &&
+        (choice.delta === undefined || isPlainObject(choice.delta)),
+    )
+  );
+}
+
+function isPlainObject(value: unknown): boolean {
+  return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
+
+function hasTokenCounts(usage: {prompt_tokens: unknown; completion_tokens: unknown}): boolean {
+  return Number.isFinite(usage.prompt_tokens) && Number.isFinite(usage.completion_tokens);
+}
+
 /** Builds the answer of a non-streaming call from the chunks of a stream. */
 export class AnswerBuilder {
   private head: Chunk = {};
@@ -29,21 +66,11 @@
 
   constructor(private readonly kind: 'chat.completion' | 'text_completion') {}
 
-  /** Adds one chunk; returns the number of output tokens it may hold (one for each content chunk). */
-  add(data: string): number {
-    const chunk = JSON.parse(data) as Chunk;
+  /** Adds one chunk. */
+  add(chunk: Chunk): void {
     if (!this.head.id) this.head = chunk;
     if (chunk.usage) this.usage = chunk.usage;
     for (const choice of chunk.choices ?? []) this.addChoice(choice);
-    return chunk.choices?.length ?? 0;
-  }
-
-  getUsage(): TokenUsage | undefined {
-    if (!this.usage) return undefined;
-    return {
-      promptTokens: this.usage.prompt_tokens,
-      outputTokens: this.usage.completion_tokens,
-    };
   }
 
   build(): Fields {
@@ -76,21 +103,29 @@
     if (value === null || value === undefined) continue;
     const current = target[name];
     if (name === 'role' || name === 'id' || name === 'type') target[name] = value;
-    else if (typeof value === 'string') target[name] = ((current as string) ?? '') + value;
-    else if (Array.isArray(value)) target[name] = mergeList((current as Fields[]) ?? [], value);
-    else if (typeof value === 'object') {
-      const object = (current as Fields) ?? {};
+    else if (typeof value === 'string') {
+      target[name] = (typeof current === 'string' ? current : '') + value;
+    } else if (Array.isArray(value)) {
+      target[name] = mergeList(Array.isArray(current) ? (current as Fields[]) : [], value);
+    } else if (typeof value === 'object') {
+      const object = isPlainObject(current) ? (current as Fields) : {};
       mergeDelta(object, value as Fields);
       target[name] = object;
     } else target[name] = value;
   }
 }
 
-function mergeList(current: Fields[], items: Fields[]): Fields[] {
+/** Highest position in a list of a delta; a larger one would allocate memory for nothing. */
+const MAX_LIST_INDEX = 1023;
+
+function mergeList(current: Fields[], items: unknown[]): Fields[] {
   for (const item of items) {
-    const index = Number(item.index ?? current.length);
-    const {index: _, ...fields} = item;
-    void _;
+    if (!isPlainObject(item)) throw new Error('list in a delta: expected objects');
+    const {index: given, ...fields} = item as Fields;
+    const index = Number(given ?? current.length);
+    if (!Number.isInteger(index) || index < 0 || index > MAX_LIST_INDEX) {
+      throw new Error(`list in a delta: index ${String(given)} is out of range`);
+    }
     current[index] ??= {};
     mergeDelta(current[index], fields);
   }
--- /dev/null
+++ b/packages/gateway/src/engine/continuation.ts
@@ -0,0 +1,73 @@
+import {ModelRequest, ModelRequestPath} from '../request/body.js';
+
+/** What has been delivered of an answer whose engine was lost. */
+export interface DeliveredText {
+  readonly text: string;
+  /** Output tokens delivered: engines send one in each content event. */
+  readonly tokens: number;
+}
+
+/**
+ * Fields under which an answer that is continued from its text is as good as an uninterrupted one.
+ * Others, such as tools, stop sequences, penalties, a seed or a grammar, depend on state that the
+ * text doesn't hold.
+ */
+const CONTINUABLE_FIELDS = new Set([
+  'model',
+  'messages',
+  'prompt',
+  'stream',
+  'stream_options',
+  'max_tokens',
+  'max_completion_tokens',
+  'temperature',
+  'top_p',
+  'top_k',
+  'min_p',
+  'user',
+  'metadata',
+  'store',
+  'service_tier',
+]);
+
+type Fields = Record<string, unknown>;
+
+/**
+ * Request that makes another engine go on after `delivered`: the text becomes the beginning of the
+ * assistant's message, or the end of the prompt of a text completion. Undefined if the result
+ * might differ in kind from an uninterrupted answer.
+ */
+export function buildContinuation(
+  path: ModelRequestPath,
+  request: ModelRequest,
+  maxTokens: number,
+  delivered: DeliveredText,
+): Fields | undefined {
+  const restTokens = maxTokens - delivered.tokens;
+  if (restTokens <= 0 || !isContinuable(request)) return undefined;
+  const {max_tokens: _, max_completion_tokens: __, ...fields} = request as Fields;
+  void [_, __];
+  if (path === '/v1/completions') {
+    if (typeof fields.prompt !== 'string') return undefined;
+    return {...fields, prompt: fields.prompt + delivered.text, max_tokens: restTokens};
+  }
+  const messages = fields.messages as Fields[];
+  if (messages.at(-1)?.role === 'assistant') return undefined;
+  return {
+    ...fields,
+    messages: [...messages, {role: 'assistant', content: delivered.text}],
+    continue_final_message: true,
+    add_generation_prompt: false,
+    max_tokens: restTokens,
+  };
+}
+
+function isContinuable(request: ModelRequest): boolean {
+  return Object.entries(request).every(
+    ([name, value]) =>
+      CONTINUABLE_FIELDS.has(name) ||
+      value === null ||
+      value === undefined ||
+      (name === 'n' && value === 1),
+  );
+}
--- a/packages/gateway/src/engine/engine-stream.ts
+++ b/packages/gateway/src/engine/engine-stream.ts
@@ -1,14 +1,6 @@
-import {AttemptId} from '@radishgw/core';
-import {createParser} from 'eventsource-parser';
+import {AttemptId, Clock, Timer} from '@radishgw/core';
 import {Client, Dispatcher as HttpDispatcher} from 'undici';
-
-/** One event of an engine's answer. */
-export interface EngineEvent {
-  /** Position in the answer, from 1; an engine numbers each event once. */
-  readonly sequence: number;
-  /** JSON text of an OpenAI chunk, or `[DONE]`. */
-  readonly data: string;
-}
+import {EngineEvent, EventDecoder} from './event-decoder.js';
 
 /** Failure of an attempt at an engine. */
 export class EngineError extends Error {
@@ -25,6 +17,7 @@
 
 /** A request to an engine. */
 export interface EngineCall {
+  readonly clock: Clock;
   readonly url: string;
   readonly path: string;
   readonly attemptId: AttemptId;
@@ -33,147 +26,306 @@
   readonly signal: AbortSignal;
   /** Silence after which the stream is resumed on a new connection, in milliseconds. */
   readonly progressTimeoutMs: number;
-  /** Resumptions without a new event after which the engine counts as lost. */
-  readonly maxSilentResumes: number;
-  onResume?(afterSequence: number, reason: string): void;
+  /** Resumptions in a row that failed after which the engine counts as lost. */
+  readonly maxFailedResumes: number;
+  /** Takes the data of the next event; called once for each, in order. Throws if it is malformed. */
+  onEvent(data: string): void;
+  /** Called after the events of one read. Reading goes on when the promise, if any, settles. */
+  onBatch(): Promise<unknown> | undefined;
+  /** Called as soon as the first byte of the request may have been sent. */
+  onSent(): void;
+  onResume(afterSequence: number, reason: string): void;
 }
 
-const NOT_SENT_CODES = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
+/** One HTTP exchange of a stream; a later one replaces it. */
+interface Connection {
+  readonly client: Client | undefined;
+  /** Undefined until the request is being written. */
+  controller: HttpDispatcher.DispatchController | undefined;
+  statusCode: number;
+  errorBody: string;
+  notRun: boolean;
+  ended: boolean;
+}
 
-class SilenceError extends Error {}
+const MAX_EVENT_BYTES = 1_048_576;
+const MAX_ERROR_BODY_BYTES = 65_536;
+/** Later resumptions in a row wait longer, so that a short network fault doesn't use them all up. */
+const RESUME_DELAY_FRACTION = 1 / 8;
 
 /**
- * Sends a request and gives the events of its answer, each once and in order. A silent or broken
- * connection is replaced by a new one that resumes after the last event.
+ * Sends a request and gives the events of its answer, each once and in order, until `[DONE]`.
+ * A silent or broken connection is replaced by a new one that resumes after the last event.
+ * Rejects with {@link EngineError}, or with another error when `signal` is aborted.
  */
-export async function* streamFromEngine(
-  dispatcher: HttpDispatcher,
-  call: EngineCall,
-): AsyncGenerator<EngineEvent, void> {
-  let last = 0;
-  let silentResumes = 0;
-  let source = openStream(dispatcher, call);
-  for (;;) {
-    const before = last;
-    try {
-      for await (const event of source) {
-        // A resumed engine may repeat events; each is delivered once.
-        if (event.sequence <= last) continue;
-        if (event.sequence !== last + 1) throw new Error(`gap after event ${last}`);
-        last = event.sequence;
-        yield event;
-        if (event.data === '[DONE]') return;
+export function runEngineStream(dispatcher: HttpDispatcher, call: EngineCall): Promise<void> {
+  return new Promise((resolve, reject) => {
+    new EngineStream(dispatcher, call, resolve, reject).start();
+  });
+}
+
+class EngineStream {
+  private readonly origin: string;
+  private current!: Connection;
+  private last = 0;
+  private failedResumes = 0;
+  private heardMs = 0;
+  private waitingForCaller = false;
+  private finished = false;
+  private sent = false;
+  private timer: Timer | undefined;
+  private readonly onAbort = () => this.fail(new Error(`aborted: ${this.call.signal.reason}`));
+
+  constructor(
+    private readonly dispatcher: HttpDispatcher,
+    private readonly call: EngineCall,
+    private readonly resolve: () => void,
+    private readonly reject: (error: Error) => void,
+  ) {
+    this.origin = new URL(call.url).origin;
+  }
+
+  start(): void {
+    if (this.call.signal.aborted) {
+      this.onAbort();
+      return;
+    }
+    this.call.signal.addEventListener('abort', this.onAbort);
+    this.heardMs = this.call.clock.nowMs();
+    this.armTimer(this.call.progressTimeoutMs);
+    this.connect(this.dispatcher, undefined, {
+      path: this.call.path,
+      method: 'POST',
+      headers: {...this.call.headers, 'x-radishgw-attempt-id': this.call.attemptId},
+      body: this.call.body,
+    });
+  }
+
+  private connect(
+    dispatcher: HttpDispatcher,
+    client: Client | undefined,
+    options: HttpDispatcher.DispatchOptions,
+  ): void {
+    const connection: Connection = {
+      client,
+      controller: undefined,
+      statusCode: 0,
+      errorBody: '',
+      notRun: false,
+      ended: false,
+    };
+    this.current = connection;
+    const decoder = new EventDecoder(
+      this.call.attemptId,
+      event => this.takeEvent(connection, event),
+      MAX_EVENT_BYTES,
+    );
+    const exchange = {origin: this.origin, headersTimeout: 0, bodyTimeout: 0, ...options};
+    dispatcher.dispatch(exchange, {
+      onRequestStart: controller => {
+        connection.controller = controller;
+        if (!this.isCurrent(connection)) {
+          controller.abort(new Error('superseded'));
+          return;
+        }
+        this.sent = true;
+        this.heardMs = this.call.clock.nowMs();
+        this.call.onSent();
+      },
+      onResponseStart: (_controller, statusCode, headers) => {
+        this.takeHead(connection, statusCode, headers);
+      },
+      onResponseData: (controller, chunk) => {
+        this.takeBytes(connection, decoder, controller, chunk);
+      },
+      onResponseEnd: () => this.takeEnd(connection),
+      onResponseError: (_controller, error) => this.takeError(connection, error),
+    });
+  }
+
+  /** Whether an exchange still speaks for this stream; a replaced one may answer late. */
+  private isCurrent(connection: Connection): boolean {
+    return !this.finished && this.current === connection;
+  }
+
+  private takeHead(connection: Connection, statusCode: number, headers: Headers): void {
+    if (!this.isCurrent(connection)) return;
+    this.heardMs = this.call.clock.nowMs();
+    connection.statusCode = statusCode;
+    connection.notRun = headers['x-radishgw-execution'] === 'not_run';
+    const attemptId = headers['x-radishgw-attempt-id'];
+    if (attemptId !== undefined && attemptId !== this.call.attemptId) {
+      this.resume('response belongs to another attempt', true);
+    }
+  }
+
+  private takeBytes(
+    connection: Connection,
+    decoder: EventDecoder,
+    controller: HttpDispatcher.DispatchController,
+    chunk: Uint8Array,
+  ): void {
+    if (!this.isCurrent(connection)) return;
+    this.heardMs = this.call.clock.nowMs();
+    if (connection.statusCode !== 200) {
+      if (connection.errorBody.length < MAX_ERROR_BODY_BYTES) {
+        connection.errorBody += Buffer.from(chunk).toString('utf8');
       }
-      throw new Error('connection ended before the answer was whole');
+      return;
+    }
+    try {
+      decoder.feed(chunk);
     } catch (error) {
-      if (call.signal.aborted || error instanceof EngineError) throw error;
-      silentResumes = last > before ? 0 : silentResumes + 1;
-      if (silentResumes > call.maxSilentResumes) {
-        throw new EngineError(`engine is silent after event ${last}`, true);
-      }
-      call.onResume?.(last, (error as Error).message);
+      this.resume((error as Error).message, true);
+      return;
     }
-    source = resumeStream(call, last);
+    const ready = this.call.onBatch();
+    if (ready && !this.finished) this.pauseUntil(ready, controller);
   }
-}
 
-async function* openStream(
-  dispatcher: HttpDispatcher,
-  call: EngineCall,
-): AsyncGenerator<EngineEvent> {
-  const {origin} = new URL(call.url);
-  yield* readEvents(call, () =>
-    dispatcher.request({
-      origin,
-      path: call.path,
-      method: 'POST',
-      headers: {...call.headers, 'x-radishgw-attempt-id': call.attemptId},
-      body: call.body,
-      signal: call.signal,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-    }),
-  );
-}
+  private pauseUntil(ready: Promise<unknown>, controller: HttpDispatcher.DispatchController): void {
+    controller.pause();
+    this.waitingForCaller = true;
+    const goOn = () => {
+      this.waitingForCaller = false;
+      this.heardMs = this.call.clock.nowMs();
+      controller.resume();
+    };
+    ready.then(goOn, goOn);
+  }
 
-/** Uses a connection of its own: pooled ones may be as silent as the one that is given up. */
-async function* resumeStream(call: EngineCall, after: number): AsyncGenerator<EngineEvent> {
-  const client = new Client(new URL(call.url).origin, {
-    connect: {timeout: call.progressTimeoutMs},
-  });
-  try {
-    yield* readEvents(call, () =>
-      client.request({
-        path: `/v1/streams/${encodeURIComponent(call.attemptId)}?after=${after}`,
-        method: 'GET',
-        signal: call.signal,
-        headersTimeout: call.progressTimeoutMs,
-        bodyTimeout: 0,
-      }),
-    );
-  } finally {
-    client.destroy().catch(() => undefined);
+  private takeEvent(connection: Connection, event: EngineEvent): void {
+    // A resumed engine may repeat events; each is delivered once.
+    if (!this.isCurrent(connection) || event.sequence <= this.last) return;
+    if (event.sequence !== this.last + 1) throw new Error(`gap after event ${this.last}`);
+    if (event.data === '[DONE]') {
+      this.finish();
+      this.resolve();
+      return;
+    }
+    this.call.onEvent(event.data);
+    this.last = event.sequence;
+    this.failedResumes = 0;
   }
-}
 
-async function* readEvents(
-  call: EngineCall,
-  send: () => Promise<HttpDispatcher.ResponseData>,
-): AsyncGenerator<EngineEvent> {
-  const response = await sendOrFail(send);
-  if (response.statusCode !== 200) {
-    const body = await response.body.text();
-    const notRun = response.headers['x-radishgw-execution'] === 'not_run';
-    throw new EngineError(`status ${response.statusCode}`, !notRun, response.statusCode, body);
-  }
-  const queue: EngineEvent[] = [];
-  const parser = createParser({
-    onEvent: event => queue.push({sequence: Number(event.id), data: event.data}),
-  });
-  const decoder = new TextDecoder();
-  const chunks = response.body[Symbol.asyncIterator]();
-  try {
-    for (;;) {
-      const next = await withSilenceBound(chunks.next(), call.progressTimeoutMs);
-      if (next.done) return;
-      parser.feed(decoder.decode(next.value as Buffer, {stream: true}));
-      while (queue.length > 0) yield queue.shift()!;
+  private takeEnd(connection: Connection): void {
+    connection.ended = true;
+    if (!this.isCurrent(connection)) return;
+    if (connection.statusCode === 200) {
+      this.resume('connection ended before the answer was whole', true);
+      return;
+    }
+    const {statusCode, errorBody, notRun} = connection;
+    if (!connection.client) {
+      this.fail(new EngineError(`status ${statusCode}`, !notRun, statusCode, errorBody));
+    } else if (statusCode === 404) {
+      this.fail(new EngineError(`engine lost the stream after event ${this.last}`, true));
+    } else {
+      this.resume(`resumption was answered with status ${statusCode}`, true);
     }
-  } finally {
-    response.body.on('error', () => undefined);
-    response.body.destroy();
   }
-}
 
-async function sendOrFail(send: () => Promise<HttpDispatcher.ResponseData>) {
-  try {
-    return await send();
-  } catch (error) {
-    const code = (error as {code?: string}).code ?? '';
-    if (NOT_SENT_CODES.has(code)) throw new EngineError((error as Error).message, false);
-    throw error;
+  private takeError(connection: Connection, error: Error): void {
+    connection.ended = true;
+    if (!this.isCurrent(connection)) return;
+    if (!this.sent) {
+      this.fail(new EngineError(error.message, false));
+      return;
+    }
+    // Nothing listens at the address any more: the engine's process, and its streams, are gone.
+    const gone = (error as {code?: string}).code === 'ECONNREFUSED';
+    if (gone) this.fail(new EngineError(`engine is gone: ${error.message}`, true));
+    else this.resume(error.message, true);
+  }
+
+  private resume(reason: string, failed: boolean): void {
+    const old = this.current;
+    this.current = {...old, ended: true};
+    closeConnection(old, reason);
+    // An engine that answered the last resumption is alive: it may be working on a long prompt.
+    this.failedResumes = failed ? this.failedResumes + 1 : 0;
+    if (this.failedResumes > this.call.maxFailedResumes) {
+      this.fail(new EngineError(`engine is lost after event ${this.last}: ${reason}`, true));
+      return;
+    }
+    this.call.onResume(this.last, reason);
+    const waitMs =
+      Math.max(0, this.failedResumes - 1) * this.call.progressTimeoutMs * RESUME_DELAY_FRACTION;
+    this.heardMs = this.call.clock.nowMs() + waitMs;
+    if (waitMs === 0) this.connectAgain();
+    else this.call.clock.setTimer(waitMs, () => !this.finished && this.connectAgain());
+  }
+
+  /** Uses a connection of its own: pooled ones may be as silent as the one that is given up. */
+  private connectAgain(): void {
+    const {attemptId, progressTimeoutMs} = this.call;
+    const client = new Client(this.origin, {connect: {timeout: progressTimeoutMs}});
+    this.connect(client, client, {
+      path: `/v1/streams/${encodeURIComponent(attemptId)}?after=${this.last}`,
+      method: 'GET',
+      headers: {'x-radishgw-attempt-id': attemptId},
+    });
+  }
+
+  /** One timer for the whole stream, checked at most once per bound, keeps the cost per event low. */
+  private armTimer(delayMs: number): void {
+    this.timer = this.call.clock.setTimer(delayMs, () => {
+      const {clock, progressTimeoutMs} = this.call;
+      if (this.waitingForCaller) this.heardMs = clock.nowMs();
+      const restMs = this.heardMs + progressTimeoutMs - clock.nowMs();
+      if (restMs <= 0) this.takeSilence();
+      if (!this.finished) this.armTimer(Math.max(1, restMs > 0 ? restMs : progressTimeoutMs));
+    });
+  }
+
+  private takeSilence(): void {
+    const {progressTimeoutMs} = this.call;
+    if (!this.sent) {
+      this.fail(new EngineError(`no connection within ${progressTimeoutMs} ms`, false));
+      return;
+    }
+    this.resume(`silent for ${progressTimeoutMs} ms`, this.current.statusCode !== 200);
+  }
+
+  private fail(error: Error): void {
+    if (this.finished) return;
+    this.finish();
+    closeConnection(this.current, error.message);
+    this.reject(error);
+  }
+
+  private finish(): void {
+    this.finished = true;
+    this.timer?.cancel();
+    this.call.signal.removeEventListener('abort', this.onAbort);
+    const {current} = this;
+    // A pooled connection is left to end by itself, so that it can be used again.
+    this.call.clock.setTimer(this.call.progressTimeoutMs, () => {
+      closeConnection(current, 'answer is whole but the connection stays open');
+    });
   }
 }
 
-function withSilenceBound<T>(promise: Promise<T>, boundMs: number): Promise<T> {
-  let timer: NodeJS.Timeout;
-  const silence = new Promise<never>((_, reject) => {
-    timer = setTimeout(() => reject(new SilenceError(`silent for ${boundMs} ms`)), boundMs);
-  });
-  return Promise.race([promise, silence]).finally(() => clearTimeout(timer));
+type Headers = Readonly<Record<string, string | string[] | undefined>>;
+
+function closeConnection(connection: Connection, reason: string): void {
+  if (!connection.ended) connection.controller?.abort(new Error(reason));
+  connection.client?.destroy().catch(() => undefined);
 }
 
 /** Tells an engine that the answer of an attempt isn't wanted any more. */
-export async function cancelAttempt(dispatcher: HttpDispatcher, url: string, attemptId: AttemptId) {
+export async function cancelAttempt(
+  dispatcher: HttpDispatcher,
+  url: string,
+  attemptId: AttemptId,
+  timeoutMs: number,
+): Promise<void> {
   const response = await dispatcher.request({
     origin: new URL(url).origin,
     path: `/v1/streams/${encodeURIComponent(attemptId)}`,
     method: 'DELETE',
+    headersTimeout: timeoutMs,
+    bodyTimeout: timeoutMs,
   });
   await response.body.dump();
 }
--- a/packages/gateway/src/main.ts
+++ b/packages/gateway/src/main.ts
@@ -18,8 +18,12 @@
 }
 
 const host = await startEntryHost(readSettings());
+let stopping = false;
 for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-  process.once(signal, () => {
+  process.on(signal, () => {
+    // A second signal must not cut off the requests that the first one lets finish.
+    if (stopping) return;
+    stopping = true;
     host.stop().then(
       () => process.exit(0),
       error => {
@@ -29,3 +33,4 @@
     );
   });
 }
+process.on('SIGHUP', () => host.reload());
--- a/packages/gateway/src/request/body.ts
+++ b/packages/gateway/src/request/body.ts
@@ -1,19 +1,26 @@
-import {IncomingMessage} from 'node:http';
 import {z} from 'zod';
+import {RequestContext} from './context.js';
 import {Refusal} from './refusal.js';
 
-/** Reads a body of at most `maxBytes` bytes. */
-export async function readBody(request: IncomingMessage, maxBytes: number): Promise<Buffer> {
+/** Reads the request's body of at most `maxBytes` bytes; rejects when the caller stops sending. */
+export function readBody(context: RequestContext, maxBytes: number): Promise<Buffer> {
+  const {request, response} = context;
   const announced = Number(request.headers['content-length'] ?? 0);
-  if (announced > maxBytes) throw tooLarge(maxBytes);
-  const chunks: Buffer[] = [];
-  let size = 0;
-  for await (const chunk of request as AsyncIterable<Buffer>) {
-    size += chunk.length;
-    if (size > maxBytes) throw tooLarge(maxBytes);
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks);
+  if (announced > maxBytes) return Promise.reject(tooLarge(maxBytes));
+  // A caller that asked first is told to go on only now, when all earlier checks have passed.
+  if (request.headers.expect !== undefined) response.writeContinue();
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    request.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size <= maxBytes) chunks.push(chunk);
+      else reject(tooLarge(maxBytes));
+    });
+    request.once('end', () => resolve(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)));
+    request.once('error', reject);
+    request.once('close', () => reject(new Error('caller disconnected before the body was whole')));
+  });
 }
 
 function tooLarge(maxBytes: number): Refusal {
--- a/packages/gateway/src/request/context.ts
+++ b/packages/gateway/src/request/context.ts
@@ -2,6 +2,9 @@
 import {Team, WorkClass} from '@radishgw/config';
 import {RequestId, TargetId} from '@radishgw/core';
 
+/** Why a request is given up before it is answered. */
+export type AbortReason = 'closed' | 'deadline' | 'shutdown';
+
 /** A caller's request while it is being served. */
 export interface RequestContext {
   readonly requestId: RequestId;
@@ -11,8 +14,12 @@
   readonly arrivedMs: number;
   /** Monotonic time after which the caller has no use for an answer, in milliseconds. */
   readonly deadlineMs: number;
-  /** Aborted when the caller disconnects or the deadline passes. */
+  /** Aborted with an {@link AbortReason}. */
   readonly signal: AbortSignal;
+  /** Set while the work goes on after the caller has disconnected, to store its answer. */
+  outlivesCaller: boolean;
+  /** Whether a byte of the request may have reached a target that didn't say that it didn't run it. */
+  mayHaveRun: boolean;
   /** Team whose key came with the request; undefined on open routes. */
   team?: Team;
   workClass: WorkClass;
--- a/packages/gateway/src/request/headers.ts
+++ b/packages/gateway/src/request/headers.ts
@@ -1,7 +1,8 @@
 import {IncomingHttpHeaders} from 'node:http';
+import {Refusal} from './refusal.js';
 
-/** Headers of one connection only (RFC 9110, section 7.6.1) and those that may hold the key. */
-const DROPPED_HEADERS = new Set([
+/** Headers of one connection only (RFC 9110, section 7.6.1). */
+const CONNECTION_HEADERS = [
   'connection',
   'keep-alive',
   'proxy-authenticate',
@@ -11,6 +12,11 @@
   'trailer',
   'transfer-encoding',
   'upgrade',
+];
+
+/** Request headers that go no further: they are of one connection or may hold the key. */
+const DROPPED_REQUEST_HEADERS = new Set([
+  ...CONNECTION_HEADERS,
   'host',
   'content-length',
   'expect',
@@ -20,8 +26,17 @@
   'cookie',
 ]);
 
+/** Response headers that go no further: the host states its own. */
+const DROPPED_RESPONSE_HEADERS = new Set([...CONNECTION_HEADERS, 'x-request-id']);
+
 /** Query fields that may hold the key. */
-const DROPPED_QUERY_FIELDS = ['api_key', 'api-key', 'key', 'access_token'];
+const DROPPED_QUERY_FIELDS = new Set(['api_key', 'api-key', 'key', 'access_token']);
+
+/** Shape of any key, also of another team. */
+const KEY_PATTERN = /rk_[a-z0-9][a-z0-9.-]{0,62}_[0-9a-f]{64}/i;
+
+/** A value may be percent-encoded more than once; targets decode it once or twice in practice. */
+const MAX_DECODINGS = 3;
 
 /** Finds the key in the places where callers may put it. */
 export function findKey(headers: IncomingHttpHeaders): string | undefined {
@@ -31,29 +46,117 @@
   return Array.isArray(header) ? header[0] : header;
 }
 
-/** Headers to pass on to a target; fields whose value holds the key's secret are dropped too. */
+/** Whether a text holds the secret, or anything of a key's shape, plainly or percent-encoded. */
+export function holdsKey(text: string, secretHex: string | undefined): boolean {
+  let current = text;
+  for (let i = 0; i <= MAX_DECODINGS; i++) {
+    if (KEY_PATTERN.test(current)) return true;
+    if (secretHex && current.toLowerCase().includes(secretHex)) return true;
+    const decoded = decodePercent(current);
+    if (decoded === current) return false;
+    current = decoded;
+  }
+  return false;
+}
+
+/** Decodes each valid escape by itself, so that an invalid one elsewhere doesn't hide a key. */
+function decodePercent(text: string): string {
+  if (!text.includes('%')) return text;
+  return text.replace(/%([0-9a-f]{2})/gi, (_, hex: string) =>
+    String.fromCharCode(Number.parseInt(hex, 16)),
+  );
+}
+
+/**
+ * Refuses a request whose text holds the caller's own key. The text isn't changed instead, because
+ * a call with another path or body than the caller's might have another effect.
+ */
+export function refuseKeyInText(text: string, secretHex: string | undefined, where: string): void {
+  if (secretHex === undefined) return;
+  const unescaped = text.includes('\\u') ? decodeJsonEscapes(text) : text;
+  let current = unescaped;
+  for (let i = 0; i <= MAX_DECODINGS; i++) {
+    if (current.includes(secretHex) || current.toLowerCase().includes(secretHex)) {
+      throw new Refusal('requestMalformed', `the ${where} holds the API key`);
+    }
+    const decoded = decodePercent(current);
+    if (decoded === current) return;
+    current = decoded;
+  }
+}
+
+function decodeJsonEscapes(text: string): string {
+  return text.replace(/\\u([0-9a-f]{4})/gi, (_, hex: string) =>
+    String.fromCharCode(Number.parseInt(hex, 16)),
+  );
+}
+
+function listConnectionHeaders(value: string | string[] | undefined): Set<string> {
+  const text = Array.isArray(value) ? value.join(',') : (value ?? '');
+  return new Set(text.split(',').map(name => name.trim().toLowerCase()));
+}
+
+/** Headers to pass on to a target; fields that hold a key in name or value are dropped too. */
 export function forwardHeaders(
   headers: IncomingHttpHeaders,
   secretHex: string | undefined,
 ): Record<string, string> {
   const forwarded: Record<string, string> = {};
-  const perConnection = (headers.connection ?? '').split(',').map(name => name.trim());
+  const perConnection = listConnectionHeaders(headers.connection);
   for (const [name, value] of Object.entries(headers)) {
-    if (value === undefined || DROPPED_HEADERS.has(name) || perConnection.includes(name)) continue;
-    if (name.startsWith('x-radishgw-')) continue;
+    if (value === undefined || DROPPED_REQUEST_HEADERS.has(name)) continue;
+    if (perConnection.has(name) || name.startsWith('x-radishgw-')) continue;
     const text = Array.isArray(value) ? value.join(', ') : value;
-    if (secretHex && text.includes(secretHex)) continue;
+    if (holdsKey(name, secretHex) || holdsKey(text, secretHex)) continue;
     forwarded[name] = text;
   }
   return forwarded;
 }
 
-/** Path and query to pass on to a target, without fields that hold or may hold the key. */
+/** Headers of a target's response to pass on to the caller. */
+export function returnHeaders(
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): Record<string, string | string[]> {
+  const returned: Record<string, string | string[]> = {};
+  const perConnection = listConnectionHeaders(headers.connection);
+  for (const [name, value] of Object.entries(headers)) {
+    if (value === undefined || DROPPED_RESPONSE_HEADERS.has(name)) continue;
+    if (perConnection.has(name) || name.startsWith('x-radishgw-')) continue;
+    returned[name] = value;
+  }
+  return returned;
+}
+
+/**
+ * Path and query to pass on to a target: the query loses fields that hold or may hold a key, the
+ * path is passed on as it came. Refuses paths that hold the key and paths with dot segments, which
+ * a target might resolve to a path outside the route.
+ */
 export function forwardPath(url: string, secretHex: string | undefined): string {
-  const parsed = new URL(url, 'http://host');
-  for (const name of DROPPED_QUERY_FIELDS) parsed.searchParams.delete(name);
-  for (const [name, value] of [...parsed.searchParams]) {
-    if (secretHex && value.includes(secretHex)) parsed.searchParams.delete(name);
+  const queryStart = url.indexOf('?');
+  const path = queryStart < 0 ? url : url.slice(0, queryStart);
+  if (!path.startsWith('/')) {
+    throw new Refusal('requestMalformed', 'request target: expected a path that starts with "/"');
   }
-  return parsed.pathname + parsed.search;
+  if (holdsKey(path, secretHex)) {
+    throw new Refusal('requestMalformed', 'the request path holds an API key');
+  }
+  if (decodePercent(path).split(/[/\\]/).some(isDotSegment)) {
+    throw new Refusal('requestMalformed', 'the request path holds "." or ".." segments');
+  }
+  if (queryStart < 0) return path;
+  const fields = url
+    .slice(queryStart + 1)
+    .split('&')
+    .filter(field => !isKeyField(field, secretHex));
+  return fields.length === 0 ? path : `${path}?${fields.join('&')}`;
+}
+
+function isDotSegment(segment: string): boolean {
+  return segment === '.' || segment === '..';
+}
+
+function isKeyField(field: string, secretHex: string | undefined): boolean {
+  const name = decodePercent(field.split('=', 1)[0].replaceAll('+', ' ')).toLowerCase();
+  return DROPPED_QUERY_FIELDS.has(name) || holdsKey(field, secretHex);
 }
--- a/packages/gateway/src/request/serve-model.ts
+++ b/packages/gateway/src/request/serve-model.ts
@@ -1,24 +1,27 @@
-import {once} from 'node:events';
-import {ServerResponse} from 'node:http';
 import {ClassRule, ConfigStore, ModelConfig, Team, WorkClass} from '@radishgw/config';
-import {AttemptId, call, EventLog, Procedure, RandomSource, TargetId, toId} from '@radishgw/core';
-import {Dispatcher as HttpDispatcher} from 'undici';
-import {AnswerBuilder, TokenUsage} from '../engine/answer.js';
-import {cancelAttempt, EngineError, streamFromEngine} from '../engine/engine-stream.js';
 import {
-  estimatePromptTokens,
-  MODEL_REQUEST_KINDS,
-  ModelRequest,
-  ModelRequestPath,
-  parseModelRequest,
-  readBody,
-} from './body.js';
+  AttemptId,
+  call,
+  Clock,
+  EventLog,
+  Procedure,
+  RandomSource,
+  TargetId,
+  toId,
+} from '@radishgw/core';
+import {Dispatcher as HttpDispatcher} from 'undici';
+import {TokenUsage} from '../engine/answer.js';
+import {cancelAttempt, EngineError, runEngineStream} from '../engine/engine-stream.js';
+import {AnswerRelay} from './answer-relay.js';
+import {estimatePromptTokens, ModelRequestPath, parseModelRequest, readBody} from './body.js';
 import {RequestContext} from './context.js';
+import {refuseKeyInText} from './headers.js';
 import {AttemptOutcome, Dispatch, Dispatcher, DispatchRequest, RequestLimiter} from './ports.js';
 import {Refusal} from './refusal.js';
 
 /** What serving a model request needs. */
 export interface ModelServices {
+  readonly clock: Clock;
   readonly config: ConfigStore;
   readonly limiter: RequestLimiter;
   readonly dispatcher: Dispatcher;
@@ -31,28 +34,33 @@
   recordUsage(context: RequestContext, usage: TokenUsage): void;
 }
 
-const MAX_SILENT_RESUMES = 3;
+const MAX_FAILED_RESUMES = 3;
 const ATTEMPT_ID_BYTES = 12;
+const MAX_ENGINE_MESSAGE_CHARS = 500;
 
 /** Serves a chat or text completion, streaming or not. */
 export function* serveModel(
   services: ModelServices,
   context: RequestContext,
   team: Team,
+  secretHex: string,
   path: ModelRequestPath,
 ): Procedure<void> {
-  const bytes = yield* call(() => readBody(context.request, services.maxBodyBytes));
+  const bytes = yield* call(() => readBody(context, services.maxBodyBytes));
   const request = parseModelRequest(path, bytes);
   context.resource = request.model;
   const model = findModel(services.config, team, request.model);
   context.workClass = chooseClass(team.parameters.classRules, context, {model: request.model});
   const promptTokens = estimatePromptTokens(bytes.length);
-  const outputTokens = boundOutput(request, model);
-  const costTokens = promptTokens + outputTokens;
+  const maxTokens = request.max_completion_tokens ?? request.max_tokens ?? model.maxOutputTokens;
+  const relay = new AnswerRelay(context, path, request, maxTokens, promptTokens);
+  const firstBody = relay.beginAttempt()!;
+  refuseKeyInText(firstBody, secretHex, 'request body');
+  const costTokens = promptTokens + maxTokens * (request.n ?? 1);
   const charge = yield* services.limiter.acquire(team, costTokens, context.deadlineMs);
   let actualTokens = 0;
   try {
-    const usage = yield* attemptUntilWhole(services, context, path, request, {
+    const usage = yield* attemptUntilWhole(services, context, path, relay, firstBody, {
       requestId: context.requestId,
       pool: model.pool,
       team,
@@ -96,43 +104,41 @@
   return rule?.class ?? 'standard';
 }
 
-function boundOutput(request: ModelRequest, model: ModelConfig): number {
-  const wanted = request.max_completion_tokens ?? request.max_tokens ?? model.maxOutputTokens;
-  return wanted * (request.n ?? 1);
-}
-
 function* attemptUntilWhole(
   services: ModelServices,
   context: RequestContext,
   path: ModelRequestPath,
-  request: ModelRequest,
+  relay: AnswerRelay,
+  firstBody: string,
   dispatchRequest: DispatchRequest,
 ): Procedure<TokenUsage> {
   const excluded = new Set<string>();
-  let mayHaveRun = false;
+  let body: string | undefined = firstBody;
   for (;;) {
     const dispatch = yield* services.dispatcher.acquire({...dispatchRequest, excluded});
     context.targetId = toId<TargetId>(dispatch.target.targetId);
     context.attempts++;
     let outcome: AttemptOutcome = 'cancelled';
     try {
-      const usage = yield* runAttempt(services, context, path, request, dispatch);
+      yield* runAttempt(services, context, path, relay, body, dispatch);
       outcome = 'succeeded';
-      return usage;
+      return relay.finish();
     } catch (error) {
       if (context.signal.aborted || !(error instanceof EngineError)) throw error;
       outcome = 'failed';
-      mayHaveRun ||= error.mayHaveRun;
       excluded.add(dispatch.target.targetId);
       services.log.write('attemptFailed', {
         requestId: context.requestId,
         targetId: dispatch.target.targetId,
         detail: error.message,
       });
-      const answered = context.firstByteMs !== undefined;
-      if (answered || !services.dispatcher.allowRetry()) {
-        const execution = mayHaveRun ? 'unknown' : 'not_run';
-        throw new Refusal('targetFailed', `target failed: ${error.message}`, execution);
+      if (relay.isDelivered()) return relay.finish();
+      if (isCallersFault(error)) throw describeCallersFault(error);
+      body = relay.beginAttempt();
+      // An attempt that didn't run costs no engine time, so it isn't held against the retry budget.
+      const mayRetry = !error.mayHaveRun || services.dispatcher.allowRetry();
+      if (body === undefined || !mayRetry) {
+        throw new Refusal('targetFailed', `target failed: ${error.message}`);
       }
     } finally {
       dispatch.release(outcome);
@@ -144,86 +150,56 @@
   services: ModelServices,
   context: RequestContext,
   path: ModelRequestPath,
-  request: ModelRequest,
+  relay: AnswerRelay,
+  body: string,
   dispatch: Dispatch,
-): Procedure<TokenUsage> {
+): Procedure<void> {
   const attemptId = toId<AttemptId>(services.random.nextHex(ATTEMPT_ID_BYTES));
-  const builder = new AnswerBuilder(MODEL_REQUEST_KINDS[path].answerKind);
-  const events = streamFromEngine(services.http, {
-    url: dispatch.target.url,
-    path,
-    attemptId,
-    headers: {'content-type': 'application/json', 'x-radishgw-priority': context.workClass},
-    body: JSON.stringify({
-      ...request,
-      stream: true,
-      stream_options: {...request.stream_options, include_usage: true},
-    }),
-    signal: context.signal,
-    progressTimeoutMs: services.progressTimeoutMs,
-    maxSilentResumes: MAX_SILENT_RESUMES,
-    onResume: (after, reason) => {
-      services.log.write('streamResumed', {requestId: context.requestId, after, reason});
-    },
-  });
+  const ranBefore = context.mayHaveRun;
   let whole = false;
-  let outputTokens = 0;
   try {
-    for (;;) {
-      const next = yield* call(() => events.next());
-      if (next.done) throw new EngineError('answer ended early', true);
-      const {data} = next.value;
-      if (data === '[DONE]') break;
-      outputTokens += builder.add(data);
-      dispatch.reportProgress(outputTokens);
-      context.firstByteMs ??= request.stream ? performance.now() : undefined;
-      if (request.stream && isWantedChunk(request, data)) {
-        yield* writeChunk(context.response, data);
-      }
-    }
+    yield* call(() =>
+      runEngineStream(services.http, {
+        clock: services.clock,
+        url: dispatch.target.url,
+        path,
+        attemptId,
+        headers: {'content-type': 'application/json', 'x-radishgw-priority': context.workClass},
+        body,
+        signal: context.signal,
+        progressTimeoutMs: services.progressTimeoutMs,
+        maxFailedResumes: MAX_FAILED_RESUMES,
+        onSent: () => {
+          context.mayHaveRun = true;
+        },
+        onEvent: data => relay.add(data),
+        onBatch: () => {
+          dispatch.reportProgress(relay.outputTokens);
+          return relay.flush();
+        },
+        onResume: (after, reason) => {
+          services.log.write('streamResumed', {requestId: context.requestId, after, reason});
+        },
+      }),
+    );
     whole = true;
-    finishAnswer(context, request, builder);
+  } catch (error) {
+    if (error instanceof EngineError && !error.mayHaveRun) context.mayHaveRun = ranBefore;
+    throw error;
   } finally {
-    if (!whole) {
-      events.return().catch(() => undefined);
-      cancelAttempt(services.http, dispatch.target.url, attemptId).catch(() => undefined);
+    if (!whole && context.mayHaveRun) {
+      const {http, progressTimeoutMs} = services;
+      cancelAttempt(http, dispatch.target.url, attemptId, progressTimeoutMs).catch(() => undefined);
     }
   }
-  return builder.getUsage() ?? {promptTokens: 0, outputTokens};
-}
-
-/** The usage chunk is asked for by the host; it goes to the caller only if the caller asked too. */
-function isWantedChunk(request: ModelRequest, data: string): boolean {
-  return request.stream_options?.include_usage === true || !data.includes('"choices":[]');
 }
 
-function* writeChunk(response: ServerResponse, data: string): Procedure<void> {
-  startStream(response);
-  if (!response.write(`data: ${data}\n\n`)) {
-    yield* call(() => Promise.race([once(response, 'drain'), once(response, 'close')]));
-  }
+/** A request that the engine finds wrong would be wrong at each other engine too. */
+function isCallersFault(error: EngineError): boolean {
+  return error.statusCode === 400 || error.statusCode === 413 || error.statusCode === 422;
 }
 
-function startStream(response: ServerResponse): void {
-  if (response.headersSent) return;
-  response.writeHead(200, {
-    'content-type': 'text/event-stream; charset=utf-8',
-    'cache-control': 'no-cache',
-  });
-}
-
-function finishAnswer(context: RequestContext, request: ModelRequest, builder: AnswerBuilder) {
-  const {response} = context;
-  if (request.stream) {
-    startStream(response);
-    response.end('data: [DONE]\n\n');
-    return;
-  }
-  context.firstByteMs = performance.now();
-  const text = JSON.stringify(builder.build());
-  response.writeHead(200, {
-    'content-type': 'application/json',
-    'content-length': Buffer.byteLength(text),
-  });
-  response.end(text);
+function describeCallersFault(error: EngineError): Refusal {
+  const detail = (error.body ?? '').slice(0, MAX_ENGINE_MESSAGE_CHARS);
+  return new Refusal('requestMalformed', `the engine refused the request: ${detail}`);
 }
--- a/packages/gateway/src/request/serve-service.ts
+++ b/packages/gateway/src/request/serve-service.ts
@@ -1,38 +1,47 @@
-import {pipeline} from 'node:stream/promises';
-import {RouteConfig, TargetConfig, Team} from '@radishgw/config';
-import {call, EventLog, Procedure, TargetId, toId} from '@radishgw/core';
-import {Client, Dispatcher as HttpDispatcher} from 'undici';
+import {RouteConfig, Team} from '@radishgw/config';
+import {
+  AttemptId,
+  call,
+  Clock,
+  EventLog,
+  Procedure,
+  RandomSource,
+  TargetId,
+  toId,
+} from '@radishgw/core';
+import {Dispatcher as HttpDispatcher} from 'undici';
 import {readBody} from './body.js';
+import {parseIdempotencyKey} from './caller-headers.js';
 import {RequestContext} from './context.js';
-import {forwardHeaders, forwardPath} from './headers.js';
+import {forwardHeaders, forwardPath, refuseKeyInText} from './headers.js';
+import {
+  Claim,
+  ClaimOutcome,
+  IdempotencyClaims,
+  KeyedRequest,
+  StoredResponse,
+} from './idempotency.js';
 import {AttemptOutcome, Dispatcher, RequestLimiter} from './ports.js';
 import {Refusal} from './refusal.js';
 import {chooseClass} from './serve-model.js';
+import {OutgoingCall, sendCall, sendOnce, ServiceError} from './service-attempt.js';
 
 /** What serving a service call needs. */
 export interface ServiceServices {
+  readonly clock: Clock;
   readonly limiter: RequestLimiter;
   readonly dispatcher: Dispatcher;
   readonly http: HttpDispatcher;
   readonly log: EventLog;
+  readonly random: RandomSource;
+  readonly claims: IdempotencyClaims;
   readonly maxBodyBytes: number;
+  readonly progressTimeoutMs: number;
 }
 
-/** A call as it goes to a target. */
-interface OutgoingCall {
-  readonly method: HttpDispatcher.HttpMethod;
-  readonly path: string;
-  readonly headers: Record<string, string>;
-  readonly body: Buffer;
-  readonly signal: AbortSignal;
-}
-
-const NOT_SENT_CODES = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
+const ATTEMPT_ID_BYTES = 12;
+/** A service may take longer than an engine between events; its first attempt ends after this. */
+const HEAD_TIMEOUT_FACTOR = 5;
 
 /** Passes a call on to a plain service. */
 export function* serveService(
@@ -49,20 +58,100 @@
   if (team) {
     context.workClass = chooseClass(team.parameters.classRules, context, {route: route.routeId});
   }
-  const body = yield* call(() => readBody(context.request, services.maxBodyBytes));
+  const {headers, url} = context.request;
+  const idempotencyKey = parseIdempotencyKey(headers);
+  const path = forwardPath(url ?? '/', secretHex);
+  const body = yield* call(() => readBody(context, services.maxBodyBytes));
+  // Latin-1 keeps each byte as one character, which is all that the search needs.
+  refuseKeyInText(body.toString('latin1'), secretHex, 'request body');
+  const outgoing = {
+    method: route.method,
+    path,
+    headers: forwardHeaders(headers, secretHex),
+    body,
+  };
+  if (route.idempotent || idempotencyKey === undefined) {
+    yield* chargeAndSend(services, context, route, team, outgoing, false);
+    return;
+  }
+  // From here on the caller may leave: its retry is to find the response.
+  context.outlivesCaller = true;
+  const request = {teamId: team?.teamId, idempotencyKey, ...outgoing};
+  const outcome = yield* claimKey(services.claims, request);
+  if (outcome.kind === 'replay') replay(context, outcome.response);
+  else yield* sendClaimed(services, context, route, team, outgoing, outcome.claim);
+}
+
+type CallContent = Pick<OutgoingCall, 'method' | 'path' | 'headers' | 'body'>;
+
+/** Claims the key; a claim that comes after the procedure was cancelled is given back. */
+function* claimKey(claims: IdempotencyClaims, request: KeyedRequest): Procedure<ClaimOutcome> {
+  const claiming = claims.claim(request);
+  let taken = false;
+  try {
+    const outcome = yield* call(() => claiming);
+    taken = true;
+    return outcome;
+  } finally {
+    if (!taken) {
+      claiming
+        .then(outcome => (outcome.kind === 'claimed' ? claims.release(outcome.claim) : undefined))
+        .catch(() => undefined);
+    }
+  }
+}
+
+/** Runs a call under a claim and records what became of it, also if the procedure is cancelled. */
+function* sendClaimed(
+  services: ServiceServices,
+  context: RequestContext,
+  route: RouteConfig,
+  team: Team | undefined,
+  outgoing: CallContent,
+  claim: Claim,
+): Procedure<void> {
+  const {claims} = services;
+  let recorded = false;
+  try {
+    const response = yield* chargeAndSend(services, context, route, team, outgoing, true);
+    recorded = true;
+    if (response) claims.store(claim, response);
+    else claims.storeUnknown(claim);
+  } catch (error) {
+    recorded = true;
+    if (context.mayHaveRun) claims.storeUnknown(claim);
+    else yield* call(() => claims.release(claim));
+    throw error;
+  } finally {
+    if (!recorded && context.mayHaveRun) claims.storeUnknown(claim);
+    else if (!recorded) claims.release(claim).catch(() => undefined);
+  }
+}
+
+function replay(context: RequestContext, stored: StoredResponse): void {
+  context.response.writeHead(stored.statusCode, {
+    ...stored.headers,
+    'x-radishgw-idempotent-replay': 'true',
+  });
+  context.response.end(Buffer.from(stored.bodyBase64 ?? '', 'base64'));
+}
+
+function* chargeAndSend(
+  services: ServiceServices,
+  context: RequestContext,
+  route: RouteConfig,
+  team: Team | undefined,
+  outgoing: CallContent,
+  store: boolean,
+): Procedure<StoredResponse | undefined> {
   const charge = team
     ? yield* services.limiter.acquire(team, route.costTokens, context.deadlineMs)
     : undefined;
   try {
-    yield* attemptService(services, context, route, team, {
-      method: route.method,
-      path: forwardPath(context.request.url ?? '/', secretHex),
-      headers: forwardHeaders(context.request.headers, secretHex),
-      body,
-      signal: context.signal,
-    });
+    return yield* attemptService(services, context, route, team, outgoing, store);
   } finally {
-    charge?.settle(route.costTokens);
+    // A call that wasn't run is given back to the team.
+    charge?.settle(context.mayHaveRun ? route.costTokens : 0);
   }
 }
 
@@ -71,8 +160,9 @@
   context: RequestContext,
   route: RouteConfig,
   team: Team | undefined,
-  outgoing: OutgoingCall,
-): Procedure<void> {
+  outgoing: CallContent,
+  store: boolean,
+): Procedure<StoredResponse | undefined> {
   const excluded = new Set<string>();
   for (;;) {
     const dispatch = yield* services.dispatcher.acquire({
@@ -89,29 +179,38 @@
     });
     const {target} = dispatch;
     context.targetId = toId<TargetId>(target.targetId);
-    context.attempts++;
-    let outcome: AttemptOutcome = 'failed';
+    const firstAttempt = context.attempts++ === 0;
+    const headTimeoutMs = services.progressTimeoutMs * HEAD_TIMEOUT_FACTOR;
+    const attempt: OutgoingCall = {
+      ...outgoing,
+      clock: services.clock,
+      attemptId: toId<AttemptId>(services.random.nextHex(ATTEMPT_ID_BYTES)),
+      connectTimeoutMs: services.progressTimeoutMs,
+      // Only the first attempt is cut short, so that a call that is merely slow succeeds at last.
+      headTimeoutMs: route.idempotent && firstAttempt ? headTimeoutMs : undefined,
+      store,
+    };
+    let outcome: AttemptOutcome = 'cancelled';
     try {
-      const send = route.idempotent ? sendPooled(services.http) : sendOnce;
-      const notRun = yield* call(() => relayCall(context, target, outgoing, send));
-      outcome = notRun ? 'failed' : 'succeeded';
-      if (!notRun) return;
-      throw new ServiceError('target refused the call', false);
+      const response = yield* call(() =>
+        route.idempotent
+          ? sendCall(services.http, context, target.url, attempt)
+          : sendOnce(context, target.url, attempt),
+      );
+      outcome = 'succeeded';
+      return response;
     } catch (error) {
-      if (!(error instanceof ServiceError) || context.response.headersSent) throw error;
+      if (!(error instanceof ServiceError)) throw error;
+      outcome = 'failed';
       excluded.add(target.targetId);
       services.log.write('attemptFailed', {
         requestId: context.requestId,
         targetId: target.targetId,
         detail: error.message,
       });
-      const mayRepeat = route.idempotent || !error.mayHaveRun;
-      if (!mayRepeat || context.signal.aborted || !services.dispatcher.allowRetry()) {
-        throw new Refusal(
-          error.mayHaveRun ? 'outcomeUnknown' : 'targetFailed',
-          `target failed: ${error.message}`,
-          error.mayHaveRun ? 'unknown' : 'not_run',
-        );
+      if (context.response.headersSent || !mayTryAgain(services, route, error)) {
+        const name = error.mayHaveRun ? 'outcomeUnknown' : 'targetFailed';
+        throw new Refusal(name, `target failed: ${error.message}`);
       }
     } finally {
       dispatch.release(outcome);
@@ -119,59 +218,8 @@
   }
 }
 
-/** Failure of a call to a service. */
-class ServiceError extends Error {
-  constructor(
-    message: string,
-    /** False only if no byte was sent or the target said that it didn't run the call. */
-    readonly mayHaveRun: boolean,
-  ) {
-    super(message);
-  }
-}
-
-type Send = (url: URL, outgoing: OutgoingCall) => Promise<HttpDispatcher.ResponseData>;
-
-function sendPooled(http: HttpDispatcher): Send {
-  return (url, outgoing) => http.request({origin: url.origin, ...outgoing});
-}
-
-/**
- * Sends on a connection of its own. A pooled connection that the target closes at the same moment
- * leaves it unknown whether the call was run.
- */
-async function sendOnce(url: URL, outgoing: OutgoingCall): Promise<HttpDispatcher.ResponseData> {
-  const client = new Client(url.origin, {pipelining: 0});
-  const response = await client.request(outgoing).catch(error => {
-    client.destroy().catch(() => undefined);
-    throw error;
-  });
-  response.body.once('close', () => client.destroy().catch(() => undefined));
-  return response;
-}
-
-/** Relays one call and its answer; returns true when the target said that it didn't run it. */
-async function relayCall(
-  context: RequestContext,
-  target: TargetConfig,
-  outgoing: OutgoingCall,
-  send: Send,
-): Promise<boolean> {
-  let response: HttpDispatcher.ResponseData;
-  try {
-    response = await send(new URL(target.url), outgoing);
-  } catch (error) {
-    const code = (error as {code?: string}).code ?? '';
-    throw new ServiceError((error as Error).message, !NOT_SENT_CODES.has(code));
-  }
-  if (response.headers['x-radishgw-execution'] === 'not_run') {
-    await response.body.dump();
-    return true;
-  }
-  const {connection: _, 'keep-alive': __, 'transfer-encoding': ___, ...headers} = response.headers;
-  void [_, __, ___];
-  context.firstByteMs = performance.now();
-  context.response.writeHead(response.statusCode, headers);
-  await pipeline(response.body, context.response);
-  return false;
+/** A call that wasn't run may go to another target, and isn't held against the retry budget. */
+function mayTryAgain(services: ServiceServices, route: RouteConfig, error: ServiceError): boolean {
+  if (!error.mayHaveRun) return true;
+  return route.idempotent && services.dispatcher.allowRetry();
 }
--- /dev/null
+++ b/packages/gateway/src/request/service-attempt.ts
@@ -0,0 +1,195 @@
+import {ServerResponse} from 'node:http';
+import {AttemptId, Clock} from '@radishgw/core';
+import {Client, Dispatcher as HttpDispatcher} from 'undici';
+import {RequestContext} from './context.js';
+import {returnHeaders} from './headers.js';
+import {MAX_STORED_BODY_BYTES, StoredResponse} from './idempotency.js';
+
+/** Failure of an attempt at a service. */
+export class ServiceError extends Error {
+  constructor(
+    message: string,
+    /** False only if no byte was sent or the target said that it didn't run the call. */
+    readonly mayHaveRun: boolean,
+  ) {
+    super(message);
+  }
+}
+
+/** A call as it goes to a target. */
+export interface OutgoingCall {
+  readonly clock: Clock;
+  readonly method: HttpDispatcher.HttpMethod;
+  readonly path: string;
+  readonly headers: Record<string, string>;
+  readonly body: Buffer;
+  readonly attemptId: AttemptId;
+  readonly connectTimeoutMs: number;
+  /** Bound on the wait for the response's head; undefined to wait until the deadline. */
+  readonly headTimeoutMs: number | undefined;
+  /** Whether to keep a copy of the response for retries. */
+  readonly store: boolean;
+}
+
+/** Bounds on what a target may answer. */
+export const MAX_RESPONSE_BYTES = 67_108_864;
+
+/**
+ * Sends a call on a connection of its own, so that no other exchange on the connection can leave it
+ * open whether this one was run.
+ */
+export async function sendOnce(
+  context: RequestContext,
+  url: string,
+  call: OutgoingCall,
+): Promise<StoredResponse | undefined> {
+  const client = new Client(new URL(url).origin, {
+    pipelining: 1,
+    connect: {timeout: call.connectTimeoutMs},
+  });
+  try {
+    return await sendCall(client, context, url, {
+      ...call,
+      headers: {...call.headers, connection: 'close'},
+    });
+  } finally {
+    client.destroy().catch(() => undefined);
+  }
+}
+
+/**
+ * Sends a call and streams the response to the caller. Rejects with {@link ServiceError}, or with
+ * another error when the request is aborted. Gives the copy of the response if one was asked for.
+ */
+export function sendCall(
+  dispatcher: HttpDispatcher,
+  context: RequestContext,
+  url: string,
+  call: OutgoingCall,
+): Promise<StoredResponse | undefined> {
+  return new Promise((resolve, reject) => {
+    const {signal} = context;
+    const ranBefore = context.mayHaveRun;
+    let controller: HttpDispatcher.DispatchController | undefined;
+    let settled = false;
+    let sink: ResponseSink | undefined;
+    const finish = (settle: () => void) => {
+      if (settled) return;
+      settled = true;
+      headTimer?.cancel();
+      signal.removeEventListener('abort', onAbort);
+      settle();
+    };
+    const fail = (error: Error) => {
+      finish(() => reject(error));
+      controller?.abort(error);
+    };
+    const onAbort = () => fail(new Error(`aborted: ${signal.reason}`));
+    const headTimer =
+      call.headTimeoutMs === undefined
+        ? undefined
+        : call.clock.setTimer(call.headTimeoutMs, () => {
+            const sent = controller !== undefined;
+            fail(new ServiceError(`no response within ${call.headTimeoutMs} ms`, sent));
+          });
+    if (signal.aborted) {
+      onAbort();
+      return;
+    }
+    signal.addEventListener('abort', onAbort);
+    dispatcher.dispatch(
+      {
+        origin: new URL(url).origin,
+        path: call.path,
+        method: call.method,
+        headers: {...call.headers, 'x-radishgw-attempt-id': call.attemptId},
+        body: call.body.length > 0 ? call.body : null,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+      },
+      {
+        onRequestStart: current => {
+          // A second start would be a second sending of the same attempt.
+          if (settled || controller) {
+            current.abort(new Error('attempt is over'));
+            return;
+          }
+          controller = current;
+          context.mayHaveRun = true;
+        },
+        onResponseStart: (_current, statusCode, headers) => {
+          if (settled || statusCode < 200) return;
+          headTimer?.cancel();
+          const attemptId = headers['x-radishgw-attempt-id'];
+          if (attemptId !== undefined && attemptId !== call.attemptId) {
+            fail(new ServiceError('response belongs to another attempt', true));
+          } else if (headers['x-radishgw-execution'] === 'not_run') {
+            context.mayHaveRun = ranBefore;
+            fail(new ServiceError('target refused the call', false));
+          } else if (Number(headers['content-length'] ?? 0) > MAX_RESPONSE_BYTES) {
+            fail(new ServiceError(`response exceeds ${MAX_RESPONSE_BYTES} bytes`, true));
+          } else {
+            sink = new ResponseSink(context, statusCode, returnHeaders(headers), call.store);
+          }
+        },
+        onResponseData: (current, chunk) => {
+          if (settled || !sink) return;
+          const size = sink.write(Buffer.from(chunk), current);
+          if (size > MAX_RESPONSE_BYTES) {
+            fail(new ServiceError(`response exceeds ${MAX_RESPONSE_BYTES} bytes`, true));
+          }
+        },
+        onResponseEnd: () => finish(() => resolve(sink?.end())),
+        onResponseError: (_current, error) => {
+          fail(new ServiceError(error.message, controller !== undefined));
+        },
+      },
+    );
+  });
+}
+
+/** Where a response goes: to the caller and, for retries, into a bounded copy. */
+class ResponseSink {
+  private size = 0;
+  private readonly copy: Buffer[] = [];
+  private readonly response: ServerResponse;
+
+  constructor(
+    context: RequestContext,
+    private readonly statusCode: number,
+    private readonly headers: Record<string, string | string[]>,
+    private readonly store: boolean,
+  ) {
+    this.response = context.response;
+    if (this.response.destroyed) return;
+    context.firstByteMs = performance.now();
+    this.response.writeHead(statusCode, headers);
+  }
+
+  /** Passes on a part; returns the size of the body so far. */
+  write(chunk: Buffer, controller: HttpDispatcher.DispatchController): number {
+    this.size += chunk.length;
+    if (this.store && this.size <= MAX_STORED_BODY_BYTES) this.copy.push(chunk);
+    if (!this.response.destroyed && !this.response.write(chunk)) {
+      controller.pause();
+      const goOn = () => {
+        this.response.removeListener('drain', goOn);
+        this.response.removeListener('close', goOn);
+        controller.resume();
+      };
+      this.response.once('drain', goOn).once('close', goOn);
+    }
+    return this.size;
+  }
+
+  end(): StoredResponse | undefined {
+    this.response.end();
+    if (!this.store) return undefined;
+    const whole = this.size <= MAX_STORED_BODY_BYTES;
+    return {
+      statusCode: this.statusCode,
+      headers: this.headers,
+      ...(whole ? {bodyBase64: Buffer.concat(this.copy).toString('base64')} : {}),
+    };
+  }
+}
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -1,6 +1,7 @@
 import {RadishError} from '@radishgw/core';
 import yargs from 'yargs';
 import {z} from 'zod';
+import {TlsFiles} from './caller/tls.js';
 
 /** Prefix of the environment variable of each flag: `--platform-url` is `RADISHGW_PLATFORM_URL`. */
 export const ENV_PREFIX = 'RADISHGW';
@@ -22,7 +23,10 @@
   maxInFlight: positive,
   defaultDeadlineMs: positive,
   progressTimeoutMs: positive,
+  requestTimeoutMs: positive,
   shutdownTimeoutMs: positive,
+  tlsCertificateFile: z.string().min(1).optional(),
+  tlsKeyFile: z.string().min(1).optional(),
   logFormat: z.enum(['json', 'pretty']),
   logLevel: z.enum(['debug', 'info', 'warn', 'error']),
 });
@@ -56,6 +60,16 @@
         default: 2000,
         describe: 'Silence after which a stream is resumed on a new connection',
       },
+      'request-timeout-ms': {
+        type: 'number',
+        default: 60_000,
+        describe: 'Bound on the time in which a whole request must arrive',
+      },
+      'tls-certificate-file': {
+        type: 'string',
+        describe: 'Certificate chain in PEM for callers; read again on SIGHUP. Off by default',
+      },
+      'tls-key-file': {type: 'string', describe: 'Private key of the certificate, in PEM'},
       'shutdown-timeout-ms': {
         type: 'number',
         default: 900_000,
@@ -88,3 +102,14 @@
     `setting --${flag} (${variable}): ${issue.message}, got "${String(given)}"`,
   );
 }
+
+/** Files for TLS towards callers; undefined if TLS is off. Both flags belong together. */
+export function readTlsSettings(settings: Settings): TlsFiles | undefined {
+  const {tlsCertificateFile: certificateFile, tlsKeyFile: keyFile} = settings;
+  if (certificateFile === undefined && keyFile === undefined) return undefined;
+  if (certificateFile && keyFile) return {certificateFile, keyFile};
+  throw new RadishError(
+    'settingMissing',
+    'settings --tls-certificate-file and --tls-key-file must be given together',
+  );
+}
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -14,14 +14,17 @@
 import {followConfig} from './config-sync.js';
 import {Metrics} from './operator/metrics.js';
 import {createOperatorServer} from './operator/operator-server.js';
+import {IdempotencyClaims} from './request/idempotency.js';
 import {LocalDispatcher} from './request/local-dispatcher.js';
 import {UnlimitedLimiter} from './request/unlimited.js';
-import {Settings} from './settings.js';
+import {readTlsSettings, Settings} from './settings.js';
 
 /** A running entry host. */
 export interface EntryHost {
   /** Stops gracefully: requests in flight are finished first. */
   stop(): Promise<void>;
+  /** Reads the certificate files again; the old certificate stays if they are wrong. */
+  reload(): void;
 }
 
 const ENTRY_MAX_AGE_MS = 10_000;
@@ -55,7 +58,11 @@
       handlers,
     ),
   );
+  const claims = new IdempotencyClaims(platform, clock, random);
   const callers = new CallerServer({
+    claims,
+    tls: readTlsSettings(settings),
+    requestTimeoutMs: settings.requestTimeoutMs,
     clock,
     handlers,
     config,
@@ -71,7 +78,7 @@
     progressTimeoutMs: settings.progressTimeoutMs,
     checkFreshness: () => undefined,
     listEntryHosts: () => ({
-      hosts: [`http://${settings.callerAddress}`],
+      hosts: [`${settings.tlsCertificateFile ? 'https' : 'http'}://${settings.callerAddress}`],
       maxAgeMs: ENTRY_MAX_AGE_MS,
     }),
     recordUsage: () => undefined,
@@ -94,9 +101,8 @@
     stop: async () => {
       stopping = true;
       log.write('hostStopping', {inFlight: callers.getInFlight()});
-      callers.server.close();
-      await callers.waitUntilIdle();
-      callers.server.closeIdleConnections();
+      await callers.stop(settings.shutdownTimeoutMs);
+      await claims.waitUntilSettled();
       for (const task of tasks) task.cancel();
       operators.close();
       operators.closeAllConnections();
@@ -104,6 +110,13 @@
       await platform.close();
       log.write('hostStopped');
     },
+    reload: () => {
+      try {
+        callers.reloadTls();
+      } catch (error) {
+        log.write('settingInvalid', {detail: (error as Error).message});
+      }
+    },
   };
 }
 
--- a/packages/testkit/src/child.ts
+++ b/packages/testkit/src/child.ts
@@ -20,6 +20,11 @@
     });
   }
 
+  /** Whether the process hasn't ended. */
+  isRunning(): boolean {
+    return this.process.exitCode === null && this.process.signalCode === null;
+  }
+
   get pid(): number {
     return this.process.pid!;
   }
@@ -78,6 +83,18 @@
   }
 }
 
+/** Repeats a question until its answer is wanted; the test's own timeout bounds the wait. */
+export async function waitUntil<T>(
+  ask: () => Promise<T> | T,
+  isWanted: (answer: T) => boolean,
+): Promise<T> {
+  for (;;) {
+    const answer = await ask();
+    if (isWanted(answer)) return answer;
+    await new Promise(resolve => setTimeout(resolve, POLL_MS));
+  }
+}
+
 const POLL_MS = 25;
 
 /** Ports of the loopback interface that were free a moment ago. */
--- a/packages/testkit/src/deployment.ts
+++ b/packages/testkit/src/deployment.ts
@@ -23,6 +23,12 @@
   readonly hostFlags?: readonly string[];
   readonly tokensPerSecond?: number;
   readonly burstTokens?: number;
+  readonly maxInFlight?: number;
+  /**
+   * Gives the URL under which hosts reach a part (`engine-1`, `service-1`, `platform`), such as
+   * that of a fault proxy before it; the part's own URL by default.
+   */
+  readonly mapUrl?: (name: string, url: string) => Promise<string>;
 }
 
 /** An entry host of a deployment. */
@@ -139,23 +145,19 @@
     Array.from({length: options.services}, (_, i) => startStandIn(`service-${i + 1}`, 'service')),
   );
   const platform = new HttpPlatform({baseUrl: platformUrl, callTimeoutMs: 5000});
+  const mapUrl = options.mapUrl ?? (async (_name, url) => url);
+  const mapUrls = (kind: string, parts: readonly {url: string}[]) =>
+    Promise.all(parts.map(({url}, index) => mapUrl(`${kind}-${index + 1}`, url)));
+  const {failureDomains} = options;
   const base = buildBase([
-    ...describeTargets(
-      'engine',
-      'models',
-      engines.map(engine => engine.url),
-      options.failureDomains,
-    ),
-    ...describeTargets(
-      'service',
-      'orders',
-      services.map(service => service.url),
-      options.failureDomains,
-    ),
+    ...describeTargets('engine', 'models', await mapUrls('engine', engines), failureDomains),
+    ...describeTargets('service', 'orders', await mapUrls('service', services), failureDomains),
   ]);
+  const hostPlatformUrl = await mapUrl('platform', platformUrl);
   const key = issueKey(toId<KeyId>('demo'), createSystemRandom());
   const parameters: TeamConfig['parameters'] = {};
   if (options.tokensPerSecond) parameters.tokensPerSecond = options.tokensPerSecond;
+  if (options.maxInFlight) parameters.maxInFlight = options.maxInFlight;
   if (options.burstTokens) parameters.burstTokens = options.burstTokens;
   const team: TeamConfig = {
     schemaVersion: SCHEMA_VERSION,
@@ -179,7 +181,7 @@
       '--failure-domain',
       options.failureDomains[index % options.failureDomains.length],
       '--platform-url',
-      platformUrl,
+      hostPlatformUrl,
       '--caller-address',
       `127.0.0.1:${callerPort}`,
       '--operator-address',
@@ -214,10 +216,12 @@
     team,
     startHost,
     stop: async () => {
-      const stopIfRunning = (child: Child) =>
-        child.process.exitCode === null && child.process.signalCode === null
-          ? child.stop()
-          : Promise.resolve(null);
+      const stopIfRunning = (child: Child) => {
+        if (!child.isRunning()) return Promise.resolve(null);
+        // A process that a test has paused can't act on SIGTERM.
+        child.signal('SIGCONT');
+        return child.stop();
+      };
       await Promise.all(hosts.map(host => stopIfRunning(host.child)));
       await Promise.all([...engines, ...services].map(({child}) => stopIfRunning(child)));
       await stopIfRunning(platformChild);
--- a/packages/testkit/src/engine/engine-server.ts
+++ b/packages/testkit/src/engine/engine-server.ts
@@ -12,8 +12,16 @@
   slots: number;
   /** Orders with an old fencing number are refused. */
   checksFencing: boolean;
-  /** Events after this number are generated but not sent on the connection; 0 sends all. */
+  /** Events after this number are generated but not sent on the first connection; 0 sends all. */
   muteAfterEvents: number;
+  /** The first connection of each stream gets no response head. */
+  muteHeads: boolean;
+  /** Each event is sent twice. */
+  duplicateEvents: boolean;
+  /** The event with this number is left out on the first connection; 0 leaves out none. */
+  skipEvent: number;
+  /** Each event is preceded by one of another attempt. */
+  crossEvents: boolean;
   /** New requests get a 503 and are not run. */
   refuseNew: boolean;
 }
@@ -22,6 +30,8 @@
 export interface EngineRecord {
   readonly started: {attemptId: string; headers: Record<string, unknown>; body: string}[];
   readonly cancelled: string[];
+  /** Number of the event after which a stream was asked for again. */
+  readonly resumed: {attemptId: string; after: number}[];
   readonly finished: string[];
   readonly orders: EngineOrderRecord[];
 }
@@ -45,6 +55,7 @@
   model?: string;
   messages?: {role: string; content: unknown}[];
   prompt?: string;
+  continue_final_message?: boolean;
   max_tokens?: number;
   max_completion_tokens?: number;
 }
@@ -56,17 +67,29 @@
   slots: 16,
   checksFencing: true,
   muteAfterEvents: 0,
+  muteHeads: false,
+  duplicateEvents: false,
+  skipEvent: 0,
+  crossEvents: false,
   refuseNew: false,
 };
 const DEFAULT_OUTPUT_TOKENS = 16;
 const CHARACTERS_PER_TOKEN = 4;
+const STOP_CLOSE_MS = 1000;
 const STREAM_KEPT_MS = 60_000;
 
 /** Engine stand-in: OpenAI streams with numbered events that can be resumed and cancelled. */
 export class EngineServer {
-  readonly record: EngineRecord = {started: [], cancelled: [], finished: [], orders: []};
+  readonly record: EngineRecord = {
+    started: [],
+    cancelled: [],
+    resumed: [],
+    finished: [],
+    orders: [],
+  };
   readonly behaviour: EngineBehaviour;
   listening!: Listening;
+  private readonly drained = new Set<() => void>();
   private readonly streams = new Map<string, StreamState>();
   private readonly waiting: {urgent: boolean; start: () => void}[] = [];
   private running = 0;
@@ -86,6 +109,33 @@
     return this;
   }
 
+  get url(): string {
+    return this.listening.url;
+  }
+
+  /** Refuses new requests, finishes and delivers the streams in progress, then closes. */
+  async stop(timeoutMs: number): Promise<void> {
+    this.behaviour.refuseNew = true;
+    if (this.isBusy()) {
+      await new Promise<void>(resolve => {
+        this.drained.add(resolve);
+        setTimeout(resolve, timeoutMs);
+      });
+    }
+    await this.listening.stop(STOP_CLOSE_MS);
+  }
+
+  private isBusy(): boolean {
+    return [...this.streams.values()].some(
+      state => !state.cancelled && (!state.done || state.listeners.size > 0),
+    );
+  }
+
+  private noteProgress(): void {
+    if (this.drained.size === 0 || this.isBusy()) return;
+    for (const resolve of this.drained) resolve();
+  }
+
   private async dispatch(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const url = new URL(request.url ?? '/', 'http://engine');
     const [, , name, id] = url.pathname.split('/');
@@ -127,7 +177,7 @@
     setTimeout(() => this.streams.delete(attemptId), STREAM_KEPT_MS).unref();
     const urgent = request.headers['x-radishgw-priority'] === 'urgent';
     this.enqueue(urgent, () => this.run(attemptId, state, JSON.parse(text) as ChatBody, object));
-    this.relay(response, state, 0);
+    this.relay(response, state, attemptId, 0, true);
   }
 
   private enqueue(urgent: boolean, start: () => void): void {
@@ -150,6 +200,10 @@
     const prompt = body.messages ? JSON.stringify(body.messages) : (body.prompt ?? '');
     const promptTokens = Math.ceil(prompt.length / CHARACTERS_PER_TOKEN);
     const wanted = body.max_completion_tokens ?? body.max_tokens ?? DEFAULT_OUTPUT_TOKENS;
+    // A continued message begins with tokens of an earlier attempt, one for each word.
+    const begun = body.continue_final_message
+      ? countWords(String(body.messages?.at(-1)?.content ?? ''))
+      : countWords(body.prompt ?? '');
     let produced = 0;
     const head = {id: `cmpl-${attemptId}`, object, created: 0, model: body.model};
     const step = () => {
@@ -158,7 +212,7 @@
         return;
       }
       if (produced < wanted) {
-        const content = `w${produced} `;
+        const content = `w${begun + produced} `;
         const delta = produced === 0 ? {role: 'assistant', content} : {content};
         const choice = body.messages
           ? {index: 0, delta, finish_reason: null}
@@ -184,6 +238,7 @@
       this.record.finished.push(attemptId);
       for (const listener of state.listeners) listener();
       this.release();
+      this.noteProgress();
     };
     setTimeout(step, promptTokens * this.behaviour.prefillMsPerToken);
   }
@@ -194,26 +249,47 @@
   }
 
   /** Sends the events after number `after` as they come; numbers start at 1. */
-  private relay(response: ServerResponse, state: StreamState, after: number): void {
-    response.writeHead(200, {'content-type': 'text/event-stream'});
-    const muteAfter = this.behaviour.muteAfterEvents;
+  private relay(
+    response: ServerResponse,
+    state: StreamState,
+    attemptId: string,
+    after: number,
+    first: boolean,
+  ): void {
+    const {muteAfterEvents, muteHeads, skipEvent, duplicateEvents, crossEvents} = this.behaviour;
     let sent = after;
     const send = () => {
+      if (first && muteHeads) return;
       while (sent < state.events.length) {
-        if (muteAfter > 0 && after === 0 && sent >= muteAfter) return;
-        response.write(`id: ${sent + 1}\ndata: ${state.events[sent]}\n\n`);
+        if (first && muteAfterEvents > 0 && sent >= muteAfterEvents) return;
         sent++;
+        if (first && sent === skipEvent) continue;
+        const event = `id: ${attemptId}:${sent}\ndata: ${state.events[sent - 1]}\n\n`;
+        if (crossEvents) response.write(`id: other:${sent}\ndata: {"choices":[]}\n\n`);
+        response.write(event);
+        if (duplicateEvents) response.write(event);
       }
       if (state.done || state.cancelled) response.end();
     };
+    response.once('close', () => {
+      state.listeners.delete(send);
+      this.noteProgress();
+    });
     state.listeners.add(send);
-    response.once('close', () => state.listeners.delete(send));
+    if (!first || !muteHeads) {
+      response.writeHead(200, {
+        'content-type': 'text/event-stream',
+        'x-radishgw-attempt-id': attemptId,
+      });
+      response.flushHeaders();
+    }
     send();
   }
 
   private resume(response: ServerResponse, attemptId: string, after: number): void {
+    this.record.resumed.push({attemptId, after});
     const state = this.streams.get(attemptId);
-    if (state) this.relay(response, state, after);
+    if (state) this.relay(response, state, attemptId, after, false);
     else sendJson(response, 404, {error: {message: 'no such stream'}});
   }
 
@@ -223,6 +299,7 @@
       state.cancelled = true;
       this.record.cancelled.push(attemptId);
       for (const listener of state.listeners) listener();
+      this.noteProgress();
     }
     sendJson(response, 200, {});
   }
@@ -258,3 +335,7 @@
     sendJson(response, 200, {});
   }
 }
+
+function countWords(text: string): number {
+  return text.match(/\bw\d+ /g)?.length ?? 0;
+}
--- a/packages/testkit/src/http.ts
+++ b/packages/testkit/src/http.ts
@@ -6,6 +6,8 @@
   readonly server: Server;
   readonly url: string;
   readonly port: number;
+  /** Takes no new connections and waits for requests in flight, at most `timeoutMs`. */
+  stop(timeoutMs: number): Promise<void>;
 }
 
 /** Starts an HTTP server on 127.0.0.1; port 0 chooses a free port. */
@@ -19,7 +21,19 @@
     server.listen(port, '127.0.0.1', resolve);
   });
   const address = server.address() as AddressInfo;
-  return {server, url: `http://127.0.0.1:${address.port}`, port: address.port};
+  return {
+    server,
+    url: `http://127.0.0.1:${address.port}`,
+    port: address.port,
+    stop: timeoutMs => closeServer(server, timeoutMs),
+  };
+}
+
+async function closeServer(server: Server, timeoutMs: number): Promise<void> {
+  const closed = new Promise(resolve => server.close(resolve));
+  const timer = setTimeout(() => server.closeAllConnections(), timeoutMs);
+  await closed;
+  clearTimeout(timer);
 }
 
 /** Reads a whole request body as text. */
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -1,4 +1,5 @@
 export * from './engine/engine-server.js';
+export * from './fault-proxy.js';
 export * from './http.js';
 export * from './platform/object-store.js';
 export * from './platform/platform-server.js';
--- a/packages/testkit/src/platform/platform-server.ts
+++ b/packages/testkit/src/platform/platform-server.ts
@@ -41,6 +41,7 @@
   readonly leavingHosts: Set<string>;
 }
 
+const WATCH_STOP_MS = 100;
 const WEIGHT_STORE_BYTES_PER_SECOND = 1_000_000_000;
 
 function readCondition(url: URL): number | undefined {
@@ -180,5 +181,10 @@
       if (!response.headersSent) sendJson(response, 400, {message: String(error)});
     });
   }, port);
-  return {...listening, ...context};
+  return {
+    ...listening,
+    ...context,
+    // Watches in progress would hold the stand-in up for their whole waiting time.
+    stop: timeoutMs => listening.stop(Math.min(timeoutMs, WATCH_STOP_MS)),
+  };
 }
--- a/packages/testkit/src/service/service-server.ts
+++ b/packages/testkit/src/service/service-server.ts
@@ -1,3 +1,4 @@
+import {IncomingMessage, ServerResponse} from 'node:http';
 import {Listening, listen, readText, sendJson} from '../http.js';
 
 /** Behaviour of a service stand-in; a test changes it through `POST /test/faults`. */
@@ -10,6 +11,14 @@
   dropAnswers: boolean;
   /** Calls are refused with 503 before they are executed. */
   refuseNew: boolean;
+  /** The connection is closed when a call arrives, which isn't executed. */
+  dropCalls: boolean;
+  /** Responses carry the attempt id of another call. */
+  crossAnswers: boolean;
+  /** Size of a filler in each response. */
+  fillerBytes: number;
+  /** Responses are cut in the middle of their body. */
+  truncateAnswers: boolean;
 }
 
 /** An executed call. */
@@ -24,41 +33,71 @@
 export interface ServiceServer extends Listening {
   readonly behaviour: ServiceBehaviour;
   readonly executions: ServiceExecution[];
+  /** Refuses new calls, finishes those in progress and closes, after at most `timeoutMs`. */
+  stop(timeoutMs: number): Promise<void>;
 }
 
+const DEFAULT_BEHAVIOUR: ServiceBehaviour = {
+  delayMs: 0,
+  silent: false,
+  dropAnswers: false,
+  refuseNew: false,
+  dropCalls: false,
+  crossAnswers: false,
+  fillerBytes: 0,
+  truncateAnswers: false,
+};
+
 /** Starts the stand-in on the loopback interface; port 0 chooses a free port. */
 export async function startServiceServer(port = 0): Promise<ServiceServer> {
-  const behaviour: ServiceBehaviour = {
-    delayMs: 0,
-    silent: false,
-    dropAnswers: false,
-    refuseNew: false,
-  };
+  const behaviour: ServiceBehaviour = {...DEFAULT_BEHAVIOUR};
   const executions: ServiceExecution[] = [];
+
+  async function execute(request: IncomingMessage, response: ServerResponse, body: string) {
+    const method = request.method ?? '';
+    const url = request.url ?? '';
+    executions.push({method, url, headers: {...request.headers}, body});
+    const execution = executions.length;
+    if (behaviour.delayMs > 0) await new Promise(resolve => setTimeout(resolve, behaviour.delayMs));
+    if (behaviour.silent) return;
+    if (behaviour.dropAnswers) {
+      request.socket.destroy();
+      return;
+    }
+    const attemptId = request.headers['x-radishgw-attempt-id'];
+    if (attemptId) {
+      response.setHeader('x-radishgw-attempt-id', behaviour.crossAnswers ? 'other' : attemptId);
+    }
+    const filler = 'x'.repeat(behaviour.fillerBytes);
+    const text = JSON.stringify({execution, method, url, filler});
+    response.writeHead(200, {
+      'content-type': 'application/json',
+      'content-length': Buffer.byteLength(text),
+    });
+    if (!behaviour.truncateAnswers) response.end(text);
+    else response.write(text.slice(0, text.length / 2), () => response.destroy());
+  }
+
   const listening = await listen(async (request, response) => {
     const body = await readText(request).catch(() => undefined);
     if (body === undefined) return;
-    if (request.url === '/test/record') {
-      sendJson(response, 200, {executions});
-      return;
-    }
-    if (request.url === '/test/faults') {
+    if (request.url === '/test/record') sendJson(response, 200, {executions});
+    else if (request.url === '/test/faults') {
       Object.assign(behaviour, JSON.parse(body));
       sendJson(response, 200, behaviour);
-      return;
-    }
-    if (behaviour.refuseNew) {
+    } else if (behaviour.dropCalls) request.socket.destroy();
+    else if (behaviour.refuseNew) {
       response.setHeader('x-radishgw-execution', 'not_run');
       sendJson(response, 503, {message: 'service takes no new calls'});
-      return;
-    }
-    const method = request.method ?? '';
-    const url = request.url ?? '';
-    executions.push({method, url, headers: {...request.headers}, body});
-    const execution = executions.length;
-    if (behaviour.delayMs > 0) await new Promise(resolve => setTimeout(resolve, behaviour.delayMs));
-    if (behaviour.dropAnswers) request.socket.destroy();
-    else if (!behaviour.silent) sendJson(response, 200, {execution, method, url});
+    } else await execute(request, response, body);
   }, port);
-  return {...listening, behaviour, executions};
+  return {
+    ...listening,
+    behaviour,
+    executions,
+    stop: timeoutMs => {
+      behaviour.refuseNew = true;
+      return listening.stop(timeoutMs);
+    },
+  };
 }
--- a/packages/testkit/src/stand-in.ts
+++ b/packages/testkit/src/stand-in.ts
@@ -11,12 +11,17 @@
   readonly checksFencing: boolean;
 }
 
-/** Starts each kind of stand-in and gives its URL. */
-const STAND_INS: Readonly<Record<string, (options: StandInOptions) => Promise<string>>> = {
-  platform: async ({port}) => (await startPlatformServer(port)).url,
-  service: async ({port}) => (await startServiceServer(port)).url,
-  engine: async ({port, ...behaviour}) =>
-    (await new EngineServer(behaviour).start(port)).listening.url,
+interface StandIn {
+  readonly url: string;
+  stop(timeoutMs: number): Promise<void>;
+}
+
+/** Starts each kind of stand-in. */
+const STAND_INS: Readonly<Record<string, (options: StandInOptions) => Promise<StandIn>>> = {
+  platform: ({port}) => startPlatformServer(port),
+  service: ({port}) => startServiceServer(port),
+  engine: ({port, models, decodeMsPerToken, checksFencing}) =>
+    new EngineServer({models, decodeMsPerToken, checksFencing}).start(port),
 };
 
 const args = await yargs(hideBin(process.argv))
@@ -26,11 +31,18 @@
   .option('port', {type: 'number', default: 0})
   .option('models', {type: 'string', array: true, default: [] as string[]})
   .option('decode-ms-per-token', {type: 'number', default: 2})
+  .option('stop-timeout-ms', {type: 'number', default: 5000})
   .option('checks-fencing', {type: 'boolean', default: true})
   .strict()
   .parse();
 
-const url = await STAND_INS[args.kind as string](args);
-process.stdout.write(JSON.stringify({ready: true, url}) + '\n');
-process.once('SIGTERM', () => process.exit(0));
-process.once('SIGINT', () => process.exit(0));
+const standIn = await STAND_INS[args.kind as string](args);
+process.stdout.write(JSON.stringify({ready: true, url: standIn.url}) + '\n');
+let stopping = false;
+for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+  process.on(signal, () => {
+    if (stopping) return;
+    stopping = true;
+    void standIn.stop(args.stopTimeoutMs).then(() => process.exit(0));
+  });
+}
