Add the in-memory platform, the platform contract test and load ts-results by file

Control code needs a platform with faults for its tests and soaks. One MemoryStore holds the state; each MemoryPlatform is one client's path to it, with latency, outages (refused or silent), lost requests, lost answers, updates that arrive after their timeout, lagging reads and a lagging list of hosts.

Importing 'ts-results/result.js' gives the names. A default import was ruled out since it gives no types for Result.

--- a/packages/platform/src/http-platform.ts
+++ b/packages/platform/src/http-platform.ts
@@ -1,4 +1,4 @@
-import {Err, Ok, Result} from 'ts-results';
+import {Err, Ok, Result} from 'ts-results/result.js';
 import {Agent, errors, request} from 'undici';
 import {z} from 'zod';
 import {
--- a/packages/platform/src/platform.ts
+++ b/packages/platform/src/platform.ts
@@ -1,4 +1,4 @@
-import {Result} from 'ts-results';
+import {Result} from 'ts-results/result.js';
 import {FailureDomain, HostId, OrderId, PoolId} from '@radishgw/core';
 
 /** Position in the platform's history: one rising counter for the whole store; 0 is before all. */
--- /dev/null
+++ b/packages/platform/src/testing/index.ts
@@ -0,0 +1,2 @@
+export * from './memory-platform.js';
+export * from './memory-store.js';
