--- a/packages/config/src/store.ts
+++ b/packages/config/src/store.ts
@@ -1,5 +1,5 @@
-import {Err, KeyId, Ok, Result, TargetId, TeamId, toId} from '@radishgw/core';
-import {PlatformEvent, Revision} from '@radishgw/platform';
+import {assertInvariant, Err, KeyId, Ok, Result, TargetId, TeamId, toId} from '@radishgw/core';
+import {ObjectList, PlatformEvent, Revision} from '@radishgw/platform';
 import {z} from 'zod';
 import {
   BaseConfig,
@@ -60,7 +60,11 @@
  */
 export class ConfigStore {
   private readonly revisions = new Map<string, Revision>();
+  private readonly tombstones = new Set<string>();
+  private readonly rejected = new Map<string, ConfigError>();
+  private readonly withdrawnDigests = new Set<string>();
   private readonly teamConfigs = new Map<string, TeamConfig>();
+  private readonly teamRevisions = new Map<string, Revision>();
   private readonly teams = new Map<TeamId, Team>();
   private readonly teamByKey = new Map<KeyId, TeamId>();
   private readonly templates = new Map<string, Template>();
@@ -68,11 +72,17 @@
   private readonly targets = new Map<TargetId, TargetConfig>();
   private readonly targetsByPool = new Map<string, TargetConfig[]>();
   private base: BaseConfig | undefined;
-  private applied: Revision = 0;
+  private complete: Revision = 0;
+  private highest: Revision = 0;
 
-  /** Highest store revision whose configuration is in force here. */
-  get appliedRevision(): Revision {
-    return this.applied;
+  /** Revision of the platform's store up to which all changes have been applied here. */
+  get completeRevision(): Revision {
+    return this.complete;
+  }
+
+  /** Highest revision of a configuration object that was applied here. */
+  get configRevision(): Revision {
+    return this.highest;
   }
 
   /** Applies one change. An invalid object leaves the one in force as it is. */
@@ -80,13 +90,51 @@
     const current = this.revisions.get(event.key) ?? 0;
     if (event.revision <= current) return Ok(false);
     const outcome = this.applyObject(event);
-    this.revisions.set(event.key, event.revision);
+    this.advance(event);
+    if (outcome.err) this.rejected.set(event.key, outcome.val);
+    else this.rejected.delete(event.key);
     return outcome;
   }
 
+  /**
+   * Refuses a key at once, ahead of the change that removes it from its team. The digest tells the
+   * key from a later one with the same id.
+   */
+  withdrawKey(keyId: KeyId, digestHex: string): void {
+    this.withdrawnDigests.add(digestHex);
+    const team = this.findTeamByKey(keyId);
+    if (team?.keys.some(key => key.digestHex === digestHex)) this.teamByKey.delete(keyId);
+  }
+
+  /** Objects whose newest revision couldn't be applied; an older one is in force. */
+  listRejected(): ConfigError[] {
+    return [...this.rejected.values()];
+  }
+
+  /** Applies a list of all objects; objects that it lacks have been removed. Gives the errors. */
+  applySnapshot(list: ObjectList): ConfigError[] {
+    if (list.revision < this.complete) return [];
+    const present = new Set(list.objects.map(object => object.key));
+    const removed = [...this.revisions.keys()]
+      .filter(key => !present.has(key) && !this.tombstones.has(key))
+      .map(key => ({key, value: '', revision: list.revision, removed: true}));
+    const events = [...list.objects.map(object => ({...object, removed: false})), ...removed];
+    const errors = events.flatMap(event => {
+      const outcome = this.applyEvent(event);
+      return outcome.err ? [outcome.val] : [];
+    });
+    this.confirmRevision(list.revision);
+    return errors;
+  }
+
   /** Records that everything up to `revision` has been applied. */
   confirmRevision(revision: Revision): void {
-    this.applied = Math.max(this.applied, revision);
+    assertInvariant(
+      Number.isFinite(revision),
+      'config.revision',
+      () => `revision ${revision} is not a number`,
+    );
+    this.complete = Math.max(this.complete, revision);
   }
 
   /** Objects in force with their revisions, for diffs and for hosts that subscribe to this one. */
@@ -127,6 +175,19 @@
     return this.teams.values();
   }
 
+  private advance(event: PlatformEvent): void {
+    const current = this.revisions.get(event.key) ?? 0;
+    assertInvariant(
+      event.revision > current,
+      'config.neverReverts',
+      () => `${event.key} went from revision ${current} to ${event.revision}`,
+    );
+    this.revisions.set(event.key, event.revision);
+    this.highest = Math.max(this.highest, event.revision);
+    if (event.removed) this.tombstones.add(event.key);
+    else this.tombstones.delete(event.key);
+  }
+
   private applyObject(event: PlatformEvent): Result<boolean, ConfigError> {
     if (event.key === BASE_KEY) return this.applyBase(event);
     if (event.key.startsWith(TEAM_PREFIX)) return this.applyTeam(event);
@@ -164,7 +225,7 @@
     }
     this.dropTeam(teamId);
     this.teamConfigs.set(teamId, parsed.val);
-    this.revisions.set(event.key, event.revision);
+    this.teamRevisions.set(teamId, event.revision);
     this.indexTeam(parsed.val);
     return Ok(true);
   }
@@ -176,9 +237,12 @@
       template: config.template,
       parameters: resolveParameters(config, this.templates.get(config.template)),
       keys: config.keys,
-      revision: this.revisions.get(teamKey(teamId)) ?? 0,
+      revision: this.teamRevisions.get(teamId) ?? 0,
     });
-    for (const key of config.keys) this.teamByKey.set(toId<KeyId>(key.keyId), teamId);
+    for (const key of config.keys) {
+      if (this.withdrawnDigests.has(key.digestHex)) continue;
+      this.teamByKey.set(toId<KeyId>(key.keyId), teamId);
+    }
   }
 
   private dropTeam(teamId: string): void {
--- a/packages/gateway/src/config-sync.ts
+++ b/packages/gateway/src/config-sync.ts
@@ -41,8 +41,9 @@
   for (;;) {
     const answer = yield* call(() => services.platform.list(CONFIG_PREFIX));
     if (answer.ok) {
-      for (const object of answer.val.objects) applyEvent(services, {...object, removed: false});
-      services.config.confirmRevision(answer.val.revision);
+      for (const error of services.config.applySnapshot(answer.val)) {
+        services.log.write('configRejected', {...error});
+      }
       services.onConfirmed();
       return answer.val.revision;
     }
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -82,7 +82,7 @@
     describeStatus: () => ({
       hostId: settings.hostId,
       failureDomain: settings.failureDomain,
-      appliedRevision: config.appliedRevision,
+      appliedRevision: config.completeRevision,
       inFlight: callers.getInFlight(),
       stopping,
     }),
