--- /dev/null
+++ b/packages/ctl/src/commands/configuration.ts
@@ -0,0 +1,151 @@
+import {readFile} from 'node:fs/promises';
+import {
+  CONFIG_PREFIX,
+  DeploymentFile,
+  formatIssue,
+  listDifferences,
+  parseDeploymentFile,
+  planChanges,
+  teamKey,
+} from '@radishgw/config';
+import {applyChanges, HISTORY_PREFIX, waitUntilInForce} from '../changes.js';
+import {Command, CommandArgs, CommandContext} from '../command.js';
+import {CommandError} from '../errors.js';
+import {expectAnswer} from '../platform-errors.js';
+
+/** Flags of all commands that change the configuration. */
+export const WAIT_OPTIONS = {
+  wait: {
+    type: 'boolean',
+    default: false,
+    describe: 'Wait until every host reports the change in force',
+  },
+  'wait-timeout-ms': {type: 'number', default: 30_000, describe: 'Bound on --wait'},
+} as const;
+
+async function readFileChecked(file: string): Promise<DeploymentFile> {
+  const text = await readFile(file, 'utf8').catch(error => {
+    throw new CommandError('usage', `${file}: ${(error as Error).message}`);
+  });
+  const parsed = parseDeploymentFile(file, text);
+  if (parsed.ok) return parsed.val;
+  throw new CommandError('failed', parsed.val.map(formatIssue).join('\n'));
+}
+
+/** Shows what was changed and, with `--wait`, waits until it is in force. */
+export async function finishChange(
+  context: CommandContext,
+  args: CommandArgs,
+  applied: Awaited<ReturnType<typeof applyChanges>>,
+): Promise<void> {
+  if (args.wait && applied.length > 0) {
+    const states = await waitUntilInForce(context, applied, Number(args['wait-timeout-ms']));
+    process.stderr.write(`in force on ${states.length} hosts\n`);
+  }
+  context.output.writeRows(applied, ['key', 'kind', 'revision']);
+}
+
+const validate: Command = {
+  usage: 'validate <file>',
+  description: 'Checks a configuration file',
+  run: async (context, args) => {
+    const file = await readFileChecked(String(args.file));
+    context.output.writeObject({
+      valid: true,
+      models: file.models.length,
+      routes: file.routes.length,
+      targets: file.targets.length,
+      teams: file.teams.length,
+    });
+  },
+};
+
+const apply: Command = {
+  usage: 'apply <file>',
+  description: 'Makes the configuration equal to a file; keys of teams are kept',
+  options: WAIT_OPTIONS,
+  run: async (context, args) => {
+    const file = await readFileChecked(String(args.file));
+    const changes = expectAnswer(await planChanges(context.platform, file), 'read configuration');
+    await finishChange(context, args, await applyChanges(context, changes));
+  },
+};
+
+const diff: Command = {
+  usage: 'diff <file>',
+  description: 'Shows what apply would change',
+  run: async (context, args) => {
+    const file = await readFileChecked(String(args.file));
+    const changes = expectAnswer(await planChanges(context.platform, file), 'read configuration');
+    const rows = changes.flatMap(change =>
+      listDifferences(change.before, change.after).map(difference => ({
+        key: change.key,
+        ...difference,
+      })),
+    );
+    context.output.writeRows(rows, ['key', 'path', 'before', 'after']);
+  },
+};
+
+const get: Command = {
+  usage: 'get [key]',
+  description: 'Shows configuration objects, or one of them',
+  run: async (context, args) => {
+    const key = args.key as string | undefined;
+    if (key) {
+      const object = expectAnswer(await context.platform.get(key), `get ${key}`);
+      const value = JSON.parse(object.value) as unknown;
+      context.output.writeObject({key, revision: object.revision, value});
+      return;
+    }
+    const list = expectAnswer(await context.platform.list(CONFIG_PREFIX), 'list');
+    const rows = list.objects.map(({key: name, revision, value}) => ({
+      key: name,
+      revision,
+      sizeBytes: Buffer.byteLength(value),
+    }));
+    context.output.writeRows(rows, ['key', 'revision', 'sizeBytes']);
+  },
+};
+
+const history: Command = {
+  usage: 'history',
+  description: 'Shows who changed the configuration and when, newest first',
+  options: {limit: {type: 'number', default: 20, describe: 'Number of changes'}},
+  run: async (context, args) => {
+    const list = expectAnswer(await context.platform.list(HISTORY_PREFIX), 'list history');
+    const records = [...list.objects]
+      .sort((a, b) => b.revision - a.revision)
+      .slice(0, Number(args.limit))
+      .map(object => JSON.parse(object.value) as Record<string, unknown>);
+    context.output.writeRows(records, ['at', 'operator', 'changes']);
+  },
+};
+
+const team: Command = {
+  usage: 'team [teamId]',
+  description: 'Shows teams, or one team with its parameters',
+  run: async (context, args) => {
+    const teamId = args.teamId as string | undefined;
+    if (teamId) {
+      const object = expectAnswer(await context.platform.get(teamKey(teamId)), `team ${teamId}`);
+      context.output.writeObject(JSON.parse(object.value) as Record<string, unknown>);
+      return;
+    }
+    const list = expectAnswer(await context.platform.list(teamKey('')), 'list teams');
+    const rows = list.objects.map(object => {
+      const value = JSON.parse(object.value) as Record<string, unknown>;
+      return {...value, keys: (value.keys as unknown[]).length};
+    });
+    context.output.writeRows(rows, ['teamId', 'template', 'parameters', 'keys']);
+  },
+};
+
+export const CONFIGURATION_COMMANDS: readonly Command[] = [
+  validate,
+  apply,
+  diff,
+  get,
+  history,
+  team,
+];
--- a/packages/ctl/src/index.ts
+++ b/packages/ctl/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './errors.js';
+export * from './program.js';
--- /dev/null
+++ b/packages/ctl/src/output.ts
@@ -0,0 +1,53 @@
+import {Writable} from 'node:stream';
+
+export type OutputFormat = 'table' | 'json';
+
+/** A row of a table: column name to value. */
+export type Row = Readonly<Record<string, unknown>>;
+
+/** Writes results on standard output; messages go to standard error. */
+export class Output {
+  constructor(
+    private readonly format: OutputFormat,
+    private readonly stream: Writable = process.stdout,
+  ) {}
+
+  /** Writes rows as a table, or as one JSON list. */
+  writeRows(rows: readonly object[], columns: readonly string[]): void {
+    if (this.format === 'json') this.writeJson(rows);
+    else this.stream.write(formatTable(rows as readonly Row[], columns));
+  }
+
+  /** Writes one object: as JSON, or field by field. */
+  writeObject(value: Row): void {
+    if (this.format === 'json') {
+      this.writeJson(value);
+      return;
+    }
+    const rows = Object.entries(value).map(([field, content]) => ({field, value: content}));
+    this.stream.write(formatTable(rows, ['field', 'value']));
+  }
+
+  private writeJson(value: unknown): void {
+    this.stream.write(JSON.stringify(value, null, 2) + '\n');
+  }
+}
+
+function formatCell(value: unknown): string {
+  if (value === undefined || value === null) return '-';
+  return typeof value === 'object' ? JSON.stringify(value) : String(value);
+}
+
+function formatTable(rows: readonly Row[], columns: readonly string[]): string {
+  const cells = [columns, ...rows.map(row => columns.map(column => formatCell(row[column])))];
+  const widths = columns.map((_, i) => Math.max(...cells.map(line => line[i].length)));
+  return cells
+    .map(
+      line =>
+        line
+          .map((cell, i) => cell.padEnd(widths[i]))
+          .join('  ')
+          .trimEnd() + '\n',
+    )
+    .join('');
+}
