--- /dev/null
+++ b/packages/platform/src/role-lease.ts
@@ -0,0 +1,107 @@
+import {Err, Result} from 'ts-results/result.js';
+import {EffectHandlers, Procedure, sleep, startTask, Task} from '@radishgw/core';
+import {Authority, AuthorityError, Epoch} from './authority.js';
+import {claim, HeldAuthority, readHeld, release, settleHolder} from './holder.js';
+import {Membership} from './membership.js';
+import {ControlDependencies, HostSession} from './session.js';
+
+/** A control role that at most one host holds. */
+export type RoleName = 'fleet' | 'usage';
+
+/** Settings of a role lease. */
+export interface RoleLeaseSettings {
+  readonly role: RoleName;
+  /** Time between looks at the holder; 1 s by default. */
+  readonly pollMs?: number;
+  /** Whether this host should try for the role at present; always by default. */
+  readonly isCandidate?: () => boolean;
+  /** What the holder does. It is cancelled when the role is lost or released. */
+  readonly work?: (authority: Authority) => Procedure<void>;
+}
+
+const DEFAULT_POLL_MS = 1000;
+
+/** Tries for a role, does its work while it is held, and gives it up. */
+export class RoleLease {
+  private held: HeldAuthority | undefined;
+  private workTask: Task<void> | undefined;
+  private stopped = false;
+  private readonly key: string;
+  private readonly pollMs: number;
+
+  constructor(
+    private readonly dependencies: ControlDependencies,
+    private readonly handlers: EffectHandlers,
+    private readonly session: HostSession,
+    private readonly membership: Membership,
+    private readonly settings: RoleLeaseSettings,
+  ) {
+    this.key = `roles/${settings.role}`;
+    this.pollMs = settings.pollMs ?? DEFAULT_POLL_MS;
+    session.onLost(() => this.dropIfLost());
+  }
+
+  /** The authority while the role is held. */
+  get authority(): Authority | undefined {
+    return this.held;
+  }
+
+  check(): Result<Epoch, AuthorityError> {
+    if (this.held) return this.held.check();
+    return Err({kind: 'ended', detail: `role ${this.settings.role} is not held`});
+  }
+
+  /** Tries for the role until `release()`. */
+  *run(): Procedure<void> {
+    while (!this.stopped) {
+      this.dropIfLost();
+      if (!this.held) yield* this.challenge();
+      yield* sleep(this.pollMs * (0.9 + 0.2 * this.dependencies.random.next()));
+    }
+  }
+
+  /** Gives the role up for good; part of a planned stop. */
+  *release(): Procedure<void> {
+    this.stopped = true;
+    const held = this.held;
+    if (!held) return;
+    this.stopWork();
+    yield* release(this.dependencies, this.key, held);
+    const {role} = this.settings;
+    this.dependencies.log.write('roleReleased', {role, epoch: held.epoch});
+  }
+
+  private *challenge(): Procedure<void> {
+    const {isCandidate = () => true, role} = this.settings;
+    if (this.session.check().err || this.session.isLeaving || !isCandidate()) return;
+    const object = yield* readHeld(this.dependencies, this.key);
+    if (!object || !(yield* settleHolder(this.membership, this.session, object))) return;
+    if (this.stopped) return;
+    const held = yield* claim(this.dependencies, this.session, object);
+    if (!held) return;
+    if (this.stopped) return yield* release(this.dependencies, this.key, held);
+    this.held = held;
+    const {hostId, log} = {hostId: this.session.hostId, log: this.dependencies.log};
+    log.write('roleAcquired', {role, epoch: held.epoch, hostId});
+    if (this.settings.work) this.workTask = startTask(this.settings.work(held), this.handlers);
+  }
+
+  private dropIfLost(): void {
+    const held = this.held;
+    if (!held) return;
+    const checked = held.check();
+    if (checked.ok) return;
+    held.revoke();
+    this.stopWork();
+    const {role} = this.settings;
+    const reason = checked.val.detail;
+    this.dependencies.log.write('roleLost', {role, epoch: held.epoch, reason});
+  }
+
+  private stopWork(): void {
+    this.held = undefined;
+    const task = this.workTask;
+    this.workTask = undefined;
+    task?.cancel();
+  }
+}
