Add the request queue, router, health view and retry budget

The request path needs decisions on order, target and repetition that can be tested without I/O. All functions take state, event and time; the random source is passed in; state is changed in place by its own module only.

Queue: start-time fair queueing on tokens between teams, charged with the team's mean output and corrected while tokens come out and at the end; classes go first only within a bounded lead of their team; a full queue displaces the team with the most waiting work for its weight. FIFO and Virtual Clock are in the same table for comparison.

Router: two random targets and the best prefix holder by uncached tokens plus load, where load is others' work at the last report plus the host's own work at present; six other policies are in the same table. Failed targets are excluded by failure points and probed by one request at a time.

Ruled out: per-item finish tags with a heap, because lanes that are closed at present (long prompts, reserved slots) would have to be skipped in it.

--- /dev/null
+++ b/packages/scheduling/src/pool.ts
@@ -0,0 +1,356 @@
+import {AttemptId, TargetId} from '@radishgw/core';
+import {
+  AttemptOutcome,
+  createHealth,
+  DEFAULT_HEALTH_SETTINGS,
+  describeHealth,
+  Health,
+  HealthSettings,
+  recordHealthDispatch,
+  recordHealthOutcome,
+  recordHealthProgress,
+} from './health.js';
+import {CacheEvent, PrefixHints, PrefixHintSettings} from './prefix-hints.js';
+import {WorkClass} from './work.js';
+
+/** Whether a target may get new work. Only `serving` targets do. */
+export type TargetStatus = 'serving' | 'draining' | 'leaving' | 'withdrawn';
+
+/** Load of a target as it reports it. */
+export interface LoadReport {
+  /** The host's monotonic time at which the load was sampled: time of receipt less the age. */
+  readonly sampledAtMs: number;
+  /** Requests that run or wait there. */
+  readonly outstanding: number;
+  /** Prompt tokens that are still to be computed there. */
+  readonly pendingPrefillTokens: number;
+}
+
+/** Settings of a pool. */
+export interface PoolSettings {
+  /** Slots of each target that only urgent work may take. */
+  readonly urgentReserve: number;
+  /** Long prompts of this host that one target may have before their first token. */
+  readonly maxLongPrefills: number;
+  /** A long prompt isn't sent to a target with more pending prompt tokens than this. */
+  readonly maxPendingForLong: number;
+  /** Tokens in one block of a target's memory. */
+  readonly blockTokens: number;
+  /** Slow-down by one running request, expressed in prompt tokens. */
+  readonly tokensPerOutstanding: number;
+  /** Penalty for a target whose attempts all fail, in prompt tokens. */
+  readonly failurePenaltyTokens: number;
+  /** Reports older than this are ignored: the target's load is then the host's own work. */
+  readonly reportTimeoutMs: number;
+  readonly health: HealthSettings;
+  readonly hints: PrefixHintSettings;
+}
+
+export const DEFAULT_POOL_SETTINGS: PoolSettings = {
+  urgentReserve: 2,
+  maxLongPrefills: 1,
+  maxPendingForLong: 32_000,
+  blockTokens: 2000,
+  tokensPerOutstanding: 400,
+  failurePenaltyTokens: 20_000,
+  reportTimeoutMs: 10_000,
+  health: DEFAULT_HEALTH_SETTINGS,
+  hints: {maxBlocksPerTarget: 1024, maxLostEvents: 64},
+};
+
+/** Work that is sent to a target. */
+export interface Attempt {
+  readonly id: AttemptId;
+  readonly workClass: WorkClass;
+  readonly promptTokens: number;
+  readonly isLong: boolean;
+  /** Ids of the prompt's full blocks, in order; equal ids mean an equal prefix up to there. */
+  readonly blocks: readonly string[];
+}
+
+interface OwnAttempt {
+  readonly attempt: Attempt;
+  /** Leading blocks that the target was thought to hold before. */
+  readonly hits: number;
+  /** Prompt tokens expected to be computed; 0 after the first token. */
+  pendingTokens: number;
+}
+
+/** The host's own work on a target right after a change. */
+interface OwnSample {
+  readonly atMs: number;
+  readonly outstanding: number;
+  readonly pendingTokens: number;
+}
+
+/** A target of a pool. Read-only outside this module. */
+export interface TargetState {
+  readonly id: TargetId;
+  /** Requests that the target can run at a time. */
+  slots: number;
+  status: TargetStatus;
+  readonly health: Health;
+  readonly own: Map<AttemptId, OwnAttempt>;
+  ownPendingTokens: number;
+  ownLongPrefills: number;
+  /** Changes of the host's own work since the last report, oldest first. */
+  readonly ownHistory: OwnSample[];
+  report: LoadReport | undefined;
+  /** Load by others at the time of the report. */
+  othersOutstanding: number;
+  othersPendingTokens: number;
+}
+
+/** Targets of one pool as one host sees them. Changed in place by this module only. */
+export interface Pool {
+  readonly settings: PoolSettings;
+  readonly targets: Map<TargetId, TargetState>;
+  /** The same targets in a fixed order, for random choice. */
+  readonly order: TargetState[];
+  /** Targets that their health excludes at present. */
+  readonly unhealthy: Set<TargetState>;
+  readonly hints: PrefixHints;
+  /** Position of the round-robin policy. */
+  nextIndex: number;
+}
+
+/** Changes kept between reports; older ones are dropped, which only blurs the others' load. */
+const MAX_HISTORY = 1024;
+
+export function createPool(settings: Partial<PoolSettings> = {}): Pool {
+  const merged = {...DEFAULT_POOL_SETTINGS, ...settings};
+  return {
+    settings: merged,
+    targets: new Map(),
+    order: [],
+    unhealthy: new Set(),
+    hints: new PrefixHints(merged.hints),
+    nextIndex: 0,
+  };
+}
+
+/** Adds a target or changes its number of slots. */
+export function setTarget(pool: Pool, id: TargetId, slots: number): void {
+  const known = pool.targets.get(id);
+  if (known) {
+    known.slots = slots;
+    return;
+  }
+  const target: TargetState = {
+    id,
+    slots,
+    status: 'serving',
+    health: createHealth(),
+    own: new Map(),
+    ownPendingTokens: 0,
+    ownLongPrefills: 0,
+    ownHistory: [],
+    report: undefined,
+    othersOutstanding: 0,
+    othersPendingTokens: 0,
+  };
+  pool.targets.set(id, target);
+  pool.order.push(target);
+}
+
+/** Applies from the next decision on; work that runs there is left alone. */
+export function setTargetStatus(pool: Pool, id: TargetId, status: TargetStatus): void {
+  const target = pool.targets.get(id);
+  if (target) target.status = status;
+}
+
+/** Forgets a target. Later events of its attempts are ignored. */
+export function removeTarget(pool: Pool, id: TargetId): void {
+  const target = pool.targets.get(id);
+  if (!target) return;
+  pool.targets.delete(id);
+  pool.order.splice(pool.order.indexOf(target), 1);
+  pool.unhealthy.delete(target);
+  pool.hints.reset(id);
+}
+
+/** Takes a load report; one that was sampled before the last one is ignored. */
+export function recordReport(pool: Pool, id: TargetId, report: LoadReport): void {
+  const target = pool.targets.get(id);
+  if (!target) return;
+  if (target.report && report.sampledAtMs < target.report.sampledAtMs) return;
+  const {ownHistory} = target;
+  let last = -1;
+  while (last + 1 < ownHistory.length && ownHistory[last + 1].atMs <= report.sampledAtMs) last++;
+  const own = last < 0 ? {outstanding: 0, pendingTokens: 0} : ownHistory[last];
+  // The last sample before the report stays, as the baseline of a later report.
+  ownHistory.splice(0, last);
+  target.report = report;
+  target.othersOutstanding = Math.max(0, report.outstanding - own.outstanding);
+  target.othersPendingTokens = Math.max(0, report.pendingPrefillTokens - own.pendingTokens);
+}
+
+/** Takes a cache event as a hint. */
+export function recordCacheEvent(pool: Pool, id: TargetId, event: CacheEvent): void {
+  if (pool.targets.has(id)) pool.hints.applyEvent(id, event);
+}
+
+/** Notes that an attempt is being sent. Call it in the same turn as the routing decision. */
+export function recordDispatch(pool: Pool, id: TargetId, attempt: Attempt, nowMs: number): void {
+  const target = pool.targets.get(id);
+  if (!target) return;
+  const hits = pool.hints.countHits(id, attempt.blocks);
+  const pendingTokens = Math.max(1, attempt.promptTokens - hits * pool.settings.blockTokens);
+  target.own.set(attempt.id, {attempt, hits, pendingTokens});
+  target.ownPendingTokens += pendingTokens;
+  if (attempt.isLong) target.ownLongPrefills++;
+  recordHealthDispatch(target.health, attempt.id);
+  pool.hints.add(id, attempt.blocks);
+  sampleOwn(target, nowMs);
+}
+
+/** Notes the first token of an attempt, or the first byte of a service's response. */
+export function recordFirstToken(
+  pool: Pool,
+  id: TargetId,
+  attemptId: AttemptId,
+  nowMs: number,
+): void {
+  const target = pool.targets.get(id);
+  const own = target?.own.get(attemptId);
+  if (!target || !own) return;
+  endPrefill(target, own);
+  recordHealthProgress(target.health);
+  pool.unhealthy.delete(target);
+  sampleOwn(target, nowMs);
+}
+
+/** Notes the end of an attempt. A second call for the same attempt has no effect. */
+export function recordEnd(
+  pool: Pool,
+  id: TargetId,
+  attemptId: AttemptId,
+  outcome: AttemptOutcome,
+  nowMs: number,
+): void {
+  const target = pool.targets.get(id);
+  const own = target?.own.get(attemptId);
+  if (!target || !own) return;
+  if (own.pendingTokens > 0 && outcome !== 'finished') {
+    pool.hints.removeAfter(id, own.attempt.blocks, own.hits);
+  }
+  endPrefill(target, own);
+  target.own.delete(attemptId);
+  recordHealthOutcome(target.health, attemptId, outcome, nowMs, pool.settings.health);
+  if (target.health.excludedUntilMs === undefined) pool.unhealthy.delete(target);
+  else pool.unhealthy.add(target);
+  // A target that can't be reached has probably restarted without its cache.
+  if (outcome === 'unreachable') pool.hints.reset(id);
+  sampleOwn(target, nowMs);
+}
+
+function endPrefill(target: TargetState, own: OwnAttempt): void {
+  if (own.pendingTokens === 0) return;
+  target.ownPendingTokens -= own.pendingTokens;
+  if (own.attempt.isLong) target.ownLongPrefills--;
+  own.pendingTokens = 0;
+}
+
+function sampleOwn(target: TargetState, nowMs: number): void {
+  target.ownHistory.push({
+    atMs: nowMs,
+    outstanding: target.own.size,
+    pendingTokens: target.ownPendingTokens,
+  });
+  if (target.ownHistory.length > MAX_HISTORY) target.ownHistory.shift();
+}
+
+/** Load of a target: others' load at the last report, and the host's own work at present. */
+export interface EstimatedLoad {
+  readonly outstanding: number;
+  readonly pendingTokens: number;
+  /** Age of the report in use; undefined without one. */
+  readonly reportAgeMs: number | undefined;
+}
+
+export function estimateLoad(pool: Pool, target: TargetState, nowMs: number): EstimatedLoad {
+  const ageMs = target.report && nowMs - target.report.sampledAtMs;
+  if (ageMs === undefined || ageMs > pool.settings.reportTimeoutMs) {
+    return {
+      outstanding: target.own.size,
+      pendingTokens: target.ownPendingTokens,
+      reportAgeMs: undefined,
+    };
+  }
+  // Others' prompts that were pending at the report are computed as time passes; at the speed of
+  // an engine they are gone after about a second, so they are counted down linearly.
+  const remaining = Math.max(0, 1 - ageMs / OTHERS_PREFILL_MS);
+  return {
+    outstanding: target.othersOutstanding + target.own.size,
+    pendingTokens: target.othersPendingTokens * remaining + target.ownPendingTokens,
+    reportAgeMs: ageMs,
+  };
+}
+
+const OTHERS_PREFILL_MS = 1000;
+
+/** Why a target can't take an attempt; undefined if it can. */
+export type Exclusion = 'status' | 'health' | 'slots' | 'longPrefill' | 'tried';
+
+/** Work to be placed. */
+export interface RouteRequest {
+  readonly workClass: WorkClass;
+  readonly promptTokens: number;
+  readonly isLong: boolean;
+  readonly blocks: readonly string[];
+  /** Targets that this request has already been sent to. */
+  readonly tried?: ReadonlySet<TargetId>;
+  /** Work that may run twice is preferred for probes of failed targets; false by default. */
+  readonly mayRunTwice?: boolean;
+}
+
+/** Checks one target for a kind of work. With `probe`, only targets whose probe is due pass. */
+export function findExclusion(
+  pool: Pool,
+  target: TargetState,
+  request: Pick<RouteRequest, 'workClass' | 'isLong' | 'tried'>,
+  nowMs: number,
+  probe = false,
+): Exclusion | undefined {
+  if (target.status !== 'serving') return 'status';
+  if (request.tried?.has(target.id)) return 'tried';
+  const wanted = probe ? 'probeDue' : 'healthy';
+  if (describeHealth(target.health, nowMs) !== wanted) return 'health';
+  const {settings} = pool;
+  const load = estimateLoad(pool, target, nowMs);
+  const reserve = request.workClass === 'urgent' ? 0 : settings.urgentReserve;
+  if (load.outstanding >= target.slots - reserve) return 'slots';
+  if (!request.isLong) return undefined;
+  const isFull = target.ownLongPrefills >= settings.maxLongPrefills;
+  return isFull || load.pendingTokens > settings.maxPendingForLong ? 'longPrefill' : undefined;
+}
+
+/** Whether some target can take work of this kind. Usually the first target looked at can. */
+export function hasRoom(
+  pool: Pool,
+  request: Pick<RouteRequest, 'workClass' | 'isLong'>,
+  nowMs: number,
+): boolean {
+  for (const target of pool.order) {
+    if (findExclusion(pool, target, request, nowMs) === undefined) return true;
+  }
+  return findLastResort(pool, request, nowMs) !== undefined;
+}
+
+/**
+ * A target whose probe is due, for any kind of work, if no serving target is healthy. Otherwise
+ * work that makes no good probe would wait for ever for the target to recover.
+ */
+export function findLastResort(
+  pool: Pool,
+  request: Pick<RouteRequest, 'workClass' | 'isLong' | 'tried'>,
+  nowMs: number,
+): TargetState | undefined {
+  for (const target of pool.order) {
+    if (target.status === 'serving' && !pool.unhealthy.has(target)) return undefined;
+  }
+  for (const target of pool.unhealthy) {
+    if (findExclusion(pool, target, request, nowMs, true) === undefined) return target;
+  }
+  return undefined;
+}
--- /dev/null
+++ b/packages/scheduling/src/queue-state.ts
@@ -0,0 +1,118 @@
+import {RequestId, TeamId} from '@radishgw/core';
+import {Discipline, DisciplineName, HeadOfLane} from './disciplines.js';
+import {CLASS_RANK, QueueItem, WORK_CLASSES, WorkClass} from './work.js';
+
+/** Settings of a queue. */
+export interface QueueSettings {
+  readonly discipline: DisciplineName;
+  /** Most items that wait. When it is reached, the most overdrawn team loses its newest item. */
+  readonly maxItems: number;
+  /** Prompts of at least this length count as long. */
+  readonly longPromptTokens: number;
+  /**
+   * A team's work of a class goes ahead of lower classes only while the team's start tag is at
+   * most this far ahead of the virtual time, in seconds of its own rate. Without the bound, a team
+   * that marks all its work urgent would take the service of the others.
+   */
+  readonly classLeadSeconds: Readonly<Record<WorkClass, number>>;
+  /** Whether classes count at all; false only for comparison. */
+  readonly useClasses: boolean;
+}
+
+export const DEFAULT_QUEUE_SETTINGS: QueueSettings = {
+  discipline: 'startTime',
+  maxItems: 2048,
+  longPromptTokens: 8000,
+  classLeadSeconds: {urgent: 10, standard: 60, batch: Infinity},
+  useClasses: true,
+};
+
+export interface Entry extends HeadOfLane {
+  readonly item: QueueItem;
+  readonly isLong: boolean;
+  readonly arrivedAtMs: number;
+  readonly expectedOutputTokens: number;
+}
+
+export interface TeamState {
+  readonly team: TeamId;
+  /** Tokens per second. */
+  weight: number;
+  /** Normalised service charged so far; the earliest start tag of the next item. */
+  tag: number;
+  queued: number;
+  queuedTokens: number;
+  inFlight: number;
+  /** Items by lane: class rank * 2 + (1 for long prompts), oldest first. */
+  readonly lanes: Entry[][];
+}
+
+export interface Charge {
+  readonly state: TeamState;
+  readonly entry: Entry;
+  chargedTokens: number;
+}
+
+/** Queue of one pool on one host. Changed in place by the functions of `queue.ts` only. */
+export interface RequestQueue {
+  readonly settings: QueueSettings;
+  readonly discipline: Discipline;
+  readonly teams: Map<TeamId, TeamState>;
+  readonly entries: Map<RequestId, Entry>;
+  /** Dispatched items whose cost isn't final. */
+  readonly charges: Map<RequestId, Charge>;
+  readonly weights: Map<TeamId, number>;
+  /** Moving mean of output tokens by team and class; missing until the first response. */
+  readonly meanOutputs: Map<TeamId, Partial<Record<WorkClass, number>>>;
+  virtualTime: number;
+  nextOrder: number;
+}
+
+/** Weight of teams that have none, in tokens per second. */
+const DEFAULT_WEIGHT = 1000;
+
+/** Tells whether work of a kind can be placed on some target at present. */
+export type Gate = (workClass: WorkClass, isLong: boolean) => boolean;
+
+export function findTeam(queue: RequestQueue, team: TeamId): TeamState {
+  let state = queue.teams.get(team);
+  if (!state) {
+    state = {
+      team,
+      weight: queue.weights.get(team) ?? DEFAULT_WEIGHT,
+      tag: 0,
+      queued: 0,
+      queuedTokens: 0,
+      inFlight: 0,
+      lanes: WORK_CLASSES.flatMap(() => [[], []]),
+    };
+    queue.teams.set(team, state);
+  }
+  return state;
+}
+
+/** Drops the state of a team that no longer affects any decision, which bounds memory. */
+export function forgetIfIdle(queue: RequestQueue, state: TeamState): void {
+  const hasNoWork = state.queued === 0 && state.inFlight === 0;
+  const hasNoDebt = state.tag <= queue.virtualTime && queue.settings.discipline !== 'virtualClock';
+  if (hasNoWork && hasNoDebt) queue.teams.delete(state.team);
+}
+
+export function countEntry(queue: RequestQueue, state: TeamState, entry: Entry): void {
+  state.queued++;
+  state.queuedTokens += entry.item.promptTokens + entry.expectedOutputTokens;
+  queue.entries.set(entry.item.id, entry);
+}
+
+export function removeEntry(queue: RequestQueue, entry: Entry): void {
+  const state = findTeam(queue, entry.item.team);
+  const lane = state.lanes[laneOf(entry)];
+  lane.splice(lane.indexOf(entry), 1);
+  state.queued--;
+  state.queuedTokens -= entry.item.promptTokens + entry.expectedOutputTokens;
+  queue.entries.delete(entry.item.id);
+}
+
+export function laneOf(entry: Entry): number {
+  return CLASS_RANK[entry.item.workClass] * 2 + (entry.isLong ? 1 : 0);
+}
--- /dev/null
+++ b/packages/scheduling/test/routing.test.ts
@@ -0,0 +1,204 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {AttemptId, createSeededRandom, TargetId, toId} from '@radishgw/core';
+import {
+  Attempt,
+  createPool,
+  findExclusion,
+  hasRoom,
+  Pool,
+  PoolSettings,
+  recordCacheEvent,
+  recordDispatch,
+  recordEnd,
+  recordFirstToken,
+  recordReport,
+  removeTarget,
+  RouteRequest,
+  routeRequest,
+  ROUTING_POLICIES,
+  RoutingPolicyName,
+  setTarget,
+  setTargetStatus,
+} from '../src/index.js';
+
+const random = createSeededRandom(7);
+let nextAttempt = 0;
+
+function target(index: number): TargetId {
+  return toId<TargetId>(`t${index}`);
+}
+
+function makePool(targets: number, settings: Partial<PoolSettings> = {}): Pool {
+  const pool = createPool({urgentReserve: 0, ...settings});
+  for (let i = 0; i < targets; i++) setTarget(pool, target(i), 4);
+  return pool;
+}
+
+const SHORT: RouteRequest = {
+  workClass: 'standard',
+  promptTokens: 6000,
+  isLong: false,
+  blocks: ['p0', 'p1', 'p2'],
+  mayRunTwice: true,
+};
+
+function makeAttempt(fields: Partial<Attempt> = {}): Attempt {
+  return {...SHORT, id: toId<AttemptId>(`a${nextAttempt++}`), ...fields};
+}
+
+/** Routes and records; gives the target, or undefined. */
+function dispatch(
+  pool: Pool,
+  nowMs: number,
+  fields: Partial<RouteRequest> = {},
+  policy?: RoutingPolicyName,
+) {
+  const decision = routeRequest(pool, {...SHORT, ...fields}, nowMs, random, policy);
+  if (decision.type === 'none') return undefined;
+  const attempt = makeAttempt({isLong: fields.isLong ?? false});
+  recordDispatch(pool, decision.target, attempt, nowMs);
+  return {target: decision.target, attempt: attempt.id, reason: decision.reason};
+}
+
+describe('routing', () => {
+  const policies = Object.keys(ROUTING_POLICIES) as RoutingPolicyName[];
+
+  it('never chooses an excluded target and finds one whenever one can take the work', () => {
+    // Guards against work sent to leaving, failed or full targets, and against false refusals.
+    const action = fc.record({
+      type: fc.constantFrom('status', 'remove', 'report', 'end', 'fail', 'route'),
+      index: fc.nat(3),
+      status: fc.constantFrom('serving' as const, 'draining' as const, 'leaving' as const),
+      outstanding: fc.nat(6),
+      isLong: fc.boolean(),
+      byMs: fc.nat(700),
+    });
+    fc.assert(
+      fc.property(
+        fc.constantFrom(...policies),
+        fc.array(action, {maxLength: 80}),
+        (policy, actions) => {
+          const pool = makePool(4);
+          const open: {target: TargetId; attempt: AttemptId}[] = [];
+          let nowMs = 0;
+          for (const {type, index, status, outstanding, isLong, byMs} of actions) {
+            nowMs += byMs;
+            const id = target(index);
+            if (type === 'status') setTargetStatus(pool, id, status);
+            if (type === 'remove' && outstanding === 0) removeTarget(pool, id);
+            if (type === 'report') {
+              const report = {sampledAtMs: nowMs - 300, outstanding, pendingPrefillTokens: 0};
+              recordReport(pool, id, report);
+            }
+            if (type === 'end' || type === 'fail') {
+              const ended = open.pop();
+              const outcome = type === 'end' ? 'finished' : 'unreachable';
+              if (ended) recordEnd(pool, ended.target, ended.attempt, outcome, nowMs);
+            }
+            if (type !== 'route') continue;
+            const couldRun = hasRoom(pool, {workClass: 'standard', isLong}, nowMs);
+            const before = pool.order.filter(
+              state =>
+                findExclusion(pool, state, {...SHORT, isLong}, nowMs) === undefined ||
+                findExclusion(pool, state, {...SHORT, isLong}, nowMs, true) === undefined,
+            );
+            const chosen = dispatch(pool, nowMs, {isLong}, policy);
+            if (couldRun) expect(chosen).not.to.equal(undefined);
+            if (!chosen) continue;
+            expect(before.map(state => state.id)).to.include(chosen.target);
+            open.push(chosen);
+          }
+        },
+      ),
+      {seed: 3, numRuns: 400},
+    );
+  });
+
+  it('follows the prefix until the load outweighs it', () => {
+    // Guards against a popular prompt that overloads the one target that holds it.
+    const pool = makePool(6, {tokensPerOutstanding: 2000});
+    const first = dispatch(pool, 0)!;
+    recordFirstToken(pool, first.target, first.attempt, 100);
+    const second = dispatch(pool, 200)!;
+    expect(second.target).to.equal(first.target);
+    expect(second.reason.rule).to.equal('prefix');
+    const report = {sampledAtMs: 300, outstanding: 3, pendingPrefillTokens: 40_000};
+    recordReport(pool, first.target, report);
+    expect(dispatch(pool, 350)!.target).not.to.equal(first.target);
+  });
+
+  it("counts the host's own work since a lagging report once", () => {
+    // Guards against counting own work twice, and against dispatching blindly between reports.
+    const pool = makePool(1);
+    dispatch(pool, 0);
+    dispatch(pool, 100);
+    // The sample at 50 ms saw the first dispatch and one request of another host.
+    recordReport(pool, target(0), {sampledAtMs: 50, outstanding: 2, pendingPrefillTokens: 0});
+    const decision = routeRequest(pool, {...SHORT, promptTokens: 1}, 150, random);
+    expect(decision.type === 'target' && decision.reason.candidates[0].outstanding).to.equal(3);
+    dispatch(pool, 150);
+    const full = routeRequest(pool, SHORT, 160, random);
+    expect(full).to.deep.equal({type: 'none', excluded: {slots: 1}});
+  });
+
+  it('avoids a crashed target, probes it with one request at a time, and takes it back', () => {
+    // Guards against a crashed engine that fails quickly, looks idle and attracts all work.
+    const pool = makePool(2);
+    const crashed = target(0);
+    const attempt = makeAttempt();
+    recordDispatch(pool, crashed, attempt, 0);
+    recordEnd(pool, crashed, attempt.id, 'unreachable', 10);
+    for (let i = 0; i < 4; i++) expect(dispatch(pool, 500)!.target).to.equal(target(1));
+    expect(dispatch(pool, 500)).to.equal(undefined);
+    expect(routeRequest(pool, {...SHORT, workClass: 'urgent'}, 1100, random).type).to.equal('none');
+    const probe = dispatch(pool, 1100)!;
+    expect(probe.reason.rule).to.equal('probe');
+    expect(dispatch(pool, 1100)).to.equal(undefined);
+    recordEnd(pool, crashed, probe.attempt, 'unreachable', 1110);
+    expect(dispatch(pool, 2200)).to.equal(undefined);
+    const second = dispatch(pool, 3200)!;
+    recordFirstToken(pool, crashed, second.attempt, 3300);
+    expect(dispatch(pool, 3300)!.target).to.equal(crashed);
+  });
+
+  it('excludes a target that breaks off each response', () => {
+    // Guards against a health view that a first token resets before each failure.
+    const pool = makePool(2);
+    for (let i = 0; i < 3; i++) {
+      const attempt = makeAttempt();
+      recordDispatch(pool, target(0), attempt, i);
+      recordFirstToken(pool, target(0), attempt.id, i);
+      recordEnd(pool, target(0), attempt.id, 'failed', i);
+    }
+    expect(findExclusion(pool, pool.targets.get(target(0))!, SHORT, 10)).to.equal('health');
+  });
+
+  it('keeps slots for urgent work and limits long prompts before their first token', () => {
+    // Guards against long prompts and summaries that leave no slot for urgent requests.
+    const pool = makePool(1, {urgentReserve: 2});
+    const long = dispatch(pool, 0, {isLong: true})!;
+    expect(hasRoom(pool, {workClass: 'standard', isLong: true}, 0)).to.equal(false);
+    recordFirstToken(pool, long.target, long.attempt, 10);
+    expect(dispatch(pool, 20, {isLong: true})).not.to.equal(undefined);
+    expect(hasRoom(pool, {workClass: 'standard', isLong: false}, 30)).to.equal(false);
+    expect(dispatch(pool, 30, {workClass: 'urgent'})).not.to.equal(undefined);
+  });
+
+  it('drops the hints of a target after too many lost cache events', () => {
+    // Guards against prefix hints that outlive the cache because removals were lost.
+    const pool = makePool(2, {hints: {maxBlocksPerTarget: 4, maxLostEvents: 10}});
+    const add = (sequence: number, block: string) =>
+      recordCacheEvent(pool, target(0), {sequence, kind: 'added', block});
+    for (let i = 0; i < 6; i++) add(i, `b${i}`);
+    expect(pool.hints.countHits(target(0), ['b1'])).to.equal(0);
+    expect(pool.hints.countHits(target(0), ['b2', 'b3', 'b4', 'b5'])).to.equal(4);
+    add(9, 'c');
+    expect(pool.hints.countHits(target(0), ['b5'])).to.equal(1);
+    add(30, 'd');
+    expect(pool.hints.countHits(target(0), ['b5'])).to.equal(0);
+    expect(pool.hints.countHits(target(0), ['d'])).to.equal(1);
+    recordCacheEvent(pool, target(0), {sequence: 30, kind: 'removed', block: 'd'});
+    expect(pool.hints.countHits(target(0), ['d'])).to.equal(1);
+  });
+});
