Join sessions, inner protocol, freshness and scheduling into the entry host

Cause: the thin path had no membership, no link between hosts and took the first free target.

Change: hosts hold sessions, exchange heartbeats over mutual TLS, pass the configuration on by gRPC streams, and refuse keyed requests unless the freshness rule allows them. A confirmation counts from the last session renewal whose revision has been applied, so a lagging read can't confirm itself. Requests go through the fair queue and the router; the operators' API gives status, recent decisions, withdrawals and drain.

Ruled out: counting freshness from the configuration stream, whose messages may have been under way for long; ending an outage at the first good read, since a store that takes no writes can't accept a withdrawal either.

Limits and usage are not joined yet.

--- /dev/null
+++ b/packages/gateway/src/inner/inner-server.ts
@@ -0,0 +1,56 @@
+import {
+  sendUnaryData,
+  Server,
+  ServerCredentials,
+  ServerUnaryCall,
+  ServerWritableStream,
+  status,
+} from '@grpc/grpc-js';
+import * as protocol from '@radishgw/protocol';
+
+/** What answers calls of the other hosts. */
+export interface InnerHandlers {
+  heartbeat(request: protocol.HeartbeatRequest): protocol.HeartbeatResponse;
+  subscribeConfig(
+    stream: ServerWritableStream<protocol.SubscribeConfigRequest, protocol.ConfigUpdate>,
+  ): void;
+  acquireGrant(request: protocol.AcquireGrantRequest): Promise<protocol.AcquireGrantResponse>;
+  confirmReserve(request: protocol.ConfirmReserveRequest): Promise<protocol.ConfirmReserveResponse>;
+  handOverShards(request: protocol.HandOverShardsRequest): protocol.HandOverShardsResponse;
+  pushUsage(request: protocol.PushUsageRequest): protocol.PushUsageResponse;
+}
+
+/** Makes a gRPC handler of a function; an exception becomes an error for the caller only. */
+function toUnary<Req, Res>(handle: (request: Req) => Res | Promise<Res>) {
+  return (call: ServerUnaryCall<Req, Res>, answer: sendUnaryData<Res>): void => {
+    Promise.resolve()
+      .then(() => handle(call.request))
+      .then(
+        response => answer(null, response),
+        error => answer({code: status.INTERNAL, details: String(error)}),
+      );
+  };
+}
+
+/** Starts the gRPC server for the other hosts. */
+export async function startInnerServer(
+  address: string,
+  credentials: ServerCredentials,
+  handlers: InnerHandlers,
+): Promise<Server> {
+  const server = new Server({'grpc.max_receive_message_length': 64 * 1024 * 1024});
+  server.addService(protocol.INNER_SERVICE, {
+    heartbeat: toUnary(handlers.heartbeat),
+    acquireGrant: toUnary(handlers.acquireGrant),
+    confirmReserve: toUnary(handlers.confirmReserve),
+    handOverShards: toUnary(handlers.handOverShards),
+    pushUsage: toUnary(handlers.pushUsage),
+    subscribeConfig: (
+      stream: ServerWritableStream<protocol.SubscribeConfigRequest, protocol.ConfigUpdate>,
+    ) => handlers.subscribeConfig(stream),
+  });
+  await new Promise<void>((resolve, reject) => {
+    server.bindAsync(address, credentials, error => (error ? reject(error) : resolve()));
+  });
+  return server;
+}
--- /dev/null
+++ b/packages/gateway/src/inner/peer-clients.ts
@@ -0,0 +1,100 @@
+import {ChannelCredentials, Client, ClientReadableStream, MethodDefinition} from '@grpc/grpc-js';
+import {Err, HostId, Ok, Result} from '@radishgw/core';
+import {Member} from '@radishgw/platform';
+import {INNER_SERVICE} from '@radishgw/protocol';
+
+/** Why a call to a peer failed; it may have been carried out. */
+export interface PeerError {
+  readonly hostId: HostId;
+  readonly detail: string;
+}
+
+const CHANNEL_OPTIONS = {
+  // A connection that something on the way has forgotten is found by pings, not by calls.
+  'grpc.keepalive_time_ms': 1000,
+  'grpc.keepalive_timeout_ms': 2000,
+  'grpc.keepalive_permit_without_calls': 1,
+  'grpc.initial_reconnect_backoff_ms': 200,
+  'grpc.max_reconnect_backoff_ms': 1000,
+  'grpc.max_receive_message_length': 64 * 1024 * 1024,
+};
+
+/** Connections to the other hosts, opened at first use. */
+export class PeerClients {
+  private readonly clients = new Map<string, Client>();
+
+  constructor(
+    private readonly credentials: ChannelCredentials,
+    private readonly findMember: (hostId: HostId) => Member | undefined,
+  ) {}
+
+  /** Calls a peer and waits at most `timeoutMs`. */
+  call<Req, Res>(
+    hostId: HostId,
+    method: MethodDefinition<Req, Res>,
+    request: Req,
+    timeoutMs: number,
+  ): Promise<Result<Res, PeerError>> {
+    const client = this.open(hostId);
+    if (!client) return Promise.resolve(Err({hostId, detail: 'not a member'}));
+    return new Promise(resolve => {
+      client.makeUnaryRequest(
+        method.path,
+        method.requestSerialize,
+        method.responseDeserialize,
+        request,
+        // gRPC deadlines are wall-clock dates; the call is relative to now on this host only.
+        {deadline: Date.now() + timeoutMs},
+        (error, response) => {
+          if (error) resolve(Err({hostId, detail: error.message}));
+          else if (response === undefined) resolve(Err({hostId, detail: 'empty answer'}));
+          else resolve(Ok(response));
+        },
+      );
+    });
+  }
+
+  /** Opens the configuration stream of a peer. */
+  subscribeConfig(
+    hostId: HostId,
+    request: Parameters<typeof INNER_SERVICE.subscribeConfig.requestSerialize>[0],
+  ): ClientReadableStream<
+    ReturnType<typeof INNER_SERVICE.subscribeConfig.responseDeserialize>
+  > | null {
+    const method = INNER_SERVICE.subscribeConfig;
+    const client = this.open(hostId);
+    if (!client) return null;
+    return client.makeServerStreamRequest(
+      method.path,
+      method.requestSerialize,
+      method.responseDeserialize,
+      request,
+    );
+  }
+
+  /** Closes connections to addresses that no member has any more. */
+  forgetAllBut(members: readonly Member[]): void {
+    const addresses = new Set(members.map(member => member.innerAddress));
+    for (const [address, client] of this.clients) {
+      if (addresses.has(address)) continue;
+      client.close();
+      this.clients.delete(address);
+    }
+  }
+
+  close(): void {
+    for (const client of this.clients.values()) client.close();
+    this.clients.clear();
+  }
+
+  private open(hostId: HostId): Client | undefined {
+    const address = this.findMember(hostId)?.innerAddress;
+    if (!address) return undefined;
+    let client = this.clients.get(address);
+    if (!client) {
+      client = new Client(address, this.credentials, CHANNEL_OPTIONS);
+      this.clients.set(address, client);
+    }
+    return client;
+  }
+}
--- a/packages/gateway/src/main.ts
+++ b/packages/gateway/src/main.ts
@@ -17,7 +17,7 @@
   }
 }
 
-const host = await startEntryHost(readSettings());
+const host = await startEntryHost(readSettings(), () => process.exit(0));
 let stopping = false;
 for (const signal of ['SIGTERM', 'SIGINT'] as const) {
   process.on(signal, () => {
--- a/packages/gateway/src/operator/operator-server.ts
+++ b/packages/gateway/src/operator/operator-server.ts
@@ -1,20 +1,59 @@
 import {createServer, IncomingMessage, Server, ServerResponse} from 'node:http';
 import findMyWay from 'find-my-way';
+import {z} from 'zod';
+import {DecisionLog} from './decision-log.js';
 import {Metrics} from './metrics.js';
 
 /** What operators can see of a host. */
 export interface OperatorView {
   readonly metrics: Metrics;
+  readonly decisions: DecisionLog;
   isReady(): boolean;
   /** Status as JSON: versions, roles, peers, targets, queue lengths. */
   describeStatus(): unknown;
+  /** Refuses a key at once. */
+  withdrawKey(keyId: string, digestHex: string): void;
+  /** Starts a graceful shutdown. */
+  drain(): void;
 }
 
+const MAX_BODY_BYTES = 65_536;
+const withdrawalSchema = z.object({keyId: z.string(), digestHex: z.string()});
+
 function send(response: ServerResponse, statusCode: number, type: string, body: string): void {
   response.writeHead(statusCode, {'content-type': type});
   response.end(body);
 }
 
+function sendJson(response: ServerResponse, statusCode: number, body: unknown): void {
+  send(response, statusCode, 'application/json', JSON.stringify(body));
+}
+
+async function readJson(request: IncomingMessage): Promise<unknown> {
+  let text = '';
+  for await (const chunk of request) {
+    text += String(chunk);
+    if (text.length > MAX_BODY_BYTES) throw new Error('body is too large');
+  }
+  return JSON.parse(text);
+}
+
+async function takeWithdrawal(
+  view: OperatorView,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const parsed = await readJson(request)
+    .then(body => withdrawalSchema.safeParse(body).data)
+    .catch(() => undefined);
+  if (!parsed) {
+    sendJson(response, 400, {message: 'expected {keyId, digestHex}'});
+    return;
+  }
+  view.withdrawKey(parsed.keyId, parsed.digestHex);
+  sendJson(response, 200, {});
+}
+
 /** HTTP server for operators: health, readiness, metrics and status. */
 export function createOperatorServer(view: OperatorView): Server {
   const router = findMyWay({
@@ -33,12 +72,18 @@
     send(response as ServerResponse, 200, 'text/plain; version=0.0.4', view.metrics.format());
   });
   router.on('GET', '/status', (_request, response) => {
-    send(
-      response as ServerResponse,
-      200,
-      'application/json',
-      JSON.stringify(view.describeStatus()),
-    );
+    sendJson(response as ServerResponse, 200, view.describeStatus());
+  });
+  router.on('GET', '/explain', (request, response) => {
+    const id = new URL(request.url ?? '/', 'http://host').searchParams.get('id') ?? '';
+    sendJson(response as ServerResponse, 200, {records: view.decisions.find(id)});
+  });
+  router.on('POST', '/withdrawals', (request, response) => {
+    void takeWithdrawal(view, request as IncomingMessage, response as ServerResponse);
+  });
+  router.on('POST', '/drain', (_request, response) => {
+    sendJson(response as ServerResponse, 200, {draining: true});
+    view.drain();
   });
   return createServer((request: IncomingMessage, response) => router.lookup(request, response));
 }
--- /dev/null
+++ b/packages/gateway/src/platform-monitor.ts
@@ -0,0 +1,81 @@
+import {Freshness} from '@radishgw/config';
+import {Clock, EventLog} from '@radishgw/core';
+import {
+  Platform,
+  PlatformAnswer,
+  TargetOrder,
+  UpdateCondition,
+  UsageReport,
+  WeightTransferRequest,
+} from '@radishgw/platform';
+
+/**
+ * Passes calls on and notes whether the platform answers. Only an accepted write ends an outage: a
+ * store that answers reads but takes no writes can't accept a withdrawal either.
+ */
+export class PlatformMonitor implements Platform {
+  private failing = false;
+
+  constructor(
+    private readonly platform: Platform,
+    private readonly clock: Clock,
+    private readonly freshness: Freshness,
+    private readonly log: EventLog,
+  ) {}
+
+  get isFailing(): boolean {
+    return this.failing;
+  }
+
+  get(key: string) {
+    return this.observe(this.platform.get(key), false);
+  }
+
+  list(prefix: string) {
+    return this.observe(this.platform.list(prefix), false);
+  }
+
+  put(key: string, value: string, condition?: UpdateCondition) {
+    return this.observe(this.platform.put(key, value, condition), true);
+  }
+
+  remove(key: string, condition?: UpdateCondition) {
+    return this.observe(this.platform.remove(key, condition), true);
+  }
+
+  watch(prefix: string, afterRevision: number, waitMs: number) {
+    return this.observe(this.platform.watch(prefix, afterRevision, waitMs), false);
+  }
+
+  listHosts() {
+    return this.observe(this.platform.listHosts(), false);
+  }
+
+  orderTargets(order: TargetOrder) {
+    return this.platform.orderTargets(order);
+  }
+
+  reportUsage(report: UsageReport) {
+    return this.platform.reportUsage(report);
+  }
+
+  reserveWeightTransfer(request: WeightTransferRequest) {
+    return this.platform.reserveWeightTransfer(request);
+  }
+
+  private async observe<T>(pending: PlatformAnswer<T>, isWrite: boolean): PlatformAnswer<T> {
+    const answer = await pending;
+    const failed =
+      answer.err && (answer.val.kind === 'unavailable' || answer.val.kind === 'outcomeUnknown');
+    if (failed) {
+      this.freshness.recordPlatformFailure(this.clock.nowMs());
+      if (!this.failing) this.log.write('platformUnreachable', {error: answer.val});
+      this.failing = true;
+    } else if (isWrite) {
+      this.freshness.recordPlatformSuccess();
+      if (this.failing) this.log.write('platformReachable');
+      this.failing = false;
+    }
+    return answer;
+  }
+}
--- a/packages/gateway/src/request/ports.ts
+++ b/packages/gateway/src/request/ports.ts
@@ -20,8 +20,8 @@
   readonly workClass: WorkClass;
   readonly costTokens: number;
   readonly promptTokens: number;
-  /** Identifies the prompt's beginning for prefix affinity; undefined for service calls. */
-  readonly prefixHashes: readonly number[];
+  /** Ids of the prompt's full blocks, for prefix affinity; empty for service calls. */
+  readonly blocks: readonly string[];
   /** Whether the request may be run more than once. */
   readonly repeatable: boolean;
   readonly deadlineMs: number;
@@ -32,17 +32,21 @@
 /** How an attempt at a target ended. */
 export type AttemptOutcome = 'succeeded' | 'failed' | 'cancelled';
 
+/** What a failed attempt says of the target's health. */
+export type FailureKind = 'unreachable' | 'silent' | 'failed';
+
 /** A place at a target, held for one attempt. */
 export interface Dispatch {
   readonly target: TargetConfig;
   /** Corrects the cost as tokens come out. */
   reportProgress(outputTokens: number): void;
-  release(outcome: AttemptOutcome): void;
+  /** Ends the attempt; `failure` counts only with the outcome `failed`. */
+  release(outcome: AttemptOutcome, failure?: FailureKind): void;
 }
 
 /** Queues a request and chooses its target; throws a refusal when there is none in time. */
 export interface Dispatcher {
   acquire(request: DispatchRequest): Procedure<Dispatch>;
-  /** Whether the retry budget allows another attempt now. */
-  allowRetry(): boolean;
+  /** Takes one retry from the budget; false if there is none after `attempts` attempts. */
+  allowRetry(request: DispatchRequest, attempts: number): boolean;
 }
--- a/packages/gateway/src/request/serve-model.ts
+++ b/packages/gateway/src/request/serve-model.ts
@@ -16,7 +16,15 @@
 import {estimatePromptTokens, ModelRequestPath, parseModelRequest, readBody} from './body.js';
 import {RequestContext} from './context.js';
 import {refuseKeyInText} from './headers.js';
-import {AttemptOutcome, Dispatch, Dispatcher, DispatchRequest, RequestLimiter} from './ports.js';
+import {
+  AttemptOutcome,
+  Dispatch,
+  Dispatcher,
+  DispatchRequest,
+  FailureKind,
+  RequestLimiter,
+} from './ports.js';
+import {listPromptBlocks} from './prompt-blocks.js';
 import {Refusal} from './refusal.js';
 
 /** What serving a model request needs. */
@@ -67,7 +75,7 @@
       workClass: context.workClass,
       costTokens,
       promptTokens,
-      prefixHashes: [],
+      blocks: listPromptBlocks(team.teamId, bytes.toString('latin1')),
       repeatable: true,
       deadlineMs: context.deadlineMs,
       excluded: new Set(),
@@ -119,6 +127,7 @@
     context.targetId = toId<TargetId>(dispatch.target.targetId);
     context.attempts++;
     let outcome: AttemptOutcome = 'cancelled';
+    let failure: FailureKind = 'failed';
     try {
       yield* runAttempt(services, context, path, relay, body, dispatch);
       outcome = 'succeeded';
@@ -126,6 +135,7 @@
     } catch (error) {
       if (context.signal.aborted || !(error instanceof EngineError)) throw error;
       outcome = 'failed';
+      if (!error.mayHaveRun) failure = 'unreachable';
       excluded.add(dispatch.target.targetId);
       services.log.write('attemptFailed', {
         requestId: context.requestId,
@@ -136,12 +146,13 @@
       if (isCallersFault(error)) throw describeCallersFault(error);
       body = relay.beginAttempt();
       // An attempt that didn't run costs no engine time, so it isn't held against the retry budget.
-      const mayRetry = !error.mayHaveRun || services.dispatcher.allowRetry();
+      const mayRetry =
+        !error.mayHaveRun || services.dispatcher.allowRetry(dispatchRequest, context.attempts);
       if (body === undefined || !mayRetry) {
         throw new Refusal('targetFailed', `target failed: ${error.message}`);
       }
     } finally {
-      dispatch.release(outcome);
+      dispatch.release(outcome, failure);
     }
   }
 }
--- a/packages/gateway/src/request/serve-service.ts
+++ b/packages/gateway/src/request/serve-service.ts
@@ -21,7 +21,7 @@
   KeyedRequest,
   StoredResponse,
 } from './idempotency.js';
-import {AttemptOutcome, Dispatcher, RequestLimiter} from './ports.js';
+import {AttemptOutcome, Dispatcher, DispatchRequest, RequestLimiter} from './ports.js';
 import {Refusal} from './refusal.js';
 import {chooseClass} from './serve-model.js';
 import {OutgoingCall, sendCall, sendOnce, ServiceError} from './service-attempt.js';
@@ -164,19 +164,24 @@
   store: boolean,
 ): Procedure<StoredResponse | undefined> {
   const excluded = new Set<string>();
+  const dispatchRequest: DispatchRequest = {
+    requestId: context.requestId,
+    pool: route.pool,
+    team,
+    workClass: context.workClass,
+    costTokens: route.costTokens,
+    promptTokens: 0,
+    blocks: [],
+    repeatable: route.idempotent,
+    deadlineMs: context.deadlineMs,
+    excluded,
+  };
+  // A call that wasn't run may go to another target, and isn't held against the retry budget.
+  const mayTryAgain = (error: ServiceError) =>
+    !error.mayHaveRun ||
+    (route.idempotent && services.dispatcher.allowRetry(dispatchRequest, context.attempts));
   for (;;) {
-    const dispatch = yield* services.dispatcher.acquire({
-      requestId: context.requestId,
-      pool: route.pool,
-      team,
-      workClass: context.workClass,
-      costTokens: route.costTokens,
-      promptTokens: 0,
-      prefixHashes: [],
-      repeatable: route.idempotent,
-      deadlineMs: context.deadlineMs,
-      excluded,
-    });
+    const dispatch = yield* services.dispatcher.acquire(dispatchRequest);
     const {target} = dispatch;
     context.targetId = toId<TargetId>(target.targetId);
     const firstAttempt = context.attempts++ === 0;
@@ -208,7 +213,7 @@
         targetId: target.targetId,
         detail: error.message,
       });
-      if (context.response.headersSent || !mayTryAgain(services, route, error)) {
+      if (context.response.headersSent || !mayTryAgain(error)) {
         const name = error.mayHaveRun ? 'outcomeUnknown' : 'targetFailed';
         throw new Refusal(name, `target failed: ${error.message}`);
       }
@@ -217,9 +222,3 @@
     }
   }
 }
-
-/** A call that wasn't run may go to another target, and isn't held against the retry budget. */
-function mayTryAgain(services: ServiceServices, route: RouteConfig, error: ServiceError): boolean {
-  if (!error.mayHaveRun) return true;
-  return route.idempotent && services.dispatcher.allowRetry();
-}
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -2,6 +2,7 @@
 import yargs from 'yargs';
 import {z} from 'zod';
 import {TlsFiles} from './caller/tls.js';
+import {InnerTlsFiles} from './inner/credentials.js';
 
 /** Prefix of the environment variable of each flag: `--platform-url` is `RADISHGW_PLATFORM_URL`. */
 export const ENV_PREFIX = 'RADISHGW';
@@ -27,6 +28,12 @@
   shutdownTimeoutMs: positive,
   tlsCertificateFile: z.string().min(1).optional(),
   tlsKeyFile: z.string().min(1).optional(),
+  innerCaFile: z.string().min(1).optional(),
+  innerCertificateFile: z.string().min(1).optional(),
+  innerKeyFile: z.string().min(1).optional(),
+  innerInsecure: z.boolean(),
+  outageLimitMs: positive,
+  shardCount: positive,
   logFormat: z.enum(['json', 'pretty']),
   logLevel: z.enum(['debug', 'info', 'warn', 'error']),
 });
@@ -70,6 +77,27 @@
         describe: 'Certificate chain in PEM for callers; read again on SIGHUP. Off by default',
       },
       'tls-key-file': {type: 'string', describe: 'Private key of the certificate, in PEM'},
+      'inner-ca-file': {
+        type: 'string',
+        describe: 'Authority that signs the certificates of all hosts, in PEM',
+      },
+      'inner-certificate-file': {type: 'string', describe: "This host's certificate, in PEM"},
+      'inner-key-file': {type: 'string', describe: "This host's private key, in PEM"},
+      'inner-insecure': {
+        type: 'boolean',
+        default: false,
+        describe: 'Connect hosts without TLS; for tests on one machine only',
+      },
+      'outage-limit-ms': {
+        type: 'number',
+        default: 3_600_000,
+        describe: 'How long requests with a key are served while the platform is down',
+      },
+      'shard-count': {
+        type: 'number',
+        default: 64,
+        describe: 'Shards into which teams hash; the same on all hosts',
+      },
       'shutdown-timeout-ms': {
         type: 'number',
         default: 900_000,
@@ -83,7 +111,10 @@
     .fail((message, error) => {
       throw error ?? new RadishError('settingInvalid', message);
     });
-  return checkSettings(parser.parseSync());
+  const settings = checkSettings(parser.parseSync());
+  readTlsSettings(settings);
+  readInnerTlsSettings(settings);
+  return settings;
 }
 
 function checkSettings(values: Record<string, unknown>): Settings {
@@ -113,3 +144,21 @@
     'settings --tls-certificate-file and --tls-key-file must be given together',
   );
 }
+
+/** Files for TLS between hosts; undefined only if TLS was switched off on purpose. */
+export function readInnerTlsSettings(settings: Settings): InnerTlsFiles | undefined {
+  const {
+    innerCaFile: authorityFile,
+    innerCertificateFile: certificateFile,
+    innerKeyFile: keyFile,
+  } = settings;
+  if (authorityFile && certificateFile && keyFile) {
+    return {authorityFile, certificateFile, keyFile};
+  }
+  if (settings.innerInsecure) return undefined;
+  throw new RadishError(
+    'settingMissing',
+    'settings --inner-ca-file, --inner-certificate-file and --inner-key-file are missing; ' +
+      '--inner-insecure switches TLS between hosts off',
+  );
+}
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -1,64 +1,131 @@
-import {Server} from 'node:http';
-import {ConfigStore} from '@radishgw/config';
+import {Server as NetServer} from 'node:net';
+import {ConfigStore, DEFAULT_FRESHNESS, Freshness} from '@radishgw/config';
 import {
   createEventLog,
   createHandlers,
   createSystemRandom,
+  FailureDomain,
+  HostId,
+  KeyId,
+  Procedure,
   startTask,
   SystemClock,
   Task,
+  toId,
 } from '@radishgw/core';
-import {HttpPlatform} from '@radishgw/platform';
+import {
+  DEFAULT_LEASE_TIMES,
+  HostSession,
+  HttpPlatform,
+  Member,
+  Membership,
+} from '@radishgw/platform';
+import {create, HeartbeatResponseSchema} from '@radishgw/protocol';
 import {Agent} from 'undici';
 import {CallerServer} from './caller/caller-server.js';
-import {followConfig} from './config-sync.js';
+import {ConfigSync} from './config-sync.js';
+import {pollLoads} from './dispatch/load-poller.js';
+import {PoolDispatcher} from './dispatch/pool-dispatcher.js';
+import {listEntryHosts} from './entry-hosts.js';
+import {ConfigFeed} from './inner/config-feed.js';
+import {loadInnerCredentials} from './inner/credentials.js';
+import {startInnerServer} from './inner/inner-server.js';
+import {PeerClients} from './inner/peer-clients.js';
+import {Peers} from './inner/peers.js';
+import {DecisionLog} from './operator/decision-log.js';
 import {Metrics} from './operator/metrics.js';
 import {createOperatorServer} from './operator/operator-server.js';
+import {PlatformMonitor} from './platform-monitor.js';
 import {IdempotencyClaims} from './request/idempotency.js';
-import {LocalDispatcher} from './request/local-dispatcher.js';
+import {Refusal} from './request/refusal.js';
 import {UnlimitedLimiter} from './request/unlimited.js';
-import {readTlsSettings, Settings} from './settings.js';
+import {readInnerTlsSettings, readTlsSettings, Settings} from './settings.js';
 
 /** A running entry host. */
 export interface EntryHost {
-  /** Stops gracefully: requests in flight are finished first. */
+  /** Stops gracefully: requests in flight are finished first. Later calls join the first. */
   stop(): Promise<void>;
   /** Reads the certificate files again; the old certificate stays if they are wrong. */
   reload(): void;
 }
 
-const ENTRY_MAX_AGE_MS = 10_000;
-
-/** Builds the parts of an entry host and starts them. */
-export async function startEntryHost(settings: Settings): Promise<EntryHost> {
+/** Builds the parts of an entry host and starts them. `onDrained` runs after an operator's drain. */
+export async function startEntryHost(
+  settings: Settings,
+  onDrained: () => void = () => undefined,
+): Promise<EntryHost> {
   const clock = new SystemClock();
   const handlers = createHandlers(clock);
   const log = createEventLog({format: settings.logFormat, minLevel: settings.logLevel});
   const random = createSystemRandom();
-  const platform = new HttpPlatform({
+  const metrics = new Metrics();
+  const decisions = new DecisionLog(clock);
+  const hostId = toId<HostId>(settings.hostId);
+  const failureDomain = toId<FailureDomain>(settings.failureDomain);
+  const callerScheme = settings.tlsCertificateFile ? 'https' : 'http';
+
+  const config = new ConfigStore();
+  const freshness = new Freshness(
+    {hostId, failureDomain},
+    {...DEFAULT_FRESHNESS, outageLimitMs: settings.outageLimitMs},
+  );
+  const httpPlatform = new HttpPlatform({
     baseUrl: settings.platformUrl,
     callTimeoutMs: settings.platformTimeoutMs,
   });
-  const config = new ConfigStore();
-  const metrics = new Metrics();
+  const platform = new PlatformMonitor(httpPlatform, clock, freshness, log);
+  const dependencies = {platform, clock, random, log};
+  const session = new HostSession(dependencies, {
+    hostId,
+    failureDomain,
+    callerAddress: `${callerScheme}://${settings.callerAddress}`,
+    innerAddress: settings.innerAddress,
+    operatorAddress: settings.operatorAddress,
+  });
+  const membership = new Membership(dependencies, {times: DEFAULT_LEASE_TIMES});
+
+  const credentials = loadInnerCredentials(readInnerTlsSettings(settings));
+  const findMember = (id: HostId): Member | undefined =>
+    membership.members().find(member => member.hostId === id);
+  const clients = new PeerClients(credentials.client, findMember);
+  const feed = new ConfigFeed(config);
+  const peers = new Peers({
+    clock,
+    log,
+    session,
+    membership,
+    clients,
+    config,
+    freshness,
+    failureDomain,
+    onHigherRevision: (id, revision) => configSync.catchUpFrom(id, revision),
+  });
+  const dispatcher = new PoolDispatcher({
+    clock,
+    random,
+    config,
+    decisions,
+    isLeaving: targetId => membership.isListedLeaving(targetId),
+  });
+  const configSync = new ConfigSync({
+    platform,
+    clock,
+    handlers,
+    log,
+    session,
+    membership,
+    config,
+    freshness,
+    feed,
+    clients,
+    failureDomain,
+    isReachable: id => peers.isReachable(id),
+    onChanged: () => dispatcher.applyConfig(),
+  });
+
   const http = new Agent({connections: 256, pipelining: 1});
-  let loaded = false;
-  let stopping = false;
-  const tasks: Task<unknown>[] = [];
-  tasks.push(
-    startTask(
-      followConfig({
-        platform,
-        config,
-        log,
-        onConfirmed: () => {
-          loaded = true;
-        },
-      }),
-      handlers,
-    ),
-  );
   const claims = new IdempotencyClaims(platform, clock, random);
+  const judgeFreshness = () => freshness.judge(clock.nowMs(), config.completeRevision);
   const callers = new CallerServer({
     claims,
     tls: readTlsSettings(settings),
@@ -71,45 +138,105 @@
     metrics,
     http,
     limiter: new UnlimitedLimiter(),
-    dispatcher: new LocalDispatcher(config),
+    dispatcher,
     maxBodyBytes: settings.maxBodyBytes,
     maxInFlight: settings.maxInFlight,
     defaultDeadlineMs: settings.defaultDeadlineMs,
     progressTimeoutMs: settings.progressTimeoutMs,
-    checkFreshness: () => undefined,
-    listEntryHosts: () => ({
-      hosts: [`${settings.tlsCertificateFile ? 'https' : 'http'}://${settings.callerAddress}`],
-      maxAgeMs: ENTRY_MAX_AGE_MS,
-    }),
+    checkFreshness: () => {
+      const verdict = judgeFreshness();
+      if (verdict.kind !== 'stale') return;
+      throw new Refusal('configNotFresh', `keys can't be confirmed: ${verdict.reason}`);
+    },
+    listEntryHosts: caller =>
+      listEntryHosts(caller.team.teamId, membership.members(), id => peers.isReachable(id)),
     recordUsage: () => undefined,
   });
+
+  let stopping: Promise<void> | undefined;
+  const isReady = () =>
+    stopping === undefined && configSync.isComplete() && judgeFreshness().kind !== 'stale';
+  const stop = () => (stopping ??= stopGracefully());
   const operators = createOperatorServer({
     metrics,
-    isReady: () => loaded && !stopping,
+    decisions,
+    isReady,
+    withdrawKey: (keyId, digestHex) => config.withdrawKey(toId<KeyId>(keyId), digestHex),
+    drain: () => void stop().then(onDrained),
     describeStatus: () => ({
-      hostId: settings.hostId,
-      failureDomain: settings.failureDomain,
-      appliedRevision: config.completeRevision,
+      hostId,
+      failureDomain,
+      ready: isReady(),
+      stopping: stopping !== undefined,
+      freshness: judgeFreshness(),
+      completeRevision: config.completeRevision,
+      rejected: config.listRejected(),
       inFlight: callers.getInFlight(),
-      stopping,
+      queued: dispatcher.countQueued(),
+      members: membership.members().map(member => member.hostId),
+      subscribers: feed.countSubscribers(),
     }),
   });
+
+  const innerServer = await startInnerServer(settings.innerAddress, credentials.server, {
+    heartbeat: () => create(HeartbeatResponseSchema, {report: peers.buildReport()}),
+    subscribeConfig: stream => feed.subscribe(stream),
+    acquireGrant: () => Promise.reject(new Error('not available')),
+    confirmReserve: () => Promise.reject(new Error('not available')),
+    handOverShards: () => {
+      throw new Error('not available');
+    },
+    pushUsage: () => {
+      throw new Error('not available');
+    },
+  });
   await listenAt(callers.server, settings.callerAddress);
   await listenAt(operators, settings.operatorAddress);
-  log.write('hostStarted', {hostId: settings.hostId, failureDomain: settings.failureDomain});
+
+  const tasks: Task<unknown>[] = [];
+  const start = (procedure: Procedure<unknown>) => {
+    const task = startTask(procedure, handlers);
+    tasks.push(task);
+    // A control procedure that fails would leave the host half alive; the process must not go on.
+    task.done.catch(error => {
+      log.write('invariantViolated', {error: String(error)});
+      process.exitCode = 1;
+      process.kill(process.pid, 'SIGTERM');
+    });
+  };
+  start(session.run());
+  start(membership.run());
+  start(configSync.run());
+  start(peers.run());
+  start(
+    pollLoads({
+      clock,
+      config,
+      http,
+      takeReport: (pool, targetId, report) => dispatcher.takeReport(pool, targetId, report),
+    }),
+  );
+  log.write('hostStarted', {hostId, failureDomain});
+
+  async function stopGracefully(): Promise<void> {
+    log.write('hostStopping', {inFlight: callers.getInFlight()});
+    session.beginLeave();
+    await callers.stop(settings.shutdownTimeoutMs);
+    await claims.waitUntilSettled();
+    for (const task of tasks) task.cancel();
+    feed.close();
+    await startTask(session.end(), handlers).done;
+    innerServer.forceShutdown();
+    clients.close();
+    operators.close();
+    operators.closeAllConnections();
+    await http.destroy();
+    await httpPlatform.close();
+    log.write('hostStopped');
+  }
+
   return {
-    stop: async () => {
-      stopping = true;
-      log.write('hostStopping', {inFlight: callers.getInFlight()});
-      await callers.stop(settings.shutdownTimeoutMs);
-      await claims.waitUntilSettled();
-      for (const task of tasks) task.cancel();
-      operators.close();
-      operators.closeAllConnections();
-      await http.destroy();
-      await platform.close();
-      log.write('hostStopped');
-    },
+    stop,
     reload: () => {
       try {
         callers.reloadTls();
@@ -120,7 +247,7 @@
   };
 }
 
-function listenAt(server: Server, address: string): Promise<void> {
+function listenAt(server: NetServer, address: string): Promise<void> {
   const separator = address.lastIndexOf(':');
   const host = address.slice(0, separator).replace(/^\[|\]$/g, '');
   const port = Number(address.slice(separator + 1));
--- a/packages/platform/src/membership.ts
+++ b/packages/platform/src/membership.ts
@@ -58,7 +58,12 @@
     return this.currentMembers;
   }
 
-  /** Rises with each change of `members()`. */
+  /** Whether the platform's list names this host or target as leaving. */
+  isListedLeaving(id: string): boolean {
+    return this.listedLeaving.has(id as HostId);
+  }
+
+  /** Rises with each change of `members()` other than of the applied revisions. */
   get version(): number {
     return this.versionNumber;
   }
@@ -137,9 +142,9 @@
       .filter(seen => seen.record.state !== 'ended' && !this.observer.isLapsed(seen))
       .map(({record}) => this.toMember(record))
       .sort((a, b) => (a.hostId < b.hostId ? -1 : 1));
-    if (JSON.stringify(members) === JSON.stringify(this.currentMembers)) return;
+    const isSame = describeMembers(members) === describeMembers(this.currentMembers);
     this.currentMembers = members;
-    this.versionNumber++;
+    if (!isSame) this.versionNumber++;
   }
 
   private toMember(record: SeenSession['record']): Member {
@@ -158,3 +163,7 @@
     };
   }
 }
+
+function describeMembers(members: readonly Member[]): string {
+  return JSON.stringify(members.map(member => ({...member, appliedRevision: 0})));
+}
--- a/packages/platform/src/session.ts
+++ b/packages/platform/src/session.ts
@@ -92,6 +92,16 @@
     return Err({kind: 'lapsed', detail: `session lapsed ${Math.round(lateMs)} ms ago`});
   }
 
+  /**
+   * The last renewal that took effect: everything that the store accepted before `sentAtMs` has a
+   * lower revision. Undefined without a session.
+   */
+  get lastRenewal(): {readonly sentAtMs: number; readonly revision: Revision} | undefined {
+    if (!this.state) return undefined;
+    const sentAtMs = this.state.validUntilMs - this.times.ttlMs;
+    return {sentAtMs, revision: this.state.revision};
+  }
+
   get isLeaving(): boolean {
     return this.leaving;
   }
--- a/packages/scheduling/src/scheduler.ts
+++ b/packages/scheduling/src/scheduler.ts
@@ -10,6 +10,8 @@
   /** Ids of the prompt's full blocks, in order. */
   readonly blocks: readonly string[];
   readonly mayRunTwice: boolean;
+  /** Targets that this request has already been sent to. */
+  readonly tried?: ReadonlySet<TargetId>;
 }
 
 /** An item and the target that it goes to. */
--- a/packages/testkit/src/deployment.ts
+++ b/packages/testkit/src/deployment.ts
@@ -10,6 +10,7 @@
 } from '@radishgw/config';
 import {createSystemRandom, KeyId, toId} from '@radishgw/core';
 import {HttpPlatform} from '@radishgw/platform';
+import {createCertificate} from './certificates.js';
 import {Child, findFreePorts, startChild, startStandIn, waitForUrl} from './child.js';
 
 /** Size and behaviour of a deployment on the loopback interface. */
@@ -169,6 +170,7 @@
   (await platform.put(BASE_KEY, JSON.stringify(base))).unwrap();
   (await platform.put(teamKey(DEMO_TEAM), JSON.stringify(team))).unwrap();
 
+  const certificate = await createCertificate();
   const startHost = async (index: number): Promise<HostHandle> => {
     const [callerPort, operatorPort, innerPort] = await findFreePorts(PORTS_PER_HOST);
     const hostId = `host-${index + 1}`;
@@ -188,6 +190,12 @@
       `127.0.0.1:${operatorPort}`,
       '--inner-address',
       innerAddress,
+      '--inner-ca-file',
+      certificate.certificateFile,
+      '--inner-certificate-file',
+      certificate.certificateFile,
+      '--inner-key-file',
+      certificate.keyFile,
       ...(options.hostFlags ?? []),
     ]);
     await Promise.race([
@@ -226,6 +234,7 @@
       await Promise.all([...engines, ...services].map(({child}) => stopIfRunning(child)));
       await stopIfRunning(platformChild);
       await platform.close();
+      await certificate.remove();
     },
   };
 }
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -1,3 +1,4 @@
+export * from './certificates.js';
 export * from './engine/engine-server.js';
 export * from './fault-proxy.js';
 export * from './http.js';
