Let the owner of a shard keep data in its object for its successor

A new owner of a shard's limits must know which hosts may still hold reserves from its predecessor, and the object must name placement hosts before they get reserves.

--- a/packages/platform/src/holder.ts
+++ b/packages/platform/src/holder.ts
@@ -25,7 +25,8 @@
     private readonly session: HostSession,
     readonly sessionId: SessionId,
     readonly epoch: Epoch,
-    readonly revision: Revision,
+    /** Revision of the object that grants this authority; rises when the holder updates it. */
+    public revision: Revision,
   ) {}
 
   get hostId(): HostId {
@@ -73,13 +74,14 @@
   dependencies: ControlDependencies,
   session: HostSession,
   held: HeldObject,
+  data?: unknown,
 ): Procedure<HeldAuthority | undefined> {
   const sessionId = session.check();
   if (sessionId.err) return undefined;
   const epoch = (held.record?.epoch ?? 0) + 1;
   const answer = yield* putSettled(dependencies, {
     key: held.key,
-    body: {epoch, hostId: session.hostId, sessionId: sessionId.val},
+    body: {epoch, hostId: session.hostId, sessionId: sessionId.val, data},
     attemptId: `${sessionId.val}.${dependencies.random.nextHex(4)}`,
     ifRevision: held.revision,
     giveUpAfterMs: session.times.ttlMs,
@@ -99,17 +101,40 @@
   dependencies: ControlDependencies,
   key: string,
   authority: HeldAuthority,
+  data?: unknown,
 ): Procedure<void> {
   authority.revoke();
   yield* putSettled(dependencies, {
     key,
-    body: {epoch: authority.epoch, hostId: null, sessionId: null},
+    body: {epoch: authority.epoch, hostId: null, sessionId: null, data},
     attemptId: `${authority.sessionId}.${dependencies.random.nextHex(4)}`,
     ifRevision: authority.revision,
     giveUpAfterMs: RELEASE_GIVE_UP_MS,
   });
 }
 
+/** Replaces the data of an object that is held; false if that isn't known to have taken effect. */
+export function* updateData(
+  dependencies: ControlDependencies,
+  session: HostSession,
+  key: string,
+  authority: HeldAuthority,
+  data: unknown,
+): Procedure<boolean> {
+  if (authority.check().err) return false;
+  const {epoch, hostId, sessionId} = authority;
+  const answer = yield* putSettled(dependencies, {
+    key,
+    body: {epoch, hostId, sessionId, data},
+    attemptId: `${sessionId}.${dependencies.random.nextHex(4)}`,
+    ifRevision: authority.revision,
+    giveUpAfterMs: session.times.ttlMs,
+  });
+  if (answer.err) return false;
+  authority.revision = answer.val.revision;
+  return true;
+}
+
 /** Reads an object that names a holder; undefined if it can't be read or understood. */
 export function* readHeld(
   dependencies: ControlDependencies,
--- a/packages/platform/src/records.ts
+++ b/packages/platform/src/records.ts
@@ -23,6 +23,7 @@
   epoch: z.number(),
   hostId: id<HostId>().nullable(),
   sessionId: id<SessionId>().nullable(),
+  data: z.unknown().optional(),
 });
 
 /**
@@ -32,7 +33,10 @@
  */
 export type SessionRecord = z.infer<typeof sessionSchema>;
 
-/** Value of `roles/<role>` and `shards/<n>`. A released object names no session. */
+/**
+ * Value of `roles/<role>` and `shards/<n>`. A released object names no session. `data` is kept for
+ * the successor by whoever uses the object.
+ */
 export type HolderRecord = z.infer<typeof holderSchema>;
 
 export function parseSession(object: PlatformObject): SessionRecord | undefined {
--- a/packages/platform/src/shard-assignment.ts
+++ b/packages/platform/src/shard-assignment.ts
@@ -1,7 +1,15 @@
 import {Err, Result} from 'ts-results/result.js';
 import {call, HostId, Procedure, sleep} from '@radishgw/core';
 import {Authority, AuthorityError, Epoch} from './authority.js';
-import {claim, HeldAuthority, HeldObject, release, settleHolder, toHeldObject} from './holder.js';
+import {
+  claim,
+  HeldAuthority,
+  HeldObject,
+  release,
+  settleHolder,
+  toHeldObject,
+  updateData,
+} from './holder.js';
 import {Member, Membership} from './membership.js';
 import {PlatformObject, Revision} from './platform.js';
 import {ControlDependencies, HostSession} from './session.js';
@@ -18,6 +26,15 @@
   readonly epoch: Epoch;
 }
 
+/** How a shard came to this host. */
+export interface ShardClaim {
+  /** Data of the object before the claim; undefined if it had none. */
+  readonly previousData: unknown;
+  /** The shard had no owner before. */
+  readonly isNew: boolean;
+  readonly placement: readonly HostId[];
+}
+
 /** Settings of the shard assignment. */
 export interface ShardAssignmentSettings {
   readonly shardCount: number;
@@ -30,8 +47,19 @@
   readonly rankDelayMs?: number;
   /** Hands the shard's state over before the shard is given up. */
   readonly beforeRelease?: (shard: number, authority: Authority) => Procedure<void>;
+  /**
+   * Data of the shard's object, from the data that it has (undefined if the shard is new) and the
+   * hosts that the shard wants. It is written at the claim and when the placement changes.
+   */
+  readonly describeData?: (
+    shard: number,
+    previous: unknown,
+    placement: readonly HostId[],
+  ) => unknown;
   /** Called after a shard was claimed. */
-  readonly onAcquired?: (shard: number, authority: Authority) => void;
+  readonly onAcquired?: (shard: number, authority: Authority, claim: ShardClaim) => void;
+  /** Called after the object of an owned shard was updated for a new placement. */
+  readonly onPlacement?: (shard: number, placement: readonly HostId[]) => void;
   /** Called when a shard was lost or given up; its authority has ended. */
   readonly onLost?: (shard: number, epoch: Epoch) => void;
 }
@@ -44,6 +72,8 @@
 /** Claims the shards that want this host and whose owner is gone, and gives up those that don't. */
 export class ShardAssignment {
   private readonly owned = new Map<number, HeldAuthority>();
+  /** Data and placement as last written for owned shards. */
+  private readonly written = new Map<number, {data: unknown; placement: readonly HostId[]}>();
   private readonly objects = new Map<number, HeldObject>();
   private revision: Revision = 0;
   private loaded = false;
@@ -131,6 +161,7 @@
       const rank = (placement[shard] ?? []).indexOf(this.session.hostId);
       if (this.owned.has(shard)) {
         if (rank < 0 && placement[shard]?.length > 0) yield* this.giveUp(shard);
+        else yield* this.updatePlacement(shard, placement[shard] ?? []);
       } else if (rank >= 0 && !this.session.isLeaving) {
         yield* this.tryClaim(shard, rank);
       }
@@ -150,13 +181,32 @@
     const delayMs = rank * (this.settings.rankDelayMs ?? DEFAULT_RANK_DELAY_MS);
     if (clock.nowMs() - sinceMs < delayMs) return;
     if (!(yield* settleHolder(this.membership, this.session, object)) || this.stopped) return;
-    const held = yield* claim(this.dependencies, this.session, object);
+    const placement = this.currentPlacement()[shard] ?? [];
+    const previousData = object.record?.data;
+    const data = this.settings.describeData?.(shard, previousData, placement);
+    const held = yield* claim(this.dependencies, this.session, object, data);
     if (!held) return;
-    if (this.stopped) return yield* release(this.dependencies, key, held);
+    if (this.stopped) return yield* release(this.dependencies, key, held, data);
     this.owned.set(shard, held);
+    this.written.set(shard, {data, placement});
     this.ownerlessSinceMs.delete(shard);
     log.write('shardAcquired', {shard, epoch: held.epoch, hostId: this.session.hostId});
-    this.settings.onAcquired?.(shard, held);
+    const isNew = object.record === undefined;
+    this.settings.onAcquired?.(shard, held, {previousData, isNew, placement});
+  }
+
+  private *updatePlacement(shard: number, placement: readonly HostId[]): Procedure<void> {
+    const {describeData, onPlacement} = this.settings;
+    const held = this.owned.get(shard);
+    const written = this.written.get(shard);
+    if (!held || !written || !describeData || placement.length === 0) return;
+    if (placement.join() === written.placement.join()) return;
+    const data = describeData(shard, written.data, placement);
+    const key = `shards/${shard}`;
+    if (!(yield* updateData(this.dependencies, this.session, key, held, data))) return;
+    if (this.owned.get(shard) !== held) return;
+    this.written.set(shard, {data, placement});
+    onPlacement?.(shard, placement);
   }
 
   /** Whether the owner may be alive, by the membership's last reads; costs no call. */
@@ -179,7 +229,7 @@
     held.revoke();
     this.owned.delete(shard);
     this.settings.onLost?.(shard, held.epoch);
-    yield* release(this.dependencies, `shards/${shard}`, held);
+    yield* release(this.dependencies, `shards/${shard}`, held, this.written.get(shard)?.data);
   }
 
   private dropLost(): void {
