--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -5,6 +5,7 @@
 export {
   DEFAULT_QUEUE_SETTINGS,
   type Gate,
+  type OverflowRule,
   type QueueSettings,
   type RequestQueue,
 } from './queue-state.js';
--- a/packages/scheduling/src/queue-state.ts
+++ b/packages/scheduling/src/queue-state.ts
@@ -2,11 +2,19 @@
 import {Discipline, DisciplineName, HeadOfLane} from './disciplines.js';
 import {CLASS_RANK, QueueItem, WORK_CLASSES, WorkClass} from './work.js';
 
+/**
+ * `mostOverdrawn`: the newest item of the team with the most waiting work for its weight.
+ * `newest`: the item that arrives, whoever sent it; only for comparison.
+ */
+export type OverflowRule = 'mostOverdrawn' | 'newest';
+
 /** Settings of a queue. */
 export interface QueueSettings {
   readonly discipline: DisciplineName;
-  /** Most items that wait. When it is reached, the most overdrawn team loses its newest item. */
+  /** Most items that wait. */
   readonly maxItems: number;
+  /** What gives way when the queue is full. */
+  readonly overflow: OverflowRule;
   /** Prompts of at least this length count as long. */
   readonly longPromptTokens: number;
   /**
@@ -22,6 +30,7 @@
 export const DEFAULT_QUEUE_SETTINGS: QueueSettings = {
   discipline: 'startTime',
   maxItems: 2048,
+  overflow: 'mostOverdrawn',
   longPromptTokens: 8000,
   classLeadSeconds: {urgent: 10, standard: 60, batch: Infinity},
   useClasses: true,
--- a/packages/scheduling/src/queue.ts
+++ b/packages/scheduling/src/queue.ts
@@ -10,6 +10,7 @@
   forgetIfIdle,
   Gate,
   laneOf,
+  OverflowRule,
   QueueSettings,
   removeEntry,
   RequestQueue,
@@ -91,7 +92,7 @@
   if (queue.entries.size <= queue.settings.maxItems) {
     return {type: 'queued', queuedItems: queue.entries.size};
   }
-  const displaced = removeNewest(queue, findMostOverdrawn(queue));
+  const displaced = DISPLACE[queue.settings.overflow](queue, item);
   if (displaced.id === item.id) return {type: 'refused', reason: 'queueFull'};
   return {type: 'queued', displaced, queuedItems: queue.entries.size};
 }
@@ -229,6 +230,14 @@
   countEntry(queue, state, entry);
 }
 
+/** Removes the item that gives way to `arriving`, which may be the arriving item itself. */
+const DISPLACE: Readonly<
+  Record<OverflowRule, (queue: RequestQueue, arriving: QueueItem) => QueueItem>
+> = {
+  mostOverdrawn: queue => removeNewest(queue, findMostOverdrawn(queue)),
+  newest: (queue, arriving) => cancelItem(queue, arriving.id)!,
+};
+
 /** The team with the most waiting work for its weight: displacing others would be undeserved. */
 function findMostOverdrawn(queue: RequestQueue): TeamState {
   let worst: TeamState | undefined;
