Keep unused service as a bounded credit and shorten the class lead

Ruled out: Virtual Clock.

Change: a team keeps up to 5 s of its own rate as credit for its next burst; standard work goes ahead of batch work within a lead of 10 s.

--- a/packages/scheduling/src/disciplines.ts
+++ b/packages/scheduling/src/disciplines.ts
@@ -13,8 +13,8 @@
  * weight in tokens per second, so that one unit is one second's worth of the team's rate.
  */
 export interface Discipline {
-  /** Lower bound of the start tag of an item that arrives now. */
-  baseAtArrival(virtualTime: number, nowMs: number): number;
+  /** Lower bound of the start tag of an item that arrives now; `credit` is in seconds. */
+  baseAtArrival(virtualTime: number, nowMs: number, creditSeconds: number): number;
   /** The head with the lowest key is served first. */
   key(head: HeadOfLane, teamTag: number): number;
 }
@@ -26,9 +26,12 @@
 
 /** Disciplines by name; `startTime` is the one in use, the others are kept for comparison. */
 export const DISCIPLINES = {
-  /** Start-time fair queueing: least normalised service first, counted from becoming active. */
+  /**
+   * Start-time fair queueing: least normalised service first, counted from becoming active. A
+   * team that used less than its share keeps a bounded credit for its next burst.
+   */
   startTime: {
-    baseAtArrival: virtualTime => virtualTime,
+    baseAtArrival: (virtualTime, _nowMs, creditSeconds) => virtualTime - creditSeconds,
     key: startTag,
   },
   /** Virtual Clock: tags run in real time, so service taken in idle times counts against a team. */
--- a/packages/scheduling/src/queue-state.ts
+++ b/packages/scheduling/src/queue-state.ts
@@ -23,6 +23,11 @@
    * that marks all its work urgent would take the service of the others.
    */
   readonly classLeadSeconds: Readonly<Record<WorkClass, number>>;
+  /**
+   * Unused service that a team keeps, in seconds of its own rate. Without it, bursts of a team
+   * within its rate queue behind a team that always has work waiting.
+   */
+  readonly creditSeconds: number;
   /** Whether classes count at all; false only for comparison. */
   readonly useClasses: boolean;
 }
@@ -32,7 +37,8 @@
   maxItems: 2048,
   overflow: 'mostOverdrawn',
   longPromptTokens: 8000,
-  classLeadSeconds: {urgent: 10, standard: 60, batch: Infinity},
+  classLeadSeconds: {urgent: 10, standard: 10, batch: Infinity},
+  creditSeconds: 5,
   useClasses: true,
 };
 
@@ -103,7 +109,8 @@
 /** Drops the state of a team that no longer affects any decision, which bounds memory. */
 export function forgetIfIdle(queue: RequestQueue, state: TeamState): void {
   const hasNoWork = state.queued === 0 && state.inFlight === 0;
-  const hasNoDebt = state.tag <= queue.virtualTime && queue.settings.discipline !== 'virtualClock';
+  const {creditSeconds, discipline} = queue.settings;
+  const hasNoDebt = state.tag <= queue.virtualTime - creditSeconds && discipline !== 'virtualClock';
   if (hasNoWork && hasNoDebt) queue.teams.delete(state.team);
 }
 
--- a/packages/scheduling/src/queue.ts
+++ b/packages/scheduling/src/queue.ts
@@ -176,7 +176,8 @@
 /** Start-time fair queueing sets the virtual time to the highest tag when the server falls idle. */
 function endBusyPeriod(queue: RequestQueue): void {
   for (const state of queue.teams.values()) {
-    queue.virtualTime = Math.max(queue.virtualTime, state.tag);
+    const endOfCredit = state.tag + queue.settings.creditSeconds;
+    queue.virtualTime = Math.max(queue.virtualTime, endOfCredit);
   }
   for (const state of queue.teams.values()) forgetIfIdle(queue, state);
 }
@@ -222,7 +223,7 @@
     isLong: item.promptTokens >= queue.settings.longPromptTokens,
     arrivedAtMs: nowMs,
     expectedOutputTokens,
-    base: queue.discipline.baseAtArrival(queue.virtualTime, nowMs),
+    base: queue.discipline.baseAtArrival(queue.virtualTime, nowMs, queue.settings.creditSeconds),
     order: queue.nextOrder++,
     normalizedCost: tokens / state.weight,
   };
--- a/packages/scheduling/test/queue.test.ts
+++ b/packages/scheduling/test/queue.test.ts
@@ -203,7 +203,7 @@
 
   it('serves urgent work first, but only within the lead of its team', () => {
     // Guards against a team that takes all service by marking its work urgent.
-    const queue = createQueue();
+    const queue = createQueue({creditSeconds: 0});
     fill(queue, 'patient', 400);
     fill(queue, 'pushy', 400, {workClass: 'urgent'});
     const teams = takeTeams(queue, 400);
@@ -212,6 +212,18 @@
     expect(countOf(teams.slice(200), 'pushy')).to.be.within(98, 102);
   });
 
+  it('serves the burst of a team that used less than its share, up to its credit', () => {
+    // Guards against a team within its rate whose bursts wait behind a team that always floods.
+    const queue = createQueue({creditSeconds: 5});
+    fill(queue, 'flood', 1000);
+    takeTeams(queue, 200);
+    fill(queue, 'steady', 200);
+    const teams = takeTeams(queue, 200);
+    // 5 s at the default weight of 1,000 tokens per second are 50 items of 100 tokens.
+    expect(countOf(teams.slice(0, 50), 'steady')).to.equal(50);
+    expect(countOf(teams.slice(50), 'steady')).to.be.within(73, 77);
+  });
+
   it('lets short prompts pass long ones that have no room', () => {
     // Guards against a long prompt at the head that keeps the slots of all targets empty.
     const queue = createQueue();
