--- a/packages/platform/src/session.ts
+++ b/packages/platform/src/session.ts
@@ -71,6 +71,9 @@
   private state: SessionState | undefined;
   private leaving = false;
   private stopped = false;
+  /** Set once another process of this host has a session in place of this one's. */
+  private replaced = false;
+  private hadSession = false;
   private appliedRevision: Revision = 0;
   /** Sessions of this process; none of them is believed in once another has begun. */
   private readonly ownSessions = new Set<SessionId>();
@@ -111,13 +114,19 @@
     this.lostListeners.push(listener);
   }
 
-  /** Starts a session, renews it and starts another when it is lost, until `end()`. */
-  *run(): Procedure<void> {
-    while (!this.stopped) {
+  /**
+   * Starts a session, renews it and starts another when it is lost, until `end()`. Gives `replaced`
+   * when a later process of the same host has taken its place; this process must then exit, as the
+   * two would otherwise take the session from each other for ever.
+   */
+  *run(): Procedure<'ended' | 'replaced'> {
+    while (!this.stopped && !this.replaced) {
       const started = this.state !== undefined || (yield* this.start());
+      if (this.replaced) break;
       yield* sleep(started ? this.times.renewMs : RETRY_MS);
       if (this.state && !this.stopped) yield* this.renew();
     }
+    return this.replaced ? 'replaced' : 'ended';
   }
 
   /** Ends the authority at once, then takes the session object away. */
@@ -155,6 +164,10 @@
     const read = yield* call(() => platform.get(key));
     if (read.err && read.val.kind !== 'notFound') return false;
     const previous = read.ok ? parseSession(read.val) : undefined;
+    if (this.hadSession && this.isReplacement(previous)) {
+      this.replaced = true;
+      return false;
+    }
     const sessionId = toId<SessionId>(random.nextHex(8));
     const supersedes = this.listSuperseded(previous);
     this.ownSessions.add(sessionId);
@@ -169,6 +182,7 @@
       validUntilMs,
       supersedesUntilMs: clock.nowMs() + this.times.ttlMs + this.times.marginMs,
     };
+    this.hadSession = true;
     log.write('sessionStarted', {hostId: this.hostId, sessionId});
     return true;
   }
@@ -202,10 +216,18 @@
       state.revision = answer.val.revision;
       state.validUntilMs = validUntilMs;
     } else if (answer.val.kind === 'conflict') {
-      this.drop('replaced or evicted');
+      const {object} = answer.val;
+      this.replaced = this.isReplacement(object && parseSession(object));
+      this.drop(this.replaced ? 'replaced' : 'evicted');
     }
   }
 
+  private isReplacement(record: SessionRecord | undefined): boolean {
+    return (
+      record !== undefined && record.state !== 'ended' && !this.ownSessions.has(record.sessionId)
+    );
+  }
+
   private write(
     state: Pick<SessionState, 'sessionId' | 'renewal' | 'supersedes'>,
     ifRevision: Revision,
--- a/packages/platform/test/session.test.ts
+++ b/packages/platform/test/session.test.ts
@@ -50,6 +50,21 @@
     expect(rig.read('hosts/a')).to.equal(undefined);
   });
 
+  it('gives way to a later process of the same host', async () => {
+    // Guards against two processes that take the session from each other for ever.
+    const rig = new ControlRig();
+    const first = rig.createHost('a');
+    const task = first.start(first.session.run());
+    await rig.pass(1000);
+    const second = rig.startHost('a');
+    await rig.pass(1000);
+    const sessionId = second.session.check().unwrap();
+    await rig.pass(20_000);
+    expect(await task.done).to.equal('replaced');
+    expect(first.session.check().err).to.equal(true);
+    expect(second.session.check().unwrap()).to.equal(sessionId);
+  });
+
   it('names an earlier process of the same host until it must have lapsed', async () => {
     // Guards against a restarted host whose earlier process is still running somewhere.
     const rig = new ControlRig();
