Add journalled orders to engines and to the platform

The holder of the role fleet must not send conflicting orders, also when it is paused, cut off or succeeded. Each order is absolute, journalled by conditional update before it is sent, and settled by the receiver's state before the next one is journalled. A successor finishes an intended order under its id.

The HTTP adapter connects first, asks for the authority, and writes the order in the same event loop turn. A pooled client was ruled out: it can hold a request back until a connection is free, long after the check. A test watches the socket and sees the write in the turn of the check.

--- /dev/null
+++ b/packages/fleet/src/http-engine-control.ts
@@ -0,0 +1,125 @@
+import {Err, Ok, Result} from 'ts-results/result.js';
+import {buildConnector, Client} from 'undici';
+import {z} from 'zod';
+import {OrderId, TargetId} from '@radishgw/core';
+import {EngineControl, EngineOrder, EngineState, SendError} from './engine-control.js';
+
+/** Settings of the HTTP adapter. */
+export interface HttpEngineControlOptions {
+  /** Base URL of an engine's control interface; undefined if the target is not known. */
+  readonly baseUrlOf: (targetId: TargetId) => string | undefined;
+  /** The connection of an order is destroyed at this time. */
+  readonly sendTimeoutMs: number;
+}
+
+const stateSchema = z.object({
+  orderId: z
+    .string()
+    .nullable()
+    .transform(value => value as OrderId | null),
+  role: z.enum(['prefill', 'decode', 'mixed']),
+  modelVersions: z.array(z.string()),
+  adapters: z.array(z.string()),
+  drain: z.boolean(),
+  activeRequests: z.number(),
+});
+
+const STALE_STATUS = 409;
+
+class UnauthorisedError extends Error {}
+
+interface Exchange {
+  readonly method: 'GET' | 'POST';
+  readonly path: string;
+  readonly body?: string;
+  readonly authorise?: () => boolean;
+}
+
+/** Orders to engines over HTTP and JSON, with one connection for each order. */
+export class HttpEngineControl implements EngineControl {
+  constructor(private readonly options: HttpEngineControlOptions) {}
+
+  async sendOrder(
+    targetId: TargetId,
+    order: EngineOrder,
+    authorise: () => boolean,
+  ): Promise<Result<void, SendError>> {
+    const body = JSON.stringify(order);
+    const exchange: Exchange = {method: 'POST', path: '/v1/orders', body, authorise};
+    const answer = await this.exchange(targetId, exchange);
+    return answer.map(() => undefined);
+  }
+
+  async readState(targetId: TargetId): Promise<Result<EngineState, SendError>> {
+    const answer = await this.exchange(targetId, {method: 'GET', path: '/v1/state'});
+    if (answer.err) return answer;
+    try {
+      return Ok(stateSchema.parse(JSON.parse(answer.val)));
+    } catch (error) {
+      return Err({kind: 'rejected', detail: `state of ${targetId} not understood: ${error}`});
+    }
+  }
+
+  private async exchange(
+    targetId: TargetId,
+    exchange: Exchange,
+  ): Promise<Result<string, SendError>> {
+    const baseUrl = this.options.baseUrlOf(targetId);
+    if (!baseUrl) return Err({kind: 'notSent', detail: `target ${targetId} has no address`});
+    let connected = false;
+    const client = new Client(new URL(baseUrl).origin, {
+      connect: authorisedConnector(this.options.sendTimeoutMs, () => {
+        if (exchange.authorise && !exchange.authorise()) return false;
+        connected = true;
+        return true;
+      }),
+    });
+    const timeout = AbortSignal.timeout(this.options.sendTimeoutMs);
+    try {
+      const response = await client.request({
+        method: exchange.method,
+        path: new URL(baseUrl).pathname.replace(/\/$/, '') + exchange.path,
+        headers: exchange.body === undefined ? {} : {'content-type': 'application/json'},
+        body: exchange.body ?? null,
+        signal: timeout,
+      });
+      const text = await response.body.text();
+      if (response.statusCode >= 200 && response.statusCode < 300) return Ok(text);
+      return Err(classifyStatus(response.statusCode, text));
+    } catch (error) {
+      const detail = `${targetId}: ${error instanceof Error ? error.message : error}`;
+      if (error instanceof UnauthorisedError) return Err({kind: 'unauthorised', detail});
+      return Err({kind: connected ? 'outcomeUnknown' : 'notSent', detail});
+    } finally {
+      // Destroyed rather than closed, so that no byte of the order stays in the socket's queue.
+      await client.destroy();
+    }
+  }
+}
+
+/**
+ * A connector that asks for the authority once the connection stands. The client writes the
+ * request from promise continuations of this callback, hence in the same event loop turn.
+ */
+function authorisedConnector(
+  timeoutMs: number,
+  authorise: () => boolean,
+): buildConnector.connector {
+  const connect = buildConnector({timeout: timeoutMs});
+  return (options, callback) => {
+    connect(options, (...args) => {
+      const [error, socket] = args;
+      if (error) return callback(error, null);
+      if (authorise()) return callback(null, socket);
+      socket.destroy();
+      callback(new UnauthorisedError('authority was lost before the order was sent'), null);
+    });
+  };
+}
+
+function classifyStatus(statusCode: number, text: string): SendError {
+  const detail = `status ${statusCode}: ${text.slice(0, 200)}`;
+  if (statusCode === STALE_STATUS) return {kind: 'stale', detail};
+  if (statusCode === 503) return {kind: 'notSent', detail};
+  return {kind: statusCode >= 500 ? 'outcomeUnknown' : 'rejected', detail};
+}
--- /dev/null
+++ b/packages/fleet/src/target-orders.ts
@@ -0,0 +1,82 @@
+import {Err, Ok, Result} from 'ts-results/result.js';
+import {z} from 'zod';
+import {FailureDomain, OrderId, PoolId, Procedure} from '@radishgw/core';
+import {Authority, Platform, PlatformError} from '@radishgw/platform';
+import {SendError} from './engine-control.js';
+import {JournalledOrders, OrderChannel, OrderError, OrderTimes} from './journalled-orders.js';
+import {FleetDependencies} from './order-journal.js';
+
+/** How many targets of one kind a pool shall have in a failure domain, in all. */
+export interface TargetCount {
+  readonly pool: PoolId;
+  readonly failureDomain: FailureDomain;
+  readonly cheap: boolean;
+  readonly desiredCount: number;
+}
+
+const specSchema = z.object({
+  pool: z.string().transform(value => value as PoolId),
+  failureDomain: z.string().transform(value => value as FailureDomain),
+  cheap: z.boolean(),
+  desiredCount: z.number(),
+}) as unknown as z.ZodType<TargetCount>;
+
+const SEND_ERRORS: Record<PlatformError['kind'], SendError['kind']> = {
+  unavailable: 'notSent',
+  outcomeUnknown: 'outcomeUnknown',
+  conflict: 'stale',
+  notFound: 'rejected',
+  rejected: 'rejected',
+};
+
+class PlatformChannel implements OrderChannel<TargetCount> {
+  constructor(private readonly platform: Platform) {}
+
+  async send(
+    _receiver: string,
+    order: {readonly orderId: OrderId; readonly fencingNumber: number; readonly spec: TargetCount},
+    authorise: () => boolean,
+  ): Promise<Result<void, SendError>> {
+    const {orderId, fencingNumber, spec} = order;
+    if (!authorise()) return Err({kind: 'unauthorised', detail: 'authority was lost'});
+    const answer = await this.platform.orderTargets({orderId, fencingNumber, ...spec});
+    if (answer.ok) return Ok(undefined);
+    const {kind} = answer.val;
+    return Err({kind: SEND_ERRORS[kind], detail: `target order ${orderId}: ${kind}`});
+  }
+
+  /** The platform doesn't promise to refuse old fencing numbers. */
+  checksFencing(): boolean {
+    return false;
+  }
+}
+
+/**
+ * Target orders to the platform under one authority for the role `fleet`. The journal has one
+ * object for each pool, failure domain and kind: `fleet/<pool>/<domain>/<cheap|steady>`.
+ */
+export class TargetOrders {
+  private readonly orders: JournalledOrders<TargetCount>;
+
+  constructor(dependencies: FleetDependencies, authority: Authority, times?: OrderTimes) {
+    const channel = new PlatformChannel(dependencies.platform);
+    this.orders = new JournalledOrders(dependencies, authority, channel, {
+      prefix: 'fleet/',
+      specSchema,
+      sameSpec: (a, b) => a.desiredCount === b.desiredCount,
+      times,
+    });
+  }
+
+  /** Reads the journal of all pools in one call. */
+  loadAll(): Procedure<boolean> {
+    return this.orders.loadAll();
+  }
+
+  /** Orders the count unless it is the last one ordered; an earlier order is finished first. */
+  reconcile(count: TargetCount): Procedure<Result<void, OrderError>> {
+    const kind = count.cheap ? 'cheap' : 'steady';
+    const receiver = [count.pool, count.failureDomain, kind].map(encodeURIComponent).join('/');
+    return this.orders.reconcile(receiver, count);
+  }
+}
--- /dev/null
+++ b/packages/fleet/test/http-engine-control.test.ts
@@ -0,0 +1,114 @@
+import {createServer, IncomingMessage, Server, ServerResponse} from 'node:http';
+import {AddressInfo, Socket} from 'node:net';
+import {expect} from 'chai';
+import {OrderId, toId} from '@radishgw/core';
+import {EngineOrder, HttpEngineControl} from '../src/index.js';
+import {ENGINE, PREFILL} from './order-rig.js';
+
+const ORDER: EngineOrder = {...PREFILL, orderId: toId<OrderId>('1.1.a'), fencingNumber: 4};
+
+describe('HttpEngineControl', () => {
+  let server: Server;
+  let answer: (request: IncomingMessage, response: ServerResponse, body: string) => void;
+  let requests: {line: string; body: string}[];
+  let control: HttpEngineControl;
+
+  beforeEach(async () => {
+    requests = [];
+    server = createServer((request, response) => {
+      let body = '';
+      request.on('data', (chunk: Buffer) => (body += chunk.toString()));
+      request.on('end', () => {
+        requests.push({line: `${request.method} ${request.url}`, body});
+        answer(request, response, body);
+      });
+    });
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+    const {port} = server.address() as AddressInfo;
+    const baseUrlOf = () => `http://127.0.0.1:${port}`;
+    control = new HttpEngineControl({baseUrlOf, sendTimeoutMs: 300});
+  });
+  afterEach(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+
+  it('sends an order as JSON', async () => {
+    // Guards against a change of the order's form on the wire.
+    answer = (_request, response) => response.end('{}');
+    expect((await control.sendOrder(ENGINE, ORDER, () => true)).ok).to.equal(true);
+    expect(requests[0].line).to.equal('POST /v1/orders');
+    expect(JSON.parse(requests[0].body)).to.deep.equal(ORDER);
+  });
+
+  it('writes nothing when the authority is gone once the connection stands', async () => {
+    // Guards against orders that wait for a connection longer than the authority lasts.
+    answer = (_request, response) => response.end('{}');
+    const result = await control.sendOrder(ENGINE, ORDER, () => false);
+    expect(result.err && result.val.kind).to.equal('unauthorised');
+    expect(requests).to.have.length(0);
+  });
+
+  it('asks for the authority in the turn in which the order is written', async () => {
+    // Guards against a client that writes the order in a later turn than the check.
+    answer = (_request, response) => response.end('{}');
+    let turnEnded = false;
+    let writtenInTurn: boolean | undefined;
+    const {write} = Socket.prototype;
+    Socket.prototype.write = function (this: Socket, ...args: unknown[]) {
+      if (String(args[0]).startsWith('POST /v1/orders')) writtenInTurn ??= !turnEnded;
+      return (write as (...all: unknown[]) => boolean).apply(this, args);
+    } as typeof write;
+    try {
+      await control.sendOrder(ENGINE, ORDER, () => {
+        setImmediate(() => (turnEnded = true));
+        return true;
+      });
+    } finally {
+      Socket.prototype.write = write;
+    }
+    expect(writtenInTurn).to.equal(true);
+  });
+
+  it('tells refusals from unknown outcomes', async () => {
+    // Guards against a lost answer that is taken for a refusal, and the other way round.
+    const statuses: [number, string][] = [
+      [409, 'stale'],
+      [422, 'rejected'],
+      [500, 'outcomeUnknown'],
+      [503, 'notSent'],
+    ];
+    for (const [status, kind] of statuses) {
+      answer = (_request, response) => response.writeHead(status).end();
+      const result = await control.sendOrder(ENGINE, ORDER, () => true);
+      expect(result.err && result.val.kind, `${status}`).to.equal(kind);
+    }
+  });
+
+  it('destroys the connection when no answer comes in time', async () => {
+    // Guards against bytes that stay in a queue after the send timeout.
+    const closed = new Promise<void>(resolve => {
+      answer = request => request.socket.on('close', () => resolve());
+    });
+    const result = await control.sendOrder(ENGINE, ORDER, () => true);
+    expect(result.err && result.val.kind).to.equal('outcomeUnknown');
+    await closed;
+  });
+
+  it('reports an engine that does not listen as not sent', async () => {
+    // Guards against refusals to connect that are treated as possible orders.
+    await new Promise<void>(resolve => server.close(() => resolve()));
+    const result = await control.sendOrder(ENGINE, ORDER, () => true);
+    expect(result.err && result.val.kind).to.equal('notSent');
+  });
+
+  it('reads the state and rejects one that it does not understand', async () => {
+    // Guards against acting on a state that was read wrongly.
+    const state = {...PREFILL, orderId: null, activeRequests: 3};
+    answer = (_request, response) => response.end(JSON.stringify(state));
+    expect((await control.readState(ENGINE)).unwrap()).to.deep.equal(state);
+    answer = (_request, response) => response.end('{"role":"unknown"}');
+    const result = await control.readState(ENGINE);
+    expect(result.err && result.val.kind).to.equal('rejected');
+  });
+});
