Enforce shared limits in the entry host and prove the freshness rule

Cause: the host admitted every request, and nothing showed that the freshness rule holds between real processes.

Change: the limits package is joined to shard assignment and the inner protocol; owners hand buckets over on a planned stop; a shard that never had an owner starts with full buckets, since nothing was admitted. GET /v1/entry names the placement hosts of the team's shard first. Test deployments can put fault proxies before each host's inner address and platform.

Seen before: with the freshness check switched off in the built program, the test "stops keyed requests on a host that is cut off from platform and peers" waits for ever, because the isolated host goes on answering 200 to the withdrawn key. With the check it refuses with config_not_fresh.

Ruled out: a majority of hosts as evidence of an outage; the test with two of three hosts cut off guards against it.

--- a/packages/bench/src/control/mutations.ts
+++ b/packages/bench/src/control/mutations.ts
@@ -1,4 +1,4 @@
-import {Ok} from 'ts-results/result.js';
+import {Ok} from '@radishgw/core';
 import {Platform} from '@radishgw/platform';
 
 /** Mechanisms that a soak can run without, to show that it finds what they prevent. */
--- a/packages/config/src/store.ts
+++ b/packages/config/src/store.ts
@@ -31,6 +31,8 @@
   readonly keys: readonly KeyRecord[];
   /** Revision of the team's object. */
   readonly revision: Revision;
+  /** Highest revision that the parameters come from: the team's object or the templates. */
+  readonly parametersRevision: Revision;
 }
 
 const PARAMETER_DEFAULTS: TeamParameters = {
@@ -72,6 +74,7 @@
   private readonly targets = new Map<TargetId, TargetConfig>();
   private readonly targetsByPool = new Map<string, TargetConfig[]>();
   private base: BaseConfig | undefined;
+  private baseRevision: Revision = 0;
   private complete: Revision = 0;
   private highest: Revision = 0;
 
@@ -199,6 +202,7 @@
     const parsed = parseValue(event.value, baseConfigSchema);
     if (parsed.err) return Err(describeError(event, parsed.val));
     this.base = parsed.val;
+    this.baseRevision = event.revision;
     replaceAll(this.templates, parsed.val.templates, template => template.templateId);
     replaceAll(this.models, parsed.val.models, model => model.model);
     replaceAll(this.targets, parsed.val.targets, target => toId<TargetId>(target.targetId));
@@ -232,12 +236,14 @@
 
   private indexTeam(config: TeamConfig): void {
     const teamId = toId<TeamId>(config.teamId);
+    const revision = this.teamRevisions.get(teamId) ?? 0;
     this.teams.set(teamId, {
       teamId,
       template: config.template,
       parameters: resolveParameters(config, this.templates.get(config.template)),
       keys: config.keys,
-      revision: this.teamRevisions.get(teamId) ?? 0,
+      revision,
+      parametersRevision: Math.max(revision, this.baseRevision),
     });
     for (const key of config.keys) {
       if (this.withdrawnDigests.has(key.digestHex)) continue;
--- /dev/null
+++ b/packages/ctl/test/rollout.test.ts
@@ -0,0 +1,145 @@
+import {execFile} from 'node:child_process';
+import {fileURLToPath} from 'node:url';
+import {teamKey} from '@radishgw/config';
+import {Deployment, HostHandle, startDeployment} from '@radishgw/testkit';
+import {expect} from 'chai';
+import {Agent, request} from 'undici';
+
+const MAIN = fileURLToPath(new URL('../src/main.js', import.meta.url));
+const POLL_MS = 50;
+
+/** Repeats a question until the answer is wanted; mocha's timeout bounds the whole test. */
+async function until(ask: () => Promise<boolean>): Promise<void> {
+  while (!(await ask())) await new Promise(resolve => setTimeout(resolve, POLL_MS));
+}
+
+describe('configuration on all hosts', () => {
+  let deployment: Deployment;
+  let agent: Agent;
+
+  before(async () => {
+    deployment = await startDeployment({
+      hosts: 3,
+      engines: 1,
+      services: 1,
+      failureDomains: ['hobart-a', 'hobart-b', 'kingston'],
+      decodeMsPerToken: 1,
+      proxied: true,
+    });
+    agent = new Agent({connections: 1, keepAliveTimeout: 600_000});
+  });
+
+  after(async () => {
+    await agent.destroy();
+    await deployment.stop();
+  });
+
+  function radishctl(...args: string[]): Promise<{code: number; stdout: string; stderr: string}> {
+    const env = {...process.env, RADISHCTL_PLATFORM_URL: deployment.platformUrl};
+    return new Promise(resolve => {
+      execFile(process.execPath, [MAIN, ...args], {env}, (error, stdout, stderr) => {
+        resolve({code: error ? Number((error as {code?: number}).code) : 0, stdout, stderr});
+      });
+    });
+  }
+
+  async function callWith(host: HostHandle, key: string): Promise<{status: number; code?: string}> {
+    const response = await request(`${host.entryUrl}/v1/models`, {
+      dispatcher: agent,
+      headers: {authorization: `Bearer ${key}`},
+    });
+    const body = (await response.body.json()) as {error?: {code: string; execution: string}};
+    if (body.error) expect(body.error.execution).to.equal('not_run');
+    return {status: response.statusCode, code: body.error?.code};
+  }
+
+  async function readStatus(host: HostHandle) {
+    const response = await request(`${host.operatorUrl}/status`);
+    return (await response.body.json()) as {freshness: {kind: string}; completeRevision: number};
+  }
+
+  async function setFaults(faults: object): Promise<void> {
+    const response = await request(`${deployment.platformUrl}/faults`, {
+      method: 'POST',
+      body: JSON.stringify(faults),
+    });
+    await response.body.dump();
+  }
+
+  async function issueKey(): Promise<{keyId: string; key: string}> {
+    const issued = await radishctl('key', 'issue', deployment.teamId, '--wait', '--output', 'json');
+    expect(issued.code, issued.stderr).to.equal(0);
+    const end = issued.stdout.indexOf('}\n') + 1;
+    return JSON.parse(issued.stdout.slice(0, end)) as {keyId: string; key: string};
+  }
+
+  it('has an issued key in force on every host after --wait, and withdraws it everywhere', async () => {
+    // Guards against a withdrawn key that still works on open connections of some host.
+    const {keyId, key} = await issueKey();
+    for (const host of deployment.hosts) {
+      expect(await callWith(host, key)).to.deep.equal({status: 200, code: undefined});
+    }
+    const withdrawn = await radishctl('key', 'withdraw', deployment.teamId, keyId, '--wait');
+    expect(withdrawn.code, withdrawn.stderr).to.equal(0);
+    for (const host of deployment.hosts) {
+      expect(await callWith(host, key)).to.deep.equal({status: 401, code: 'invalid_api_key'});
+    }
+  });
+
+  it('stops keyed requests on a host that is cut off from platform and peers', async () => {
+    // Guards against an isolated host that goes on accepting withdrawn keys.
+    const {keyId, key} = await issueKey();
+    const isolated = deployment.hosts[2];
+    for (const host of deployment.hosts) {
+      host.proxies!.inner.setFaults('both', {frozen: true});
+    }
+    isolated.proxies!.platform.setFaults('both', {frozen: true});
+    const object = (await deployment.platform.get(teamKey(deployment.teamId))).unwrap();
+    const team = JSON.parse(object.value) as {keys: {keyId: string}[]};
+    team.keys = team.keys.filter(record => record.keyId !== keyId);
+    const condition = {ifRevision: object.revision};
+    (await deployment.platform.put(object.key, JSON.stringify(team), condition)).unwrap();
+    await until(async () => (await callWith(isolated, key)).code === 'config_not_fresh');
+    for (const host of deployment.hosts.slice(0, 2)) {
+      await until(async () => (await callWith(host, key)).code === 'invalid_api_key');
+      expect((await callWith(host, deployment.key)).status).to.equal(200);
+    }
+    for (const host of deployment.hosts) host.proxies!.inner.clearFaults();
+    isolated.proxies!.platform.clearFaults();
+    await until(async () => (await callWith(isolated, key)).code === 'invalid_api_key');
+    await until(async () => (await callWith(isolated, deployment.key)).status === 200);
+  });
+
+  it('serves on through an outage of the platform that all hosts see', async () => {
+    // Guards against an outage of the platform that stops all service.
+    await setFaults({outage: true});
+    for (const host of deployment.hosts) {
+      await until(async () => (await readStatus(host)).freshness.kind === 'outage');
+      expect((await callWith(host, deployment.key)).status).to.equal(200);
+    }
+    await setFaults({outage: false});
+    for (const host of deployment.hosts) {
+      await until(async () => (await readStatus(host)).freshness.kind === 'fresh');
+    }
+  });
+
+  it('stops keyed requests when only part of the hosts lose the platform and each other', async () => {
+    // Guards against two cut-off hosts that take each other's silence for an outage.
+    const [first, second] = deployment.hosts;
+    for (const host of [first, second]) {
+      host.proxies!.platform.setFaults('both', {frozen: true});
+    }
+    deployment.hosts[2].proxies!.inner.setFaults('both', {frozen: true});
+    for (const host of [first, second]) {
+      await until(async () => (await readStatus(host)).freshness.kind === 'stale');
+    }
+    expect((await callWith(deployment.hosts[2], deployment.key)).status).to.equal(200);
+    for (const host of deployment.hosts) {
+      host.proxies!.platform.clearFaults();
+      host.proxies!.inner.clearFaults();
+    }
+    for (const host of [first, second]) {
+      await until(async () => (await readStatus(host)).freshness.kind === 'fresh');
+    }
+  });
+});
--- a/packages/fleet/src/engine-control.ts
+++ b/packages/fleet/src/engine-control.ts
@@ -1,4 +1,4 @@
-import {Result} from 'ts-results/result.js';
+import {Result} from '@radishgw/core';
 import {OrderId, TargetId} from '@radishgw/core';
 
 /** What an engine works on. */
--- a/packages/gateway/src/entry-hosts.ts
+++ b/packages/gateway/src/entry-hosts.ts
@@ -1,4 +1,4 @@
-import {hash32, HostId, TeamId} from '@radishgw/core';
+import {HostId} from '@radishgw/core';
 import {Member} from '@radishgw/platform';
 
 /** Answer of `GET /v1/entry`. */
@@ -11,16 +11,17 @@
 
 const ENTRY_MAX_AGE_MS = 10_000;
 
-/** Hosts for a team's callers: its placement hosts first, the others as a fallback. */
+/** Hosts for a team's callers: its placement hosts in order, then the others as a fallback. */
 export function listEntryHosts(
-  teamId: TeamId,
+  placement: readonly HostId[],
   members: readonly Member[],
   isReachable: (hostId: HostId) => boolean,
 ): EntryHosts {
-  const hosts = members
-    .filter(member => !member.leaving && isReachable(member.hostId))
-    .map(member => ({member, score: hash32(`${teamId}/${member.hostId}`)}))
-    .sort((a, b) => b.score - a.score)
-    .map(({member}) => member.callerAddress);
+  const usable = members.filter(member => !member.leaving && isReachable(member.hostId));
+  const rank = (member: Member) => {
+    const index = placement.indexOf(member.hostId);
+    return index < 0 ? placement.length : index;
+  };
+  const hosts = [...usable].sort((a, b) => rank(a) - rank(b)).map(member => member.callerAddress);
   return {hosts, maxAgeMs: ENTRY_MAX_AGE_MS};
 }
--- a/packages/gateway/src/inner/peer-clients.ts
+++ b/packages/gateway/src/inner/peer-clients.ts
@@ -16,6 +16,8 @@
   'grpc.keepalive_permit_without_calls': 1,
   'grpc.initial_reconnect_backoff_ms': 200,
   'grpc.max_reconnect_backoff_ms': 1000,
+  // Hosts are addressed by IP number, which TLS doesn't allow as a server name.
+  'grpc.ssl_target_name_override': 'radishgw',
   'grpc.max_receive_message_length': 64 * 1024 * 1024,
 };
 
--- /dev/null
+++ b/packages/gateway/src/limits/limit-messages.ts
@@ -0,0 +1,93 @@
+import * as limits from '@radishgw/limits';
+import * as protocol from '@radishgw/protocol';
+
+// The messages of the limits package have the fields of the protocol's messages; only enumerations
+// and branded ids differ.
+
+const OUTCOMES = {
+  granted: protocol.AcquireGrantResponse_Outcome.GRANTED,
+  refused: protocol.AcquireGrantResponse_Outcome.REFUSED,
+  notOwner: protocol.AcquireGrantResponse_Outcome.NOT_OWNER,
+} as const;
+
+const OUTCOME_NAMES = new Map(
+  Object.entries(OUTCOMES).map(([name, value]) => [value, name as keyof typeof OUTCOMES]),
+);
+
+export function encodeAcquire(request: limits.AcquireGrantRequest): protocol.AcquireGrantRequest {
+  return protocol.create(protocol.AcquireGrantRequestSchema, {
+    ...request,
+    reports: request.reports.map(report => ({...report})),
+    refunds: request.refunds.map(refund => ({...refund})),
+  });
+}
+
+export function decodeAcquire(request: protocol.AcquireGrantRequest): limits.AcquireGrantRequest {
+  return request as unknown as limits.AcquireGrantRequest;
+}
+
+export function encodeAcquired(
+  response: limits.AcquireGrantResponse,
+): protocol.AcquireGrantResponse {
+  return protocol.create(protocol.AcquireGrantResponseSchema, {
+    ...response,
+    outcome: OUTCOMES[response.outcome],
+  });
+}
+
+/** An outcome that this version doesn't know counts as an answer of a host that isn't the owner. */
+export function decodeAcquired(
+  response: protocol.AcquireGrantResponse,
+): limits.AcquireGrantResponse {
+  return {...response, outcome: OUTCOME_NAMES.get(response.outcome as never) ?? 'notOwner'};
+}
+
+export function encodeConfirm(
+  request: limits.ConfirmReserveRequest,
+): protocol.ConfirmReserveRequest {
+  return protocol.create(protocol.ConfirmReserveRequestSchema, {
+    ...request,
+    reserves: request.reserves.map(reserve => ({...reserve})),
+    refunds: request.refunds.map(refund => ({...refund})),
+  });
+}
+
+export function decodeConfirm(
+  request: protocol.ConfirmReserveRequest,
+): limits.ConfirmReserveRequest {
+  return request as unknown as limits.ConfirmReserveRequest;
+}
+
+export function encodeConfirmed(
+  response: limits.ConfirmReserveResponse,
+): protocol.ConfirmReserveResponse {
+  return protocol.create(protocol.ConfirmReserveResponseSchema, {
+    ...response,
+    changes: response.changes.map(change => ({...change})),
+  });
+}
+
+export function decodeConfirmed(
+  response: protocol.ConfirmReserveResponse,
+): limits.ConfirmReserveResponse {
+  return response as unknown as limits.ConfirmReserveResponse;
+}
+
+export function encodeHandOver(
+  request: limits.HandOverShardsRequest,
+): protocol.HandOverShardsRequest {
+  return protocol.create(protocol.HandOverShardsRequestSchema, {
+    ...request,
+    buckets: request.buckets.map(bucket => ({
+      ...bucket,
+      reserves: bucket.reserves.map(reserve => ({...reserve})),
+    })),
+    syncedHolders: request.syncedHolders.map(holder => ({...holder})),
+  });
+}
+
+export function decodeHandOver(
+  request: protocol.HandOverShardsRequest,
+): limits.HandOverShardsRequest {
+  return request as unknown as limits.HandOverShardsRequest;
+}
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -19,6 +19,7 @@
   callerAddress: address,
   operatorAddress: address,
   innerAddress: address,
+  innerListenAddress: address.optional(),
   platformTimeoutMs: positive,
   maxBodyBytes: positive,
   maxInFlight: positive,
@@ -54,6 +55,10 @@
       'caller-address': {type: 'string', describe: "IP:PORT of the callers' API"},
       'operator-address': {type: 'string', describe: "IP:PORT of the operators' API"},
       'inner-address': {type: 'string', describe: 'IP:PORT for the other hosts'},
+      'inner-listen-address': {
+        type: 'string',
+        describe: 'IP:PORT to listen on for the other hosts, if not the inner address',
+      },
       'platform-timeout-ms': {type: 'number', default: 2000, describe: 'Bound on a platform call'},
       'max-body-bytes': {type: 'number', default: 8_388_608, describe: 'Bound on a request body'},
       'max-in-flight': {type: 'number', default: 4096, describe: 'Bound on requests in flight'},
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -19,8 +19,10 @@
   HttpPlatform,
   Member,
   Membership,
+  ShardAssignment,
 } from '@radishgw/platform';
-import {create, HeartbeatResponseSchema} from '@radishgw/protocol';
+import {DEFAULT_LIMIT_SETTINGS, placeShards} from '@radishgw/limits';
+import {create, HandOverShardsResponseSchema, HeartbeatResponseSchema} from '@radishgw/protocol';
 import {Agent} from 'undici';
 import {CallerServer} from './caller/caller-server.js';
 import {ConfigSync} from './config-sync.js';
@@ -32,13 +34,16 @@
 import {startInnerServer} from './inner/inner-server.js';
 import {PeerClients} from './inner/peer-clients.js';
 import {Peers} from './inner/peers.js';
+import {findLimit, LimitService} from './limits/limit-service.js';
+import {OwnedShards} from './limits/owned-shards.js';
+import {sendHandOver} from './limits/hand-over.js';
+import * as messages from './limits/limit-messages.js';
 import {DecisionLog} from './operator/decision-log.js';
 import {Metrics} from './operator/metrics.js';
 import {createOperatorServer} from './operator/operator-server.js';
 import {PlatformMonitor} from './platform-monitor.js';
 import {IdempotencyClaims} from './request/idempotency.js';
 import {Refusal} from './request/refusal.js';
-import {UnlimitedLimiter} from './request/unlimited.js';
 import {readInnerTlsSettings, readTlsSettings, Settings} from './settings.js';
 
 /** A running entry host. */
@@ -120,7 +125,52 @@
     clients,
     failureDomain,
     isReachable: id => peers.isReachable(id),
-    onChanged: () => dispatcher.applyConfig(),
+    onChanged: () => {
+      dispatcher.applyConfig();
+      limiter.applyConfig();
+    },
+  });
+
+  const limitSettings = {...DEFAULT_LIMIT_SETTINGS, shardCount: settings.shardCount};
+  const owned: OwnedShards = new OwnedShards({
+    clock,
+    settings: limitSettings,
+    findLimit: teamId => findLimit(config, teamId),
+    authorityUntilMs: shard => {
+      const renewal = session.lastRenewal;
+      const mayAct = assignment.check(shard).ok && renewal !== undefined;
+      return mayAct ? renewal.sentAtMs + session.times.ttlMs : undefined;
+    },
+  });
+  const limiter: LimitService = new LimitService({
+    clock,
+    random,
+    hostId,
+    config,
+    clients,
+    decisions,
+    settings: limitSettings,
+    owned,
+    viewShard: shard => {
+      const owner = assignment.owner(shard);
+      const placement = assignment.placementOf(shard);
+      return {ownerId: owner?.hostId, epoch: owner?.epoch ?? 0, placement};
+    },
+  });
+  const assignment: ShardAssignment = new ShardAssignment(dependencies, session, membership, {
+    shardCount: settings.shardCount,
+    placement: (members, shardCount) =>
+      placeShards(members, shardCount, limitSettings.placementSize),
+    describeData: (shard, previous, placement) => owned.describeData(shard, previous, placement),
+    onAcquired: (shard, authority, claim) => owned.acquire(shard, authority.epoch, claim),
+    onPlacement: (shard, placement) => owned.changePlacement(shard, placement),
+    onLost: shard => owned.lose(shard),
+    beforeRelease: shard =>
+      sendHandOver(
+        clients,
+        owned.handOver(shard, {hostId, sessionId: limiter.sessionId}),
+        assignment.placementOf(shard).filter(id => id !== hostId),
+      ),
   });
 
   const http = new Agent({connections: 256, pipelining: 1});
@@ -137,7 +187,7 @@
     random,
     metrics,
     http,
-    limiter: new UnlimitedLimiter(),
+    limiter,
     dispatcher,
     maxBodyBytes: settings.maxBodyBytes,
     maxInFlight: settings.maxInFlight,
@@ -149,7 +199,11 @@
       throw new Refusal('configNotFresh', `keys can't be confirmed: ${verdict.reason}`);
     },
     listEntryHosts: caller =>
-      listEntryHosts(caller.team.teamId, membership.members(), id => peers.isReachable(id)),
+      listEntryHosts(
+        assignment.placementOf(limiter.shardOf(caller.team.teamId)),
+        membership.members(),
+        id => peers.isReachable(id),
+      ),
     recordUsage: () => undefined,
   });
 
@@ -173,18 +227,23 @@
       rejected: config.listRejected(),
       inFlight: callers.getInFlight(),
       queued: dispatcher.countQueued(),
+      shards: assignment.ownedShards().length,
       members: membership.members().map(member => member.hostId),
       subscribers: feed.countSubscribers(),
     }),
   });
 
-  const innerServer = await startInnerServer(settings.innerAddress, credentials.server, {
+  const innerListenAddress = settings.innerListenAddress ?? settings.innerAddress;
+  const innerServer = await startInnerServer(innerListenAddress, credentials.server, {
     heartbeat: () => create(HeartbeatResponseSchema, {report: peers.buildReport()}),
     subscribeConfig: stream => feed.subscribe(stream),
-    acquireGrant: () => Promise.reject(new Error('not available')),
-    confirmReserve: () => Promise.reject(new Error('not available')),
-    handOverShards: () => {
-      throw new Error('not available');
+    acquireGrant: async request =>
+      messages.encodeAcquired(owned.acquireGrant(messages.decodeAcquire(request))),
+    confirmReserve: async request =>
+      messages.encodeConfirmed(await owned.confirmReserve(messages.decodeConfirm(request))),
+    handOverShards: request => {
+      owned.keepHandOver(messages.decodeHandOver(request));
+      return create(HandOverShardsResponseSchema, {accepted: true});
     },
     pushUsage: () => {
       throw new Error('not available');
@@ -208,6 +267,9 @@
   start(membership.run());
   start(configSync.run());
   start(peers.run());
+  start(assignment.watch());
+  start(assignment.run());
+  start(limiter.run());
   start(
     pollLoads({
       clock,
@@ -223,6 +285,7 @@
     session.beginLeave();
     await callers.stop(settings.shutdownTimeoutMs);
     await claims.waitUntilSettled();
+    await startTask(assignment.releaseAll(), handlers).done;
     for (const task of tasks) task.cancel();
     feed.close();
     await startTask(session.end(), handlers).done;
--- a/packages/platform/src/authority.ts
+++ b/packages/platform/src/authority.ts
@@ -1,4 +1,4 @@
-import {Result} from 'ts-results/result.js';
+import {Result} from '@radishgw/core';
 import {HostId, SessionId} from '@radishgw/core';
 
 /** Number of a holder of a role or shard; rises by one with each claim and fences its orders. */
--- a/packages/platform/src/holder.ts
+++ b/packages/platform/src/holder.ts
@@ -1,4 +1,4 @@
-import {Err, Ok, Result} from 'ts-results/result.js';
+import {Err, Ok, Result} from '@radishgw/core';
 import {assertInvariant, call, HostId, Procedure, SessionId} from '@radishgw/core';
 import {Authority, AuthorityError, Epoch} from './authority.js';
 import {Membership} from './membership.js';
--- a/packages/platform/src/shard-assignment.ts
+++ b/packages/platform/src/shard-assignment.ts
@@ -1,4 +1,4 @@
-import {Err, Result} from 'ts-results/result.js';
+import {Err, Result} from '@radishgw/core';
 import {call, HostId, Procedure, sleep} from '@radishgw/core';
 import {Authority, AuthorityError, Epoch} from './authority.js';
 import {
--- a/packages/platform/src/testing/memory-store.ts
+++ b/packages/platform/src/testing/memory-store.ts
@@ -1,4 +1,4 @@
-import {Err, Ok, Result} from 'ts-results/result.js';
+import {Err, Ok, Result} from '@radishgw/core';
 import {Clock, HostId} from '@radishgw/core';
 import {
   ListedHost,
--- a/packages/testkit/src/deployment.ts
+++ b/packages/testkit/src/deployment.ts
@@ -11,6 +11,7 @@
 import {createSystemRandom, KeyId, toId} from '@radishgw/core';
 import {HttpPlatform} from '@radishgw/platform';
 import {createCertificate} from './certificates.js';
+import {FaultProxy, startFaultProxy} from './fault-proxy.js';
 import {Child, findFreePorts, startChild, startStandIn, waitForUrl} from './child.js';
 
 /** Size and behaviour of a deployment on the loopback interface. */
@@ -22,6 +23,8 @@
   readonly decodeMsPerToken: number;
   /** Further flags for each host. */
   readonly hostFlags?: readonly string[];
+  /** Puts fault proxies before the inner address of each host and between it and the platform. */
+  readonly proxied?: boolean;
   readonly tokensPerSecond?: number;
   readonly burstTokens?: number;
   readonly maxInFlight?: number;
@@ -39,6 +42,8 @@
   readonly entryUrl: string;
   readonly operatorUrl: string;
   readonly innerAddress: string;
+  /** Proxies of the host; undefined unless the deployment is proxied. */
+  readonly proxies?: {readonly platform: FaultProxy; readonly inner: FaultProxy};
 }
 
 /** Processes of a deployment and what is needed to call them. */
@@ -176,20 +181,29 @@
     const hostId = `host-${index + 1}`;
     const entryUrl = `http://127.0.0.1:${callerPort}`;
     const operatorUrl = `http://127.0.0.1:${operatorPort}`;
-    const innerAddress = `127.0.0.1:${innerPort}`;
+    const innerListenAddress = `127.0.0.1:${innerPort}`;
+    const proxies = options.proxied
+      ? {
+          platform: await startFaultProxy({targetUrl: platformUrl, seed: index}),
+          inner: await startFaultProxy({targetUrl: `http://${innerListenAddress}`, seed: index}),
+        }
+      : undefined;
+    const innerAddress = proxies ? new URL(proxies.inner.url).host : innerListenAddress;
     const child = startChild(hostId, GATEWAY_MAIN, [
       '--host-id',
       hostId,
       '--failure-domain',
       options.failureDomains[index % options.failureDomains.length],
       '--platform-url',
-      hostPlatformUrl,
+      proxies?.platform.url ?? hostPlatformUrl,
       '--caller-address',
       `127.0.0.1:${callerPort}`,
       '--operator-address',
       `127.0.0.1:${operatorPort}`,
       '--inner-address',
       innerAddress,
+      '--inner-listen-address',
+      innerListenAddress,
       '--inner-ca-file',
       certificate.certificateFile,
       '--inner-certificate-file',
@@ -206,7 +220,7 @@
         });
       }),
     ]);
-    return {hostId, child, entryUrl, operatorUrl, innerAddress};
+    return {hostId, child, entryUrl, operatorUrl, innerAddress, proxies};
   };
 
   const hosts = await Promise.all(Array.from({length: options.hosts}, (_, i) => startHost(i)));
@@ -233,6 +247,10 @@
       await Promise.all(hosts.map(host => stopIfRunning(host.child)));
       await Promise.all([...engines, ...services].map(({child}) => stopIfRunning(child)));
       await stopIfRunning(platformChild);
+      for (const {proxies} of hosts) {
+        await proxies?.platform.stop();
+        await proxies?.inner.stop();
+      }
       await platform.close();
       await certificate.remove();
     },
