--- a/packages/bench/src/limits-process.ts
+++ b/packages/bench/src/limits-process.ts
@@ -23,6 +23,7 @@
   requestTokens,
   setPlacement,
   settleRequest,
+  stopHost,
 } from '@radishgw/limits';
 import {PlatformSnapshot, ShardRecord} from './limits-platform.js';
 import type {LimitsWorld} from './limits-world.js';
@@ -142,8 +143,9 @@
   /** Planned stop: hands the shards over, then ends the session. */
   stop(): void {
     this.isLeaving = true;
-    this.run(() => this.handOverAll());
-    this.later(300, () => {
+    this.run(() => this.perform(stopHost(this.host, this.nowMs())));
+    this.later(50, () => this.handOverAll());
+    this.later(400, () => {
       const {store} = this.world;
       this.callPlatform(
         () => store.writeSession(this.hostId, this.sessionId, 'end'),
--- a/packages/bench/src/limits-soak.ts
+++ b/packages/bench/src/limits-soak.ts
@@ -22,6 +22,13 @@
 
 export type FaultKind = (typeof FAULT_KINDS)[number];
 
+/** Cuts a host from its peers while it still reaches the platform and callers. */
+function cutPeers(world: LimitsWorld, hostId: HostId, isCut: boolean): void {
+  for (const other of world.processes.keys()) {
+    if (other !== hostId) world.network.setBlocked(hostId, other, isCut);
+  }
+}
+
 type Fault = (world: LimitsWorld, random: RandomSource) => void;
 
 function pickHost(world: LimitsWorld, random: RandomSource): HostId {
@@ -57,7 +64,13 @@
       world.clock.setTimer(durationMs, () => world.setIsolated(hostId, false));
       return;
     }
-    const other = random.next() < 0.3 ? 'platform' : pickHost(world, random);
+    if (random.next() < 0.5) {
+      world.note(`cut ${hostId} from all hosts`);
+      cutPeers(world, hostId, true);
+      world.clock.setTimer(durationMs, () => cutPeers(world, hostId, false));
+      return;
+    }
+    const other = random.next() < 0.5 ? 'platform' : pickHost(world, random);
     if (other === hostId) return;
     world.note(`cut ${hostId} from ${other}`);
     world.network.setBlocked(hostId, other, true);
@@ -90,15 +103,17 @@
 function scheduleFaults(world: LimitsWorld, random: RandomSource, kind: FaultKind): void {
   if (kind === 'none' || kind === 'loss') return;
   const kinds = Object.keys(FAULTS) as Array<keyof typeof FAULTS>;
-  const count = kind === 'mixed' ? 6 : 2;
+  const count = kind === 'mixed' ? 8 : 2;
+  const allowed = world.options.ignoreFreshness ? kinds.filter(k => k !== 'rateChange') : kinds;
   for (let i = 0; i < count; i++) {
-    const chosen = kind === 'mixed' ? kinds[random.nextInt(kinds.length)] : kind;
+    const chosen = kind === 'mixed' ? allowed[random.nextInt(allowed.length)] : kind;
     const atMs = FIRST_FAULT_MS + random.next() * (RUN_MS - FIRST_FAULT_MS - 10_000);
     world.clock.setTimer(atMs, () => FAULTS[chosen](world, random));
   }
 }
 
 function randomTeam(index: number, random: RandomSource): TeamSpec {
+  const isGreedy = index >= 2;
   const shapes: TrafficShape[] = ['steady', 'bursty', 'moving'];
   const tokensPerSecond = 500 + random.nextInt(5000);
   const burstTokens = tokensPerSecond * (2 + random.next() * 10);
@@ -106,10 +121,10 @@
     teamId: toId(`t${index}`),
     tokensPerSecond,
     burstTokens,
-    shape: shapes[random.nextInt(3)],
+    shape: isGreedy ? 'surge' : shapes[random.nextInt(3)],
     meanCostTokens: (tokensPerSecond / 4) * (0.2 + random.next()),
     load: 0.5 + random.next() * 0.8,
-    greedy: index === 3,
+    greedy: isGreedy,
     leastActualShare: random.next() < 0.5 ? 1 : 0.2,
   };
 }
@@ -137,6 +152,8 @@
       lateDelayMs: 3000,
     },
     longestRequestMs: 8000,
+    // A limit that a cut-off host doesn't know of is left to the freshness rule.
+    ignoreFreshness: kind !== 'rateChange' && random.next() < 0.5,
   };
 }
 
--- a/packages/bench/src/limits-world.ts
+++ b/packages/bench/src/limits-world.ts
@@ -30,7 +30,7 @@
 const CLOCK_DRIFT = 1e-4;
 
 /** How a team's requests are spread. */
-export type TrafficShape = 'steady' | 'bursty' | 'moving';
+export type TrafficShape = 'steady' | 'bursty' | 'moving' | 'surge';
 
 /** A team and its traffic. */
 export interface TeamSpec {
@@ -59,6 +59,8 @@
   readonly longestRequestMs: number;
   /** Uses only the current placement as former holders, to show why the record is needed. */
   readonly ignoreFormerHolders?: boolean;
+  /** Callers also reach hosts whose configuration isn't fresh, so limits must hold on their own. */
+  readonly ignoreFreshness?: boolean;
 }
 
 interface TeamTraffic {
@@ -133,7 +135,22 @@
     placement.forEach((hosts, shard) => this.beginShard(shard, hosts));
     this.notifyAll();
     this.clock.advance(200);
-    for (const traffic of this.traffic) this.scheduleArrival(traffic);
+    for (const traffic of this.traffic) {
+      this.scheduleArrival(traffic);
+      if (traffic.spec.shape === 'surge') this.scheduleSurge(traffic);
+    }
+  }
+
+  /** Now and then sends more than the burst to all hosts at once, to find tokens counted twice. */
+  private scheduleSurge(traffic: TeamTraffic): void {
+    const {spec} = traffic;
+    const fillMs = (spec.burstTokens / spec.tokensPerSecond) * 1000;
+    this.clock.setTimer((0.1 + this.random.next()) * fillMs, () => {
+      if (this.isStopped) return;
+      const size = Math.ceil((spec.burstTokens * 3) / spec.meanCostTokens);
+      for (let i = 0; i < size; i++) this.arrive(traffic);
+      this.scheduleSurge(traffic);
+    });
   }
 
   private beginShard(shard: number, placement: HostId[]): void {
@@ -286,11 +303,16 @@
   private chooseHost(spec: TeamSpec): HostProcess | undefined {
     const shard = shardOfTeam(spec.teamId, this.options.settings.shardCount);
     const record = this.store.shards.get(shard)!;
-    const candidates = record.placement
+    // Surges also go to hosts that aren't in the placement any more.
+    const pool = spec.shape === 'surge' ? record.holders : record.placement;
+    const candidates = pool
       .map(hostId => this.processes.get(hostId)!)
-      .filter(host => host.isAlive && !host.isPaused && !host.isLeaving && host.isFresh());
+      .filter(host => host.isAlive && !host.isPaused && !host.isLeaving)
+      .filter(host => this.options.ignoreFreshness || host.isFresh());
     if (candidates.length === 0) return undefined;
-    if (spec.shape === 'steady') return candidates[this.random.nextInt(candidates.length)];
+    if (spec.shape === 'steady' || spec.shape === 'surge') {
+      return candidates[this.random.nextInt(candidates.length)];
+    }
     const periodMs = spec.shape === 'moving' ? 3000 : 7000;
     return candidates[Math.floor(this.clock.nowMs() / periodMs) % candidates.length];
   }
--- a/packages/limits/src/host-state.ts
+++ b/packages/limits/src/host-state.ts
@@ -128,8 +128,10 @@
   lendUntilMs: number;
   /** Until then reserves may be used. */
   validUntilMs: number;
-  /** The owner didn't answer; until then it isn't asked. */
-  suspectUntilMs: number;
+  /** Calls to the owner that failed since the last answer; while above 0, reserves are used. */
+  failures: number;
+  /** The owner isn't asked before this time. */
+  pausedUntilMs: number;
   readonly dirty: Set<TeamId>;
   readonly teams: Set<TeamId>;
 }
@@ -147,6 +149,8 @@
   /** Teams with requests, calls or grants. */
   readonly active: Set<TeamId>;
   nextGrant: number;
+  /** The host gives all tokens back and asks for no more. */
+  isStopping: boolean;
   /** No work is due before this time. */
   wakeMs: number;
 }
@@ -162,6 +166,7 @@
     teams: new Map(),
     active: new Set(),
     nextGrant: 1,
+    isStopping: false,
     wakeMs: Infinity,
   };
 }
@@ -182,7 +187,8 @@
       nextConfirmMs: -Infinity,
       lendUntilMs: Infinity,
       validUntilMs: -Infinity,
-      suspectUntilMs: -Infinity,
+      failures: 0,
+      pausedUntilMs: -Infinity,
       dirty: new Set(),
       teams: new Set(),
     };
--- a/packages/limits/src/host.ts
+++ b/packages/limits/src/host.ts
@@ -1,5 +1,11 @@
 import {RequestId, TeamId} from '@radishgw/core';
-import {abandonConfirm, buildConfirm, confirmDueMs, expireConfirm} from './host-reserve.js';
+import {
+  abandonConfirm,
+  buildConfirm,
+  confirmDueMs,
+  expireConfirm,
+  releaseReserves,
+} from './host-reserve.js';
 import {
   availableInGrants,
   averageDemand,
@@ -102,12 +108,15 @@
   const current = response && response.outcome !== 'notOwner' && response.epoch === link.epoch;
   stampParts(state, link, holding, call.parts, current ? response.stamp : undefined, nowMs);
   if (!current) {
-    link.suspectUntilMs = nowMs + state.settings.retryPauseMs;
+    // One lost message is no reason to pause; an owner that stays silent is.
+    link.failures++;
+    if (link.failures > 1) link.pausedUntilMs = nowMs + state.settings.retryPauseMs;
     // The owner may have issued the grant; it gets it back with the next report.
     holding.ended.push({grantId, spentTokens: 0, returnedTokens: 0, closed: true});
     return serveTeam(state, link, holding, nowMs);
   }
-  link.suspectUntilMs = -Infinity;
+  link.failures = 0;
+  link.pausedUntilMs = -Infinity;
   for (const request of holding.waiting) request.answered = true;
   if (response.outcome === 'granted') {
     acceptGrant(holding, link, response, call.sentMs, grantId);
@@ -185,7 +194,7 @@
   const granted = availableInGrants(holding, nowMs);
   if (granted >= head.costTokens) return true;
   // The reserve is kept for times without an owner, and for tokens that the owner hasn't got.
-  const ownerAnswers = link.epoch > 0 && link.suspectUntilMs <= nowMs;
+  const ownerAnswers = link.epoch > 0 && link.failures === 0;
   if (ownerAnswers && !head.answered) return false;
   return granted + refreshReserve(state, link, holding, nowMs) >= head.costTokens;
 }
@@ -198,7 +207,7 @@
 ): boolean {
   if (nowMs >= head.deadlineMs) return true;
   const refused = head.answered && holding.call === undefined && holding.nextAskMs > nowMs;
-  return refused && link.suspectUntilMs <= nowMs && holding.nextAskMs > head.deadlineMs;
+  return refused && link.failures === 0 && holding.nextAskMs > head.deadlineMs;
 }
 
 function refuseHead(
@@ -207,7 +216,7 @@
   head: WaitingRequest,
   nowMs: number,
 ): HostAction {
-  const refusedByOwner = head.answered && link.suspectUntilMs <= nowMs;
+  const refusedByOwner = head.answered && link.failures === 0;
   if (refusedByOwner) return refuse(head.requestId, 'rateExceeded', holding.retryAfterMs);
   return refuse(head.requestId, 'ownerUnreachable', UNREACHABLE_RETRY_MS);
 }
@@ -223,7 +232,7 @@
   actions: HostAction[],
   nowMs: number,
 ): void {
-  if (holding.call || link.epoch === 0 || link.suspectUntilMs > nowMs) return;
+  if (holding.call || link.epoch === 0 || link.pausedUntilMs > nowMs) return;
   const granted = availableInGrants(holding, nowMs);
   const demand = averageDemand(holding, nowMs);
   const ahead = (demand * state.settings.grantHorizonMs) / 1000;
@@ -239,7 +248,7 @@
   }
   if (holding.nextAskMs > nowMs) return;
   const isSteady = ahead > AHEAD_REQUESTS * holding.lastCostTokens;
-  if (isSteady && granted < ahead / 2 && holding.nextAheadMs <= nowMs) {
+  if (isSteady && !state.isStopping && granted < ahead / 2 && holding.nextAheadMs <= nowMs) {
     holding.nextAheadMs = nowMs + state.settings.grantHorizonMs * AHEAD_PAUSE_SHARE;
     actions.push(sendAcquire(state, link, holding, 0, ahead - granted, nowMs));
   } else if (hasTokensToReturn(holding, nowMs)) {
@@ -318,7 +327,7 @@
 function holdingDueMs(link: ShardLink, holding: TeamHolding, nowMs: number): number {
   let dueMs = holding.call?.deadlineMs ?? Infinity;
   const head = holding.waiting.at(0);
-  const askMs = Math.max(holding.nextAskMs, link.suspectUntilMs, nowMs);
+  const askMs = Math.max(holding.nextAskMs, link.pausedUntilMs, nowMs);
   if (head) dueMs = Math.min(dueMs, head.deadlineMs);
   const wantsAsk = head !== undefined || holding.ended.length > 0;
   if (wantsAsk && !holding.call && link.epoch > 0) dueMs = Math.min(dueMs, askMs);
@@ -349,7 +358,7 @@
   for (const link of state.links.values()) {
     expireConfirm(state, link, nowMs);
     actions.push(...buildConfirm(state, link, nowMs));
-    state.wakeMs = Math.min(state.wakeMs, confirmDueMs(link));
+    state.wakeMs = Math.min(state.wakeMs, confirmDueMs(state, link));
   }
   return actions;
 }
@@ -383,7 +392,8 @@
     link.epoch = view.epoch;
     link.appliedSequence = 0;
     link.wantAll = true;
-    link.suspectUntilMs = -Infinity;
+    link.failures = 0;
+    link.pausedUntilMs = -Infinity;
     link.nextConfirmMs = -Infinity;
     abandonConfirm(link);
     for (const teamId of link.teams) {
@@ -391,7 +401,7 @@
     }
   }
   actions.push(...buildConfirm(state, link, nowMs));
-  state.wakeMs = Math.min(state.wakeMs, confirmDueMs(link));
+  state.wakeMs = Math.min(state.wakeMs, confirmDueMs(state, link));
   return actions;
 }
 
@@ -411,3 +421,14 @@
   for (const request of holding.waiting) request.answered = false;
   return holding.waiting.length > 0 ? serveTeam(state, link, holding, nowMs) : [];
 }
+
+/**
+ * Planned stop: gives up all reserves. Requests that still come are served by asking the owner.
+ * Shards that this host owns are handed over after the resulting messages were processed.
+ */
+export function stopHost(state: HostState, nowMs: number): HostAction[] {
+  state.isStopping = true;
+  const actions: HostAction[] = [];
+  for (const link of state.links.values()) actions.push(...releaseReserves(state, link, nowMs));
+  return actions;
+}
--- a/packages/limits/src/owner-grants.ts
+++ b/packages/limits/src/owner-grants.ts
@@ -12,11 +12,13 @@
 } from './owner-state.js';
 
 /** Share of the level beyond the needed tokens that one host may take ahead of its demand. */
-const AHEAD_SHARE = 0.25;
+const AHEAD_SHARE = 0.5;
 /** Expected time for reserves at other hosts to come back: two message delays and a margin. */
 const RECALL_WAIT_MS = 10;
 /** A recall that brought nothing for this long isn't waited for any more. */
-const RECALL_PATIENCE_MS = 200;
+const RECALL_PATIENCE_MS = 50;
+/** Pause between two recalls of a team's reserves. */
+const RECALL_PERIOD_MS = 1000;
 /** Time after which to ask again when enough tokens are in grants that may be returned. */
 const RETURN_WAIT_MS = 200;
 /** Least pause between two requests for the same tokens. */
@@ -116,14 +118,15 @@
   const recallable = sumRecallable(state, request, team);
   const sinceRecallMs = nowMs - team.lastRecallMs;
   const replies: ConfirmReply[] = [];
-  if (recallable > 0 && sinceRecallMs > RECALL_PATIENCE_MS) {
+  if (recallable > 0 && sinceRecallMs > RECALL_PERIOD_MS) {
     team.lastRecallMs = nowMs;
     replies.push(...recallReserves(state, request, nowMs));
   }
   const recalling = recallable > 0 && nowMs - team.lastRecallMs <= RECALL_PATIENCE_MS;
   let waitMs = Math.max(MIN_WAIT_MS, refillMs);
   if (recalling) waitMs = Math.min(waitMs, RECALL_WAIT_MS);
-  else if (team.outstandingTokens >= missing) waitMs = Math.min(waitMs, RETURN_WAIT_MS);
+  else if (team.outstandingTokens + recallable >= missing)
+    waitMs = Math.min(waitMs, RETURN_WAIT_MS);
   return {response: answer(state, 'refused', 0, waitMs, stamp), replies};
 }
 
--- a/packages/limits/src/owner.ts
+++ b/packages/limits/src/owner.ts
@@ -27,7 +27,7 @@
    * session. Nobody gave out the refill of this time, and grants are at least this old.
    */
   readonly silentMs: number;
-  /** Hosts that may hold reserves, from the shard record before the takeover. */
+  /** Hosts that may hold reserves, from the shard record; a handover states them itself. */
   readonly formerHolders: Iterable<HostId>;
   /** Placement hosts; the shard record must name them before this call. */
   readonly placement: Iterable<HostId>;
@@ -59,7 +59,8 @@
     handedOver: false,
   };
   const validUntilMs = nowMs + settings.reserveValidMs * (1 + settings.clockDriftFraction);
-  for (const hostId of start.formerHolders) {
+  const formerHolders = handOver?.holders.map(({hostId}) => hostId) ?? start.formerHolders;
+  for (const hostId of formerHolders) {
     state.holders.set(hostId, createHolder(hostId, validUntilMs));
   }
   if (handOver) applyHandOver(state, handOver, nowMs);
@@ -67,11 +68,10 @@
 }
 
 function applyHandOver(state: OwnerState, handOver: HandOverShardsRequest, nowMs: number): void {
-  for (const {hostId, sessionId, lastSequence} of handOver.syncedHolders) {
-    const holder = state.holders.get(hostId);
-    if (!holder) continue;
+  for (const {hostId, sessionId, lastSequence} of handOver.holders) {
+    const holder = state.holders.get(hostId)!;
     holder.sessionId = sessionId;
-    holder.synced = true;
+    holder.synced = sessionId !== undefined;
     holder.lastSequence = lastSequence;
   }
   for (const bucket of handOver.buckets) {
@@ -120,14 +120,14 @@
     const reserves = listReserves(state, teamId);
     buckets.push({teamId, levelTokens: team.levelTokens, outstandingTokens, reserves});
   }
-  const syncedHolders = [];
+  const holders = [];
   for (const {hostId, sessionId, synced, lastSequence} of state.holders.values()) {
-    if (synced && sessionId) syncedHolders.push({hostId, sessionId, lastSequence});
+    holders.push({hostId, sessionId: synced ? sessionId : undefined, lastSequence});
   }
   state.handedOver = true;
   const {shard, epoch, startedMs} = state;
   const runningMs = nowMs - startedMs;
-  return {...from, shard, epoch, buckets, syncedHolders, runningMs, ageMs: 0};
+  return {...from, shard, epoch, buckets, holders, runningMs, ageMs: 0};
 }
 
 /** Tokens that the owner could still give out for a team, for status pages and tests. */
