--- a/packages/scheduling/src/pool.ts
+++ b/packages/scheduling/src/pool.ts
@@ -1,4 +1,4 @@
-import {AttemptId, TargetId} from '@radishgw/core';
+import {AttemptId, hash32, TargetId} from '@radishgw/core';
 import {
   AttemptOutcome,
   createHealth,
@@ -34,6 +34,22 @@
   readonly maxLongPrefills: number;
   /** A long prompt isn't sent to a target with more pending prompt tokens than this. */
   readonly maxPendingForLong: number;
+  /**
+   * Random targets compared for a request, by class. Two keep hosts with lagging reports from all
+   * choosing the same target; urgent work is short, so that more choices do little harm.
+   */
+  readonly choices: Readonly<Record<WorkClass, number>>;
+  /**
+   * Long prompts fill the targets in a fixed order, the same on all hosts, and short ones prefer
+   * targets without a long prompt in flight. Spread evenly, long prompts would lengthen the steps
+   * of all targets.
+   */
+  readonly packLong: boolean;
+  /**
+   * Share of the usable targets, rounded down, that get no long prompts, so that short steps
+   * remain for urgent work.
+   */
+  readonly calmShare: number;
   /** Tokens in one block of a target's memory. */
   readonly blockTokens: number;
   /** Slow-down by one running request, expressed in prompt tokens. */
@@ -50,6 +66,9 @@
   urgentReserve: 2,
   maxLongPrefills: 1,
   maxPendingForLong: 32_000,
+  choices: {urgent: 8, standard: 2, batch: 2},
+  packLong: true,
+  calmShare: 1 / 3,
   blockTokens: 2000,
   tokensPerOutstanding: 400,
   failurePenaltyTokens: 20_000,
@@ -105,10 +124,12 @@
 export interface Pool {
   readonly settings: PoolSettings;
   readonly targets: Map<TargetId, TargetState>;
-  /** The same targets in a fixed order, for random choice. */
+  /** The same targets in the order of a hash of their ids, which is the same on all hosts. */
   readonly order: TargetState[];
   /** Targets that their health excludes at present. */
   readonly unhealthy: Set<TargetState>;
+  /** Targets that get long prompts; undefined when it must be computed again. */
+  longTargets: ReadonlySet<TargetState> | undefined;
   readonly hints: PrefixHints;
   /** Position of the round-robin policy. */
   nextIndex: number;
@@ -124,6 +145,7 @@
     targets: new Map(),
     order: [],
     unhealthy: new Set(),
+    longTargets: undefined,
     hints: new PrefixHints(merged.hints),
     nextIndex: 0,
   };
@@ -151,12 +173,16 @@
   };
   pool.targets.set(id, target);
   pool.order.push(target);
+  pool.longTargets = undefined;
+  pool.order.sort((a, b) => hash32(a.id) - hash32(b.id) || (a.id < b.id ? -1 : 1));
 }
 
 /** Applies from the next decision on; work that runs there is left alone. */
 export function setTargetStatus(pool: Pool, id: TargetId, status: TargetStatus): void {
   const target = pool.targets.get(id);
-  if (target) target.status = status;
+  if (!target) return;
+  target.status = status;
+  pool.longTargets = undefined;
 }
 
 /** Forgets a target. Later events of its attempts are ignored. */
@@ -166,6 +192,7 @@
   pool.targets.delete(id);
   pool.order.splice(pool.order.indexOf(target), 1);
   pool.unhealthy.delete(target);
+  pool.longTargets = undefined;
   pool.hints.reset(id);
 }
 
@@ -216,7 +243,7 @@
   if (!target || !own) return;
   endPrefill(target, own);
   recordHealthProgress(target.health);
-  pool.unhealthy.delete(target);
+  noteHealth(pool, target);
   sampleOwn(target, nowMs);
 }
 
@@ -237,13 +264,32 @@
   endPrefill(target, own);
   target.own.delete(attemptId);
   recordHealthOutcome(target.health, attemptId, outcome, nowMs, pool.settings.health);
-  if (target.health.excludedUntilMs === undefined) pool.unhealthy.delete(target);
-  else pool.unhealthy.add(target);
+  noteHealth(pool, target);
   // A target that can't be reached has probably restarted without its cache.
   if (outcome === 'unreachable') pool.hints.reset(id);
   sampleOwn(target, nowMs);
 }
 
+function noteHealth(pool: Pool, target: TargetState): void {
+  const isHealthy = target.health.excludedUntilMs === undefined;
+  if (isHealthy !== pool.unhealthy.has(target)) return;
+  if (isHealthy) pool.unhealthy.delete(target);
+  else pool.unhealthy.add(target);
+  pool.longTargets = undefined;
+}
+
+/** The usable targets without the last ones in the fixed order, which stay calm. */
+function findLongTargets(pool: Pool): ReadonlySet<TargetState> {
+  if (!pool.longTargets) {
+    const usable = pool.order.filter(
+      target => target.status === 'serving' && !pool.unhealthy.has(target),
+    );
+    const calm = Math.floor(usable.length * pool.settings.calmShare);
+    pool.longTargets = new Set(usable.slice(0, usable.length - calm));
+  }
+  return pool.longTargets;
+}
+
 function endPrefill(target: TargetState, own: OwnAttempt): void {
   if (own.pendingTokens === 0) return;
   target.ownPendingTokens -= own.pendingTokens;
@@ -321,7 +367,9 @@
   const reserve = request.workClass === 'urgent' ? 0 : settings.urgentReserve;
   if (load.outstanding >= target.slots - reserve) return 'slots';
   if (!request.isLong) return undefined;
-  const isFull = target.ownLongPrefills >= settings.maxLongPrefills;
+  const isFull =
+    target.ownLongPrefills >= settings.maxLongPrefills ||
+    (!probe && !findLongTargets(pool).has(target));
   return isFull || load.pendingTokens > settings.maxPendingForLong ? 'longPrefill' : undefined;
 }
 
--- a/packages/scheduling/src/routing.ts
+++ b/packages/scheduling/src/routing.ts
@@ -24,7 +24,7 @@
 
 /** Why a target was chosen. */
 export interface RouteReason {
-  readonly rule: 'probe' | 'prefix' | 'load' | 'order' | 'chance';
+  readonly rule: 'probe' | 'packedLong' | 'prefix' | 'load' | 'order' | 'chance';
   readonly candidates: readonly Candidate[];
 }
 
@@ -52,18 +52,17 @@
 
 /** Policies by name; `prefixOrLoad` is the one in use, the others are kept for comparison. */
 export const ROUTING_POLICIES = {
-  /** Two random targets and the best prefix holder, by uncached tokens plus load. */
-  prefixOrLoad: context =>
-    pickBest(context, [...sampleTargets(context, 2), ...findHolder(context)]),
+  /** A few random targets and the best prefix holder, by uncached tokens plus load. */
+  prefixOrLoad: context => pickBest(context, [...sampleChoices(context), ...findHolder(context)]),
   /** The same score over all targets. */
   prefixOrLoadAll: context => pickBest(context, context.pool.order.filter(context.isEligible)),
-  /** Two random targets, by load alone. */
+  /** A few random targets, by load alone. */
   twoChoices: context =>
-    pickBest({...context, request: {...context.request, blocks: []}}, sampleTargets(context, 2)),
-  /** The best prefix holder whatever its load, or two random targets if nobody holds the prefix. */
+    pickBest({...context, request: {...context.request, blocks: []}}, sampleChoices(context)),
+  /** The best prefix holder whatever its load, or a few random targets if nobody holds the prefix. */
   prefixOnly: context => {
     const holder = findHolder(context);
-    return pickBest(context, holder.length > 0 ? holder : sampleTargets(context, 2));
+    return pickBest(context, holder.length > 0 ? holder : sampleChoices(context));
   },
   /** The target with the fewest requests of this host. */
   leastOutstanding: context => {
@@ -102,6 +101,7 @@
   const context: RoutingContext = {pool, request, nowMs, random, isEligible};
   const pick =
     findProbe(context) ??
+    packLong(context) ??
     ROUTING_POLICIES[policy](context) ??
     asProbe(context, findLastResort(pool, request, nowMs));
   if (pick) return {type: 'target', target: pick.target.id, reason: pick.reason};
@@ -130,25 +130,43 @@
   return target && {target, reason: {rule: 'probe', candidates: [score(context, target)]}};
 }
 
-/** Tries before a sample gives up and scans all targets; only a nearly full pool needs the scan. */
-const SAMPLE_TRIES = 8;
+/** The first target in the fixed order that can take a long prompt, see `packLong`. */
+function packLong(context: RoutingContext): Pick | undefined {
+  const {pool, request} = context;
+  if (!request.isLong || !pool.settings.packLong) return undefined;
+  const target = pool.order.find(context.isEligible);
+  return target && {target, reason: {rule: 'packedLong', candidates: [score(context, target)]}};
+}
+
+/** Tries for each choice before a sample gives up and scans all targets; only a nearly full pool needs the scan. */
+const SAMPLE_TRIES = 4;
 
-/** Up to `count` different eligible targets, uniformly at random. */
+/**
+ * Up to `count` different eligible targets, uniformly at random. Targets without a long prompt of
+ * this host in flight go first if long prompts are packed.
+ */
 function sampleTargets(context: RoutingContext, count: number): TargetState[] {
-  const {order} = context.pool;
+  const {order, settings} = context.pool;
   const found: TargetState[] = [];
-  for (let i = 0; i < SAMPLE_TRIES && found.length < count && order.length > 0; i++) {
+  const isCalm = (target: TargetState) => !settings.packLong || target.ownLongPrefills === 0;
+  for (let i = 0; i < count * SAMPLE_TRIES && found.length < count && order.length > 0; i++) {
     const target = order[context.random.nextInt(order.length)];
-    if (!found.includes(target) && context.isEligible(target)) found.push(target);
+    if (!found.includes(target) && isCalm(target) && context.isEligible(target)) found.push(target);
   }
   if (found.length === count) return found;
   const rest = order.filter(target => !found.includes(target) && context.isEligible(target));
-  while (found.length < count && rest.length > 0) {
-    found.push(...rest.splice(context.random.nextInt(rest.length), 1));
+  for (const part of [rest.filter(isCalm), rest.filter(target => !isCalm(target))]) {
+    while (found.length < count && part.length > 0) {
+      found.push(...part.splice(context.random.nextInt(part.length), 1));
+    }
   }
   return found;
 }
 
+function sampleChoices(context: RoutingContext): TargetState[] {
+  return sampleTargets(context, context.pool.settings.choices[context.request.workClass]);
+}
+
 /** The least loaded of the eligible targets that hold the longest part of the prompt. */
 function findHolder(context: RoutingContext): TargetState[] {
   const {pool, request, nowMs} = context;
