--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -3,10 +3,12 @@
 import {FAIRNESS} from './fairness.js';
 import {LIMITS_SOAK} from './limits-soak.js';
 import {SoakSuite} from './soak-suite.js';
+import {URGENCY} from './urgency.js';
 
 /** Measurements by name, in the order in which `all` runs them. */
 export const BENCHES: Readonly<Record<string, Bench>> = {
   fairness: FAIRNESS,
+  urgency: URGENCY,
 };
 
 /** Randomised suites by name. */
