Add the role policy

The fleet role has to decide which engines of a pool do prefill, decode or both, from load reports that lag by seconds, without turning the pool over.

The policy compares the split that the predicted demand asks for with the present one, in which an ordered change counts as done. It changes engines only beyond a deadband, after a settle time, when the shortage that it relieves within a dwell time is worth more than the change, and within a bound per hour that also counts the changes of an earlier holder. A reversal needs twice the deadband. The number of engines with both roles follows the measured spread of the mix, so that swings within minutes need no change of role.

Ruled out: deciding on queue lengths alone. They show the shortage only after it has hurt, and a lagging queue drains after the change and asks for more.

--- /dev/null
+++ b/packages/fleet/src/policies/role-policy.ts
@@ -0,0 +1,375 @@
+import {DecisionReason, explain} from './reason.js';
+import {
+  EngineLoad,
+  EngineRole,
+  PoolLoad,
+  RoleChange,
+  RoleDecision,
+  RoleSettings,
+  RoleState,
+} from './role-types.js';
+import {clamp, smooth, updateTrend} from './smoothing.js';
+
+const HOUR_MS = 3_600_000;
+
+/** Time constant of the mean and variance that set the number of engines with both roles. */
+const SPREAD_TAU_MS = 1_200_000;
+
+/** Waiting work counts for at most this share of the pool, or one burst would turn the pool over. */
+const MAX_BACKLOG_SHARE = 0.25;
+
+/** Work of the pool in engines. */
+interface Demand {
+  readonly prefill: number;
+  readonly decode: number;
+}
+
+/** Engines by role, without those that are leaving. */
+interface RoleCounts {
+  readonly prefill: number;
+  readonly both: number;
+  readonly decode: number;
+}
+
+/** A rule's answer: how far to move the split, and whether to shrink the mixed group. */
+interface Plan {
+  /** Engines by which the prefill side should grow; an engine with both roles counts half. */
+  readonly shift: number;
+  readonly mixedWanted: number;
+  readonly reason: DecisionReason;
+}
+
+/**
+ * State of a new holder of the fleet role.
+ * @param changeAgesMs ages of the changes of the last hour from the order journal, so that the
+ *     hourly bound also holds across a takeover
+ */
+export function createRoleState(nowMs: number, changeAgesMs: readonly number[] = []): RoleState {
+  return {
+    updatedMs: undefined,
+    prefill: {level: 0, perMs: 0},
+    decode: {level: 0, perMs: 0},
+    meanShare: 0,
+    shareVariance: 0,
+    changesMs: changeAgesMs.map(ageMs => nowMs - ageMs).sort((a, b) => a - b),
+    lastDirection: 0,
+  };
+}
+
+/** Largest number of role changes in any hour for a pool of `engineCount` engines. */
+export function boundRoleChanges(settings: RoleSettings, engineCount: number): number {
+  const share = Math.floor(settings.maxChangesPerHourShare * engineCount);
+  return Math.max(settings.maxChangesPerHour, share);
+}
+
+/**
+ * Decides which engines of a pool change their role. Pure; call it every few seconds.
+ * Intended roles count as done, so a change that reports don't show yet isn't ordered twice.
+ */
+export function decideRoles(
+  state: RoleState,
+  load: PoolLoad,
+  settings: RoleSettings,
+  nowMs: number,
+): RoleDecision {
+  const engines = load.engines.filter(engine => !engine.leaving);
+  const fresh = engines.filter(engine => engine.reportAgeMs <= settings.maxReportAgeMs);
+  if (engines.length === 0 || fresh.length < settings.minReportShare * engines.length) {
+    return hold(state, 'hold.reports', 'too few engines have a recent load report', {
+      engines: engines.length,
+      freshReports: fresh.length,
+    });
+  }
+  const demand = measureDemand(load, fresh, engines.length, settings);
+  const learned = learnDemand(state, demand, settings, nowMs);
+  const counts = countRoles(engines);
+  const plan = planSplit(learned, counts, settings, nowMs);
+  const limit = limitChanges(learned, engines, settings, nowMs);
+  if (plan.shift === 0 && counts.both <= plan.mixedWanted) {
+    return {state: learned, changes: [], reason: plan.reason};
+  }
+  if (limit.allowed === 0) return {state: learned, changes: [], reason: limit.reason};
+  const changes = chooseEngines(engines, counts, plan, limit.allowed, settings);
+  if (changes.length === 0) {
+    return hold(learned, 'hold.dwell', 'all engines that could change did so recently', {
+      minDwellMs: settings.minDwellMs,
+    });
+  }
+  return {state: recordChanges(learned, changes, plan.shift, nowMs), changes, reason: plan.reason};
+}
+
+function hold(
+  state: RoleState,
+  rule: string,
+  text: string,
+  figures: Record<string, number>,
+): RoleDecision {
+  return {state, changes: [], reason: explain(rule, text, figures)};
+}
+
+/** Adds up fresh reports and scales them to the whole pool. */
+function measureDemand(
+  load: PoolLoad,
+  fresh: readonly EngineLoad[],
+  engineCount: number,
+  settings: RoleSettings,
+): Demand {
+  let prefill = 0;
+  let backlogMs = load.waitingPrefillMs ?? 0;
+  let decode = 0;
+  let waiting = load.waitingDecode ?? 0;
+  for (const engine of fresh) {
+    prefill += engine.prefillWork;
+    backlogMs += engine.prefillBacklogMs;
+    decode += engine.decodeWork;
+    waiting += engine.decodeBacklog;
+  }
+  const scale = engineCount / fresh.length;
+  const maxBacklog = MAX_BACKLOG_SHARE * engineCount;
+  return {
+    prefill: scale * prefill + Math.min(maxBacklog, (scale * backlogMs) / settings.drainMs),
+    decode: scale * decode + Math.min(maxBacklog, scale * waiting),
+  };
+}
+
+function learnDemand(
+  state: RoleState,
+  demand: Demand,
+  settings: RoleSettings,
+  nowMs: number,
+): RoleState {
+  const changesMs = state.changesMs.filter(atMs => nowMs - atMs < HOUR_MS);
+  const share = demand.prefill / Math.max(1e-9, demand.prefill + demand.decode);
+  if (state.updatedMs === undefined) {
+    const prefill = {level: demand.prefill, perMs: 0};
+    const decode = {level: demand.decode, perMs: 0};
+    return {...state, updatedMs: nowMs, prefill, decode, meanShare: share, changesMs};
+  }
+  const elapsedMs = nowMs - state.updatedMs;
+  const {levelTauMs, trendTauMs} = settings;
+  const deviation = share - state.meanShare;
+  return {
+    ...state,
+    updatedMs: nowMs,
+    prefill: updateTrend(state.prefill, demand.prefill, elapsedMs, levelTauMs, trendTauMs),
+    decode: updateTrend(state.decode, demand.decode, elapsedMs, levelTauMs, trendTauMs),
+    meanShare: smooth(state.meanShare, share, elapsedMs, SPREAD_TAU_MS),
+    shareVariance: smooth(state.shareVariance, deviation ** 2, elapsedMs, SPREAD_TAU_MS),
+    changesMs,
+  };
+}
+
+function countRoles(engines: readonly EngineLoad[]): RoleCounts {
+  const counts = {prefill: 0, both: 0, decode: 0};
+  for (const engine of engines) counts[engine.role]++;
+  return counts;
+}
+
+/** Work that no engine is planned to have room for, in engines. */
+function findShortage(
+  prefill: number,
+  both: number,
+  decode: number,
+  demand: Demand,
+  settings: RoleSettings,
+): number {
+  const prefillShort = Math.max(0, demand.prefill / settings.plannedUse - prefill);
+  const decodeShort = Math.max(0, demand.decode / settings.plannedUse - decode);
+  return Math.max(0, prefillShort + decodeShort - settings.mixedEfficiency * both);
+}
+
+/** The split that the predicted demand asks for, beside the present one. */
+interface Comparison {
+  readonly demand: Demand;
+  /** Wanted and present number of engines on the prefill side; engines with both roles count half. */
+  readonly wanted: number;
+  readonly present: number;
+  /** Difference in steps of half an engine. */
+  readonly shift: number;
+  readonly mixedWanted: number;
+}
+
+function compareSplit(state: RoleState, counts: RoleCounts, settings: RoleSettings): Comparison {
+  const total = counts.prefill + counts.both + counts.decode;
+  const demand: Demand = {
+    prefill: Math.max(0, state.prefill.level + state.prefill.perMs * settings.leadMs),
+    decode: Math.max(0, state.decode.level + state.decode.perMs * settings.leadMs),
+  };
+  const wanted = (total * demand.prefill) / Math.max(1e-9, demand.prefill + demand.decode);
+  const present = counts.prefill + counts.both / 2;
+  const spread = Math.sqrt(state.shareVariance) * total * settings.mixedDeviations;
+  const minMixed = Math.min(total, settings.minMixed);
+  const maxMixed = Math.max(minMixed, Math.floor(settings.maxMixedShare * total));
+  const mixedWanted = clamp(Math.ceil(2 * spread), minMixed, maxMixed);
+  return {demand, wanted, present, shift: Math.round(2 * (wanted - present)) / 2, mixedWanted};
+}
+
+/** Weighs the gain of moving towards the wanted split against the cost of the changes. */
+function planSplit(
+  state: RoleState,
+  counts: RoleCounts,
+  settings: RoleSettings,
+  nowMs: number,
+): Plan {
+  const total = counts.prefill + counts.both + counts.decode;
+  const {demand, wanted, present, shift, mixedWanted} = compareSplit(state, counts, settings);
+  const deadband = Math.max(settings.deadbandEngines, settings.deadbandShare * total);
+  const sinceChangeMs = nowMs - (state.changesMs.at(-1) ?? -Infinity);
+  const isReversal =
+    Math.sign(shift) === -state.lastDirection && sinceChangeMs < settings.reversalHoldMs;
+  const needed = isReversal ? 2 * deadband : deadband;
+  const {both} = counts;
+  const before = findShortage(counts.prefill, both, counts.decode, demand, settings);
+  const after = findShortage(present + shift, 0, total - present - shift, demand, settings);
+  const changesThisHour = state.changesMs.length;
+  // The price rises as the hourly budget is used up, which leaves changes for worse shortages.
+  const budgetLeft = 1 - changesThisHour / boundRoleChanges(settings, total);
+  const price = settings.changeCostMs / Math.max(0.1, budgetLeft);
+  const figures = {
+    prefillDemand: demand.prefill,
+    decodeDemand: demand.decode,
+    wantedPrefill: wanted,
+    presentPrefill: present,
+    shift,
+    deadband: needed,
+    shortage: before,
+    changesThisHour,
+  };
+  const stay = (rule: string, text: string): Plan => ({
+    shift: 0,
+    mixedWanted: Math.max(mixedWanted, both),
+    reason: explain(rule, text, figures),
+  });
+  if (sinceChangeMs < settings.settleMs) {
+    return stay('hold.settle', 'reports do not show the last change yet');
+  }
+  if (Math.abs(shift) <= needed) {
+    if (both - mixedWanted >= Math.max(2, 2 * deadband) && before > 0) {
+      const text = 'more engines have both roles than the changes of the mix need';
+      return {shift: 0, mixedWanted, reason: explain('change.unmix', text, figures)};
+    }
+    const rule = isReversal ? 'hold.reversal' : 'hold.deadband';
+    return stay(rule, 'the split is close enough to the demand');
+  }
+  if ((before - after) * settings.minDwellMs <= Math.abs(shift) * price) {
+    return stay('hold.cost', 'the change would cost more than the shortage it relieves');
+  }
+  const text = `the ${shift > 0 ? 'prefill' : 'decode'} side is short of engines`;
+  return {shift, mixedWanted, reason: explain('change.split', text, figures)};
+}
+
+/** How many engines may change now under the hourly bound and the bound on concurrent changes. */
+function limitChanges(
+  state: RoleState,
+  engines: readonly EngineLoad[],
+  settings: RoleSettings,
+  nowMs: number,
+): {readonly allowed: number; readonly reason: DecisionReason} {
+  const bound = boundRoleChanges(settings, engines.length);
+  const recent = state.changesMs.filter(atMs => nowMs - atMs < HOUR_MS).length;
+  const concurrent = Math.max(1, Math.floor(settings.maxConcurrentShare * engines.length));
+  const changing = engines.filter(engine => engine.changing).length;
+  const allowed = Math.max(0, Math.min(bound - recent, concurrent - changing));
+  const text =
+    recent >= bound
+      ? 'the bound on changes per hour is reached'
+      : 'enough engines are changing already';
+  const rule = recent >= bound ? 'hold.hourly' : 'hold.concurrent';
+  return {allowed, reason: explain(rule, text, {recent, bound, changing, concurrent})};
+}
+
+/** One kind of change and how far it moves the split, in engines. */
+interface Step {
+  readonly from: EngineRole;
+  readonly to: EngineRole;
+  readonly size: number;
+}
+
+/** Steps in order of preference for the present number of engines with both roles. */
+function listSteps(shift: number, left: number, both: number, mixedWanted: number): Step[] {
+  const gaining: EngineRole = shift > 0 ? 'prefill' : 'decode';
+  const losing: EngineRole = shift > 0 ? 'decode' : 'prefill';
+  const unmix: Step = {from: 'both', to: gaining, size: 0.5};
+  const mix: Step = {from: losing, to: 'both', size: 0.5};
+  const swap: Step = {from: losing, to: gaining, size: 1};
+  if (both > mixedWanted) return [unmix, swap, mix];
+  if (left < 1) return [mix, unmix];
+  return both < mixedWanted ? [mix, swap, unmix] : [swap, mix, unmix];
+}
+
+/** Picks engines, those with the least work in the best-staffed failure domains first. */
+function chooseEngines(
+  engines: readonly EngineLoad[],
+  counts: RoleCounts,
+  plan: Plan,
+  allowed: number,
+  settings: RoleSettings,
+): RoleChange[] {
+  const candidates = engines.filter(
+    engine => !engine.changing && engine.roleAgeMs >= settings.minDwellMs,
+  );
+  const present = {...counts};
+  const queues: Record<EngineRole, EngineLoad[]> = {
+    prefill: rankByCost(candidates, 'prefill'),
+    both: rankByCost(candidates, 'both'),
+    decode: rankByCost(candidates, 'decode'),
+  };
+  const changes: RoleChange[] = [];
+  const change = (from: EngineRole, to: EngineRole): boolean => {
+    const next = {...present};
+    next[from]--;
+    next[to]++;
+    // Some engine must be able to do each kind of work.
+    if (next.prefill + next.both < 1 || next.decode + next.both < 1) return false;
+    const engine = queues[from].pop();
+    if (!engine) return false;
+    Object.assign(present, next);
+    changes.push({targetId: engine.targetId, from, to});
+    return true;
+  };
+  if (plan.shift === 0) {
+    // Taken in turns, so that the split moves by at most half an engine.
+    const sides: readonly EngineRole[] = ['decode', 'prefill'];
+    for (let i = 0; i < counts.both - plan.mixedWanted && i < allowed; i++) {
+      if (!change('both', sides[i % 2])) break;
+    }
+    return changes;
+  }
+  let left = Math.abs(plan.shift);
+  while (left > 0 && changes.length < allowed) {
+    const steps = listSteps(plan.shift, left, present.both, plan.mixedWanted);
+    const done = steps.find(({from, to, size}) => size <= left && change(from, to));
+    if (!done) break;
+    left -= done.size;
+  }
+  return changes;
+}
+
+/** Engines of a role, the best one to change last. */
+function rankByCost(candidates: readonly EngineLoad[], role: EngineRole): EngineLoad[] {
+  const work = ({prefillWork, decodeWork, decodeBacklog}: EngineLoad) =>
+    prefillWork + decodeWork + decodeBacklog;
+  const ofRole = candidates.filter(engine => engine.role === role);
+  ofRole.sort((a, b) => work(b) - work(a));
+  // An engine's rank is its place in its own domain, so that the fullest domain gives first.
+  const taken = new Map<string, number>();
+  const ranked = ofRole.map(engine => {
+    const rank = (taken.get(engine.failureDomain) ?? 0) + 1;
+    taken.set(engine.failureDomain, rank);
+    return {engine, rank};
+  });
+  return ranked
+    .sort((a, b) => a.rank - b.rank || work(b.engine) - work(a.engine))
+    .map(({engine}) => engine);
+}
+
+function recordChanges(
+  state: RoleState,
+  changes: readonly RoleChange[],
+  shift: number,
+  nowMs: number,
+): RoleState {
+  const direction = shift === 0 ? state.lastDirection : shift > 0 ? 1 : -1;
+  const changesMs = [...state.changesMs, ...changes.map(() => nowMs)];
+  return {...state, changesMs, lastDirection: direction};
+}
