--- /dev/null
+++ b/packages/fleet/test/cheap-policy.test.ts
@@ -0,0 +1,205 @@
+import {FailureDomain, TargetId, toId} from '@radishgw/core';
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {
+  applyWithdrawal,
+  CheapState,
+  createCheapState,
+  decideCheapLimits,
+  DEFAULT_CHEAP_SETTINGS as SETTINGS,
+  DomainLoad,
+  mayRunOnCheap,
+  planWithdrawal,
+  RunningWork,
+  WorkClass,
+} from '../src/index.js';
+
+const CLASSES: readonly WorkClass[] = ['urgent', 'standard', 'batch'];
+
+const anyLoads = fc
+  .array(
+    fc.record({
+      steadyCapacity: fc.double({min: 0, max: 100, noNaN: true}),
+      use: fc.double({min: 0, max: 1, noNaN: true}),
+      cheapCapacity: fc.double({min: 0, max: 100, noNaN: true}),
+      cheapStandardWork: fc.double({min: 0, max: 100, noNaN: true}),
+      cheapBatchWork: fc.double({min: 0, max: 100, noNaN: true}),
+    }),
+    {minLength: 1, maxLength: 6},
+  )
+  .map(domains =>
+    domains.map(({use, ...load}, index): DomainLoad => ({
+      failureDomain: toId<FailureDomain>(`d${index}`),
+      steadyWork: load.steadyCapacity * use,
+      ...load,
+    })),
+  );
+
+const anyRunning = fc
+  .array(
+    fc.record({
+      workClass: fc.constantFrom(...CLASSES),
+      repeatable: fc.boolean(),
+      remainingMs: fc.integer({min: 0, max: 20_000}),
+      transferMs: fc.integer({min: 0, max: 20_000}),
+      work: fc.double({min: 0.01, max: 1, noNaN: true}),
+    }),
+    {maxLength: 40},
+  )
+  .map(list => list.map((work, index): RunningWork => ({workId: `w${index}`, ...work})));
+
+function domainsOf(count: number): DomainLoad[] {
+  return Array.from({length: count}, (_, index) => ({
+    failureDomain: toId<FailureDomain>(`d${index}`),
+    steadyCapacity: 10,
+    steadyWork: 5,
+    cheapCapacity: 4,
+    cheapStandardWork: 3,
+    cheapBatchWork: 0,
+  }));
+}
+
+function notice(targets: number, domainTargets: number) {
+  return {
+    failureDomain: toId<FailureDomain>('d0'),
+    targetIds: Array.from({length: targets}, (_, index) => toId<TargetId>(`t${index}`)),
+    domainTargets,
+    noticeMs: 5000,
+  };
+}
+
+/** Limits after they had time to rise. */
+function settle(state: CheapState, loads: readonly DomainLoad[], startMs: number) {
+  let decision = decideCheapLimits(state, loads, SETTINGS, startMs);
+  for (let minute = 1; minute <= 10; minute++) {
+    decision = decideCheapLimits(decision.state, loads, SETTINGS, startMs + minute * 60_000);
+  }
+  return decision;
+}
+
+describe('mayRunOnCheap', () => {
+  it('admits only work that may run again and is not urgent', () => {
+    // Guards against harm to non-idempotent or urgent work when a cheap target is withdrawn.
+    for (const workClass of CLASSES) {
+      expect(mayRunOnCheap({workClass, repeatable: false})).to.equal(false);
+    }
+    expect(mayRunOnCheap({workClass: 'urgent', repeatable: true})).to.equal(false);
+    expect(mayRunOnCheap({workClass: 'standard', repeatable: true})).to.equal(true);
+    expect(mayRunOnCheap({workClass: 'batch', repeatable: true})).to.equal(true);
+  });
+});
+
+describe('decideCheapLimits', () => {
+  it('never admits more than the other domains have room for', () => {
+    // Guards against work that has nowhere to go when all cheap targets of a domain are withdrawn.
+    fc.assert(
+      fc.property(anyLoads, loads => {
+        const {limits} = settle(createCheapState(), loads, 0);
+        limits.forEach((limit, lost) => {
+          const room = loads
+            .filter((_, index) => index !== lost)
+            .map(load => Math.max(0, load.steadyCapacity * SETTINGS.emergencyUse - load.steadyWork))
+            .reduce((sum, value) => sum + value, 0);
+          const displaced = limit.standardWorkLimit * (1 + SETTINGS.repeatedShare);
+          expect(displaced).to.be.at.most(room + 1e-6);
+          expect(limit.standardWorkLimit).to.be.at.most(limit.workLimit + 1e-9);
+          expect(limit.workLimit).to.be.at.most(loads[lost].cheapCapacity);
+        });
+      }),
+      {numRuns: 300, seed: 21},
+    );
+  });
+
+  it('reserves room outside each domain for the work that is on its cheap targets', () => {
+    // Guards against a reserve in the very domain that is lost.
+    const {limits} = settle(createCheapState(), domainsOf(3), 0);
+    limits.forEach((limit, lost) => {
+      const reserved = limits
+        .filter((_, index) => index !== lost)
+        .reduce((sum, other) => sum + other.reservedRoom, 0);
+      const displaced = Math.min(limit.standardWorkLimit, 3) * (1 + SETTINGS.repeatedShare);
+      expect(reserved).to.be.at.least(displaced - 1e-9);
+    });
+  });
+
+  it('gives a suspended domain no work, and lets it rise slowly afterwards', () => {
+    // Guards against work that follows withdrawn targets and is thrown back again.
+    const loads = domainsOf(3);
+    const before = settle(createCheapState(), loads, 0);
+    const {state} = applyWithdrawal(before.state, notice(4, 4), SETTINGS, 700_000);
+    const during = decideCheapLimits(state, loads, SETTINGS, 710_000);
+    expect(during.limits[0].workLimit).to.equal(0);
+    expect(during.limits[1].workLimit).to.be.above(0);
+    const endMs = 700_000 + SETTINGS.suspendMs;
+    const held = decideCheapLimits(during.state, loads, SETTINGS, endMs - 1000);
+    const after = decideCheapLimits(held.state, loads, SETTINGS, endMs + 1000);
+    expect(after.limits[0].workLimit).to.be.within(0.001, 0.1);
+  });
+});
+
+describe('applyWithdrawal', () => {
+  it('suspends a domain when notices add up, but not for a single target', () => {
+    // Guards against missing a whole-domain withdrawal that arrives as many small notices.
+    const first = applyWithdrawal(createCheapState(), notice(1, 10), SETTINGS, 0);
+    expect(first.reason.rule).to.equal('withdraw.targets');
+    const second = applyWithdrawal(first.state, notice(4, 9), SETTINGS, 3000);
+    expect(second.reason.rule).to.equal('suspend.domain');
+    const apart = applyWithdrawal(first.state, notice(4, 9), SETTINGS, 60_000);
+    expect(apart.reason.rule).to.equal('withdraw.targets');
+  });
+
+  it('suspends for longer each time', () => {
+    // Guards against work that returns to a domain that is withdrawn again and again.
+    let {state} = applyWithdrawal(createCheapState(), notice(4, 4), SETTINGS, 0);
+    expect(state.domains[0].suspendedUntilMs).to.equal(SETTINGS.suspendMs);
+    const nowMs = SETTINGS.suspendMs + 1000;
+    ({state} = applyWithdrawal(state, notice(4, 4), SETTINGS, nowMs));
+    expect(state.domains[0].suspendedUntilMs).to.equal(nowMs + 2 * SETTINGS.suspendMs);
+  });
+});
+
+describe('planWithdrawal', () => {
+  it('never runs work again that must not, and stays within the room', () => {
+    // Guards against a second run of a non-idempotent request and against flooding other targets.
+    fc.assert(
+      fc.property(
+        anyRunning,
+        fc.integer({min: 0, max: 10_000}),
+        fc.double({min: 0, max: 10, noNaN: true}),
+        (running, noticeMs, room) => {
+          const {steps} = planWithdrawal(noticeMs, running, room);
+          expect(steps.map(step => step.workId)).to.have.members(running.map(work => work.workId));
+          let used = 0;
+          for (const {workId, action} of steps) {
+            const work = running.find(other => other.workId === workId)!;
+            const moves = action === 'transfer' || action === 'restart';
+            if (!work.repeatable) expect(action).to.be.oneOf(['finish', 'leave']);
+            if (action === 'finish') expect(work.remainingMs).to.be.below(noticeMs);
+            if (action === 'transfer') expect(work.transferMs).to.be.below(noticeMs);
+            if (moves && work.workClass !== 'urgent') {
+              used += work.work;
+              expect(used).to.be.at.most(room + 1e-9);
+            }
+          }
+        },
+      ),
+      {numRuns: 300, seed: 22},
+    );
+  });
+
+  it('moves work that cannot wait before batch work', () => {
+    // Guards against batch work taking the room that interactive work needs.
+    const running: RunningWork[] = (['batch', 'standard'] as const).map(workClass => ({
+      workId: workClass,
+      workClass,
+      repeatable: true,
+      remainingMs: 60_000,
+      transferMs: Infinity,
+      work: 1,
+    }));
+    expect(planWithdrawal(5000, running, 1).steps).to.deep.equal([
+      {workId: 'standard', action: 'restart'},
+      {workId: 'batch', action: 'wait'},
+    ]);
+  });
+});
