Add the policy for ordering targets

The headroom on the forecast is the quantile of past forecast errors at which one more target costs as much as it saves, which makes the weight of spending against service one setting. Releases wait until targets were surplus for the whole hold time and never follow old figures. Domains that don't deliver are left out until the timeout has passed again; any arrival starts it anew, because a large domain is almost never complete.

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './policies/index.js';
--- /dev/null
+++ b/packages/fleet/src/policies/demand-forecast.ts
@@ -0,0 +1,147 @@
+import {
+  DailyProfile,
+  OrderingInput,
+  OrderingSettings,
+  OrderingState,
+  PendingForecast,
+} from './ordering-types.js';
+import {clamp, findQuantile, smooth, updateTrend} from './smoothing.js';
+
+const DAY_MS = 86_400_000;
+
+/** Slots of a day: 15 minutes follow the morning rise without being noisy. */
+const PROFILE_SLOTS = 96;
+
+/** Days over which the profile averages. */
+const PROFILE_DAYS = 5;
+
+/** Least days before the profile is used; below it the linear trend stands alone. */
+const MIN_PROFILE_DAYS = 0.9;
+
+/** Forecasts compared with the demand for the headroom. */
+const MAX_ERRORS = 240;
+
+/** Least time between two recorded forecasts. */
+const FORECAST_GAP_MS = 30_000;
+
+/** Headroom while fewer errors than this are known. */
+const MIN_ERRORS = 20;
+const FIRST_HEADROOM = 1.15;
+
+/** A profile that has seen nothing. */
+export function createProfile(): DailyProfile {
+  return {slots: Array.from({length: PROFILE_SLOTS}, () => 0), days: 0};
+}
+
+/** All demand of the input in targets. */
+export function sumDemand({demand}: OrderingInput): number {
+  return demand.steadyOnly + demand.standard + demand.batch;
+}
+
+/** Adds the demand of this moment to level, trend, profile and forecast errors. */
+export function learnForecast(
+  state: OrderingState,
+  input: OrderingInput,
+  settings: OrderingSettings,
+  nowMs: number,
+): OrderingState {
+  const total = sumDemand(input);
+  const steadyShare = total > 0 ? input.demand.steadyOnly / total : state.steadyOnlyShare;
+  const batchShare = total > 0 ? input.demand.batch / total : state.batchShare;
+  if (state.updatedMs === undefined) {
+    return {
+      ...state,
+      updatedMs: nowMs,
+      total: {level: total, perMs: 0},
+      steadyOnlyShare: steadyShare,
+      batchShare,
+    };
+  }
+  const elapsedMs = nowMs - state.updatedMs;
+  const {levelTauMs, trendTauMs} = settings;
+  const learned = {
+    ...state,
+    updatedMs: nowMs,
+    total: updateTrend(state.total, total, elapsedMs, levelTauMs, trendTauMs),
+    steadyOnlyShare: smooth(state.steadyOnlyShare, steadyShare, elapsedMs, 5 * levelTauMs),
+    batchShare: smooth(state.batchShare, batchShare, elapsedMs, 5 * levelTauMs),
+    profile: learnProfile(state.profile, input.timeOfDayMs, total, elapsedMs),
+  };
+  return learnErrors(learned, total, input.timeOfDayMs, settings, nowMs);
+}
+
+function learnProfile(
+  profile: DailyProfile,
+  timeOfDayMs: number,
+  total: number,
+  elapsedMs: number,
+): DailyProfile {
+  const slotMs = DAY_MS / PROFILE_SLOTS;
+  const index = Math.floor(timeOfDayMs / slotMs) % PROFILE_SLOTS;
+  const before = profile.slots[index];
+  // The first pass over a slot takes a plain mean; later days are averaged in.
+  const tauMs = (profile.days < 1 ? 0.5 : Math.min(PROFILE_DAYS, profile.days)) * slotMs;
+  const after = before === 0 ? total : smooth(before, total, elapsedMs, tauMs);
+  return {
+    slots: profile.slots.map((value, slot) => (slot === index ? after : value)),
+    days: profile.days + elapsedMs / DAY_MS,
+  };
+}
+
+/** Mean demand at a time of day, linear between the middles of the slots. */
+function readProfile(profile: DailyProfile, timeOfDayMs: number): number {
+  const position = (timeOfDayMs / DAY_MS) * PROFILE_SLOTS - 0.5 + PROFILE_SLOTS;
+  const index = Math.floor(position);
+  const left = profile.slots[index % PROFILE_SLOTS];
+  const right = profile.slots[(index + 1) % PROFILE_SLOTS];
+  return left + (right - left) * (position - index);
+}
+
+/** Demand expected after the lead time: level and trend, or the profile's change once it is known. */
+export function forecastDemand(
+  state: OrderingState,
+  timeOfDayMs: number,
+  settings: OrderingSettings,
+): number {
+  const {level, perMs} = state.total;
+  const byTrend = Math.max(0, level + perMs * settings.leadMs);
+  if (state.profile.days < MIN_PROFILE_DAYS) return byTrend;
+  const present = readProfile(state.profile, timeOfDayMs);
+  const ahead = readProfile(state.profile, timeOfDayMs + settings.leadMs);
+  if (present <= 0 || ahead <= 0) return byTrend;
+  const byProfile = level * clamp(ahead / present, 0.5, 2);
+  return (byTrend + byProfile) / 2;
+}
+
+function learnErrors(
+  state: OrderingState,
+  total: number,
+  timeOfDayMs: number,
+  settings: OrderingSettings,
+  nowMs: number,
+): OrderingState {
+  const due = state.forecasts.filter(forecast => forecast.dueMs <= nowMs);
+  let forecasts: readonly PendingForecast[] = state.forecasts;
+  let errorRatios = state.errorRatios;
+  if (due.length > 0) {
+    forecasts = forecasts.filter(forecast => forecast.dueMs > nowMs);
+    const ratios = due.filter(({value}) => value > 0).map(({value}) => total / value);
+    errorRatios = [...errorRatios, ...ratios].slice(-MAX_ERRORS);
+  }
+  const lastDueMs = forecasts.at(-1)?.dueMs ?? -Infinity;
+  if (nowMs + settings.leadMs - lastDueMs >= FORECAST_GAP_MS) {
+    const value = forecastDemand(state, timeOfDayMs, settings);
+    forecasts = [...forecasts, {dueMs: nowMs + settings.leadMs, value}];
+  }
+  return {...state, forecasts, errorRatios};
+}
+
+/**
+ * Factor on the forecast that weighs spending against service: the quantile of past demand over
+ * forecast at which one more target costs as much as it is expected to save.
+ */
+export function findHeadroom(state: OrderingState, settings: OrderingSettings): number {
+  if (state.errorRatios.length < MIN_ERRORS) return FIRST_HEADROOM;
+  const quantile = settings.shortfallPrice / (settings.shortfallPrice + 1);
+  return clamp(findQuantile(state.errorRatios, quantile, FIRST_HEADROOM), 1, 2);
+}
--- /dev/null
+++ b/packages/fleet/test/ordering-policy.test.ts
@@ -0,0 +1,189 @@
+import {createSeededRandom, FailureDomain, PoolId, toId} from '@radishgw/core';
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {
+  createOrderingState,
+  decideTargets,
+  DEFAULT_ORDERING_SETTINGS as SETTINGS,
+  DesiredCount,
+  DomainTargets,
+  OrderingInput,
+  OrderingState,
+} from '../src/index.js';
+
+const STEP_MS = 10_000;
+
+function domain(index: number, cheap: boolean, count: number, maxCount = 50): DomainTargets {
+  return {
+    failureDomain: toId<FailureDomain>(`d${index}`),
+    cheap,
+    desired: count,
+    ready: count,
+    maxCount,
+    unavailable: false,
+  };
+}
+
+function fleet(steady: number, cheap: number): DomainTargets[] {
+  return [0, 1, 2].flatMap(index => [domain(index, false, steady), domain(index, true, cheap)]);
+}
+
+function input(targets: readonly DomainTargets[], work: number, steadyShare = 1): OrderingInput {
+  return {
+    pool: toId<PoolId>('assistant'),
+    demand: {
+      steadyOnly: work * steadyShare,
+      standard: work * (1 - steadyShare),
+      batch: 0,
+      backlog: 0,
+    },
+    targets,
+    timeOfDayMs: 0,
+    demandAgeMs: 1000,
+  };
+}
+
+/** Targets after the orders, delivered at once. */
+function deliver(targets: readonly DomainTargets[], orders: readonly DesiredCount[]) {
+  return targets.map(entry => {
+    const order = orders.find(
+      ({failureDomain, cheap}) => failureDomain === entry.failureDomain && cheap === entry.cheap,
+    );
+    return order ? {...entry, desired: order.desiredCount, ready: order.desiredCount} : entry;
+  });
+}
+
+function sum(targets: readonly DomainTargets[], cheap: boolean): number {
+  return targets
+    .filter(entry => entry.cheap === cheap)
+    .reduce((total, entry) => total + entry.desired, 0);
+}
+
+/** Runs the policy with instant delivery; returns the targets and the number of orders. */
+function run(
+  start: readonly DomainTargets[],
+  durationMs: number,
+  workAt: (nowMs: number) => number,
+  steadyShare = 1,
+) {
+  let targets = start;
+  let state: OrderingState = createOrderingState(0);
+  let orders = 0;
+  for (let nowMs = 0; nowMs <= durationMs; nowMs += STEP_MS) {
+    const decision = decideTargets(
+      state,
+      input(targets, workAt(nowMs), steadyShare),
+      SETTINGS,
+      nowMs,
+    );
+    state = decision.state;
+    orders += decision.orders.length;
+    targets = deliver(targets, decision.orders);
+  }
+  return {targets, orders, state};
+}
+
+describe('decideTargets', () => {
+  it('keeps every count within the bounds of its domain', () => {
+    // Guards against orders below the minimum of a domain or above what the platform gives.
+    fc.assert(
+      fc.property(fc.integer({min: 1, max: 10_000}), fc.integer({min: 1, max: 30}), (seed, max) => {
+        const random = createSeededRandom(seed);
+        let targets: DomainTargets[] = fleet(2, 1).map(entry => ({...entry, maxCount: max}));
+        let state = createOrderingState(0);
+        for (let step = 0; step < 200; step++) {
+          const work = random.next() * 60;
+          const decision = decideTargets(state, input(targets, work, 0.4), SETTINGS, step * 60_000);
+          state = decision.state;
+          for (const order of decision.orders) {
+            expect(Number.isInteger(order.desiredCount)).to.equal(true);
+            expect(order.desiredCount).to.be.within(order.cheap ? 0 : SETTINGS.minPerDomain, max);
+          }
+          targets = deliver(targets, decision.orders).map(entry => ({
+            ...entry,
+            ready: Math.floor(entry.desired * random.next()),
+          }));
+        }
+      }),
+      {numRuns: 40, seed: 31},
+    );
+  });
+
+  it('orders nothing more once the targets fit a steady demand', () => {
+    // Guards against orders that go up and down around the needed count.
+    const {orders, state, targets} = run(fleet(4, 0), 3_600_000, () => 8);
+    const later = decideTargets(state, input(targets, 8), SETTINGS, 3_610_000);
+    expect(later.orders).to.deep.equal([]);
+    expect(orders).to.be.at.most(6);
+  });
+
+  it('gives targets back only after the hold time, and never on old figures', () => {
+    // Guards against releases in a short lull, whose targets take minutes to come back.
+    const lull = run(fleet(6, 0), SETTINGS.releaseHoldMs - STEP_MS, () => 3);
+    expect(sum(lull.targets, false)).to.equal(18);
+    const lasting = run(fleet(6, 0), 2 * SETTINGS.releaseHoldMs, () => 3);
+    expect(sum(lasting.targets, false)).to.be.below(10);
+    const old = {...input(lull.targets, 0), demandAgeMs: 600_000};
+    const decision = decideTargets(lull.state, old, SETTINGS, 10 * SETTINGS.releaseHoldMs);
+    expect(decision.orders).to.deep.equal([]);
+    expect(decision.reason.rule).to.equal('hold.age');
+  });
+
+  it('replaces a lost domain elsewhere at once', () => {
+    // Guards against waiting for targets of a domain that is gone.
+    const {state, targets} = run(fleet(5, 0), 600_000, () => 10);
+    const lost = targets.map(entry =>
+      entry.failureDomain === 'd0' ? {...entry, ready: 0, unavailable: true} : entry,
+    );
+    const {orders} = decideTargets(state, input(lost, 10), SETTINGS, 610_000);
+    const more = deliver(lost, orders).filter(entry => !entry.unavailable);
+    expect(sum(more, false)).to.be.at.least(Math.ceil(10 / SETTINGS.plannedUse));
+  });
+
+  it('orders elsewhere what a domain does not deliver, and withdraws that order', () => {
+    // Guards against a shortage that lasts because the order looks complete, and against paying
+    // twice when the late targets arrive after all.
+    let targets: readonly DomainTargets[] = fleet(2, 0);
+    let state = createOrderingState(0);
+    for (let nowMs = 0; nowMs <= 2 * SETTINGS.arrivalTimeoutMs; nowMs += STEP_MS) {
+      const decision = decideTargets(state, input(targets, 9), SETTINGS, nowMs);
+      state = decision.state;
+      targets = deliver(targets, decision.orders).map(entry =>
+        entry.failureDomain === 'd0' && !entry.cheap ? {...entry, ready: 2} : entry,
+      );
+    }
+    const first = targets.find(entry => entry.failureDomain === 'd0' && !entry.cheap)!;
+    expect(first.desired).to.equal(2);
+    expect(sum(targets, false)).to.be.at.least(12);
+  });
+
+  it('does not take a domain with constant replacements for one that delivers nothing', () => {
+    // Guards against moving a large domain's orders away because a few of its targets always fail.
+    let targets: readonly DomainTargets[] = fleet(20, 0);
+    let state = createOrderingState(0);
+    for (let nowMs = 0; nowMs <= 4 * SETTINGS.arrivalTimeoutMs; nowMs += STEP_MS) {
+      const missing = (nowMs / STEP_MS) % 2 === 0 ? 1 : 2;
+      const seen = targets.map(entry =>
+        entry.cheap ? entry : {...entry, ready: entry.desired - missing},
+      );
+      const decision = decideTargets(state, input(seen, 44), SETTINGS, nowMs);
+      state = decision.state;
+      targets = deliver(targets, decision.orders);
+    }
+    for (const entry of targets.filter(({cheap}) => !cheap)) {
+      expect(entry.desired).to.be.within(19, 24);
+    }
+  });
+
+  it('keeps steady room for the work of the fullest cheap domain', () => {
+    // Guards against saving on steady targets that a whole-domain withdrawal would need.
+    const {targets} = run(fleet(6, 0), 3_600_000, () => 12, 0.3);
+    const cheapCounts = targets.filter(entry => entry.cheap).map(entry => entry.desired);
+    const cheap = sum(targets, true);
+    expect(cheap).to.be.above(0);
+    const work = 12 - cheap * SETTINGS.plannedUse;
+    const displaced = Math.max(...cheapCounts) * SETTINGS.plannedUse * (1 + SETTINGS.repeatedShare);
+    const room = sum(targets, false) * SETTINGS.emergencyUse - Math.max(0, work);
+    expect(room).to.be.at.least(displaced - 1);
+  });
+});
