Spread cheap work evenly instead of holding it to the free room

Holding work back doesn't protect it. On steady targets it takes the same room all the time, and in a queue it waits for certain. The limits now spread work that can't wait evenly over the domains, and missing room is reported for the ordering policy (roomShort).

--- /dev/null
+++ b/packages/bench/src/cheap-fleet.ts
@@ -0,0 +1,389 @@
+import {
+  createSeededRandom,
+  FailureDomain,
+  RandomSource,
+  TargetId,
+  Timer,
+  toId,
+  VirtualClock,
+} from '@radishgw/core';
+import {
+  applyWithdrawal,
+  CheapLimit,
+  CheapState,
+  createCheapState,
+  decideCheapLimits,
+  DEFAULT_CHEAP_SETTINGS,
+  DomainLoad,
+  mayRunOnCheap,
+  planWithdrawal,
+  RunningWork,
+  WithdrawalAction,
+  WorkTraits,
+} from '@radishgw/fleet';
+import {CHEAP_FLEET, CheapFigures, CheapStrategy} from './cheap-settings.js';
+import {FIRST_TOKEN_TARGET_MS} from './shift-minutes.js';
+
+interface Target {
+  readonly id: TargetId;
+  readonly domain: FailureDomain;
+  readonly cheap: boolean;
+  isUp: boolean;
+  /** False from the notice on. */
+  accepts: boolean;
+  readonly running: Set<Job>;
+}
+
+interface Job extends WorkTraits {
+  readonly id: string;
+  readonly atMs: number;
+  readonly serviceMs: number;
+  firstStartMs?: number;
+  startMs: number;
+  target?: Target;
+  timer?: Timer;
+  isDone: boolean;
+}
+
+/** Time after a domain's withdrawal in which starts are also counted apart. */
+const AFTER_LOSS_MS = 60_000;
+
+/** Slots-based fleet with steady and cheap targets; queues are first in, first out by class. */
+export class CheapFleet {
+  private readonly random: RandomSource;
+  private readonly targets: Target[] = [];
+  private readonly queues = {urgent: [] as Job[], standard: [] as Job[], batch: [] as Job[]};
+  private readonly jobs: Job[] = [];
+  private state: CheapState = createCheapState();
+  private limits: ReadonlyMap<FailureDomain, CheapLimit> = new Map();
+  private readonly reports: Array<{readonly atMs: number; readonly loads: DomainLoad[]}> = [];
+  private readonly totals = {workMs: 0, cheapMs: 0, repeatedMs: 0, price: 0, urgentCut: 0, cut: 0};
+
+  constructor(
+    private readonly clock: VirtualClock,
+    seed: number,
+    private readonly strategy: CheapStrategy,
+  ) {
+    this.random = createSeededRandom(seed);
+    strategy.steady.forEach((count, domain) => this.addTargets(domain, count, false));
+    strategy.cheap.forEach((count, domain) => this.addTargets(domain, count, true));
+  }
+
+  private addTargets(domain: number, count: number, cheap: boolean): void {
+    for (let index = 0; index < count; index++) {
+      this.targets.push({
+        id: toId<TargetId>(`${cheap ? 'cheap' : 'steady'}-${domain}-${index}`),
+        domain: toId<FailureDomain>(`domain-${domain}`),
+        cheap,
+        isUp: true,
+        accepts: true,
+        running: new Set(),
+      });
+    }
+  }
+
+  /** Runs the whole time and gives the figures. */
+  run(): CheapFigures {
+    this.scheduleArrival();
+    this.scheduleSingleWithdrawal();
+    this.scheduleDomainWithdrawals();
+    this.decide();
+    this.clock.runUntil(CHEAP_FLEET.durationMs);
+    return this.summarise();
+  }
+
+  private scheduleArrival(): void {
+    const {serviceMs, work, slotsPerTarget} = CHEAP_FLEET;
+    const gapMs = serviceMs / (work * slotsPerTarget);
+    this.clock.setTimer(-gapMs * Math.log(1 - this.random.next()), () => {
+      this.arrive();
+      this.scheduleArrival();
+    });
+  }
+
+  private arrive(): void {
+    const {classShares, nonRepeatableShare, serviceMs} = CHEAP_FLEET;
+    const point = this.random.next();
+    const workClass =
+      point < classShares.urgent
+        ? 'urgent'
+        : point < classShares.urgent + classShares.standard
+          ? 'standard'
+          : 'batch';
+    const job: Job = {
+      id: `${this.jobs.length}`,
+      atMs: this.clock.nowMs(),
+      workClass,
+      repeatable: this.random.next() >= nonRepeatableShare,
+      // Between a third and five thirds of the mean.
+      serviceMs: serviceMs * (1 / 3 + (4 / 3) * this.random.next()),
+      startMs: 0,
+      isDone: false,
+    };
+    this.jobs.push(job);
+    this.queues[workClass].push(job);
+    this.dispatch();
+  }
+
+  private dispatch(): void {
+    for (const queue of [this.queues.urgent, this.queues.standard, this.queues.batch]) {
+      // The first job that finds no target doesn't block others that may run elsewhere.
+      for (let index = 0, misses = 0; index < queue.length && misses < 4;) {
+        const target = this.chooseTarget(queue[index]);
+        if (target) {
+          this.start(queue.splice(index, 1)[0], target);
+        } else {
+          index++;
+          misses++;
+        }
+      }
+    }
+  }
+
+  private chooseTarget(job: Job): Target | undefined {
+    const open = this.targets.filter(target => target.accepts && hasFreeSlot(target));
+    if (!this.strategy.hasRules) return leastBusy(open);
+    const cheap = mayRunOnCheap(job) ? open.filter(target => this.isWithinLimit(target, job)) : [];
+    const steady = open.filter(target => !target.cheap && this.leavesReserve(target, job));
+    const rest = mayRunOnCheap(job) ? open.filter(target => this.isWithinLimit(target)) : [];
+    return leastBusy(cheap) ?? leastBusy(steady) ?? leastBusy(rest);
+  }
+
+  /** True when the domain's limits, with a job also that for its class, are not reached. */
+  private isWithinLimit(target: Target, job?: Job): boolean {
+    const limit = target.cheap ? this.limits.get(target.domain) : undefined;
+    if (!limit) return false;
+    let all = 0;
+    let standard = 0;
+    for (const other of this.targets) {
+      if (!other.cheap || other.domain !== target.domain) continue;
+      all += other.running.size;
+      for (const {workClass} of other.running) if (workClass === 'standard') standard++;
+    }
+    const {slotsPerTarget} = CHEAP_FLEET;
+    if (all + 1 > limit.workLimit * slotsPerTarget) return false;
+    if (job?.workClass !== 'standard') return true;
+    return standard + 1 <= limit.standardWorkLimit * slotsPerTarget;
+  }
+
+  /** Batch work that may also run on cheap targets leaves the reserved room of the domain free. */
+  private leavesReserve(target: Target, job: Job): boolean {
+    if (job.workClass !== 'batch' || !mayRunOnCheap(job)) return true;
+    const reserved = this.limits.get(target.domain)?.reservedRoom ?? 0;
+    let free = 0;
+    for (const other of this.targets) {
+      if (other.cheap || other.domain !== target.domain) continue;
+      free += CHEAP_FLEET.slotsPerTarget - other.running.size;
+    }
+    return free - 1 >= reserved * CHEAP_FLEET.slotsPerTarget;
+  }
+
+  private start(job: Job, target: Target): void {
+    job.startMs = this.clock.nowMs();
+    job.firstStartMs ??= job.startMs;
+    job.target = target;
+    target.running.add(job);
+    job.timer = this.clock.setTimer(job.serviceMs, () => {
+      this.stop(job);
+      job.isDone = true;
+      this.dispatch();
+    });
+  }
+
+  /** Takes a job off its target and accounts its work. */
+  private stop(job: Job): void {
+    const {target} = job;
+    if (!target) return;
+    target.running.delete(job);
+    const workMs = this.clock.nowMs() - job.startMs;
+    this.totals.workMs += workMs;
+    if (target.cheap) this.totals.cheapMs += workMs;
+    job.timer?.cancel();
+    job.target = undefined;
+  }
+
+  private scheduleSingleWithdrawal(): void {
+    const delayMs = -CHEAP_FLEET.singleWithdrawalMs * Math.log(1 - this.random.next());
+    this.clock.setTimer(delayMs, () => {
+      const candidates = this.targets.filter(target => target.cheap && target.accepts);
+      if (candidates.length > 0) {
+        const target = candidates[this.random.nextInt(candidates.length)];
+        this.withdraw([target], CHEAP_FLEET.noticeMs);
+      }
+      this.scheduleSingleWithdrawal();
+    });
+  }
+
+  private scheduleDomainWithdrawals(): void {
+    CHEAP_FLEET.domainWithdrawalsMs.forEach((atMs, index) => {
+      this.clock.setTimer(atMs, () => {
+        const domain = `domain-${this.random.nextInt(CHEAP_FLEET.failureDomains)}`;
+        const targets = this.targets.filter(
+          target => target.cheap && target.accepts && target.domain === domain,
+        );
+        if (targets.length > 0) this.withdraw(targets, index === 0 ? CHEAP_FLEET.noticeMs : 0);
+      });
+    });
+  }
+
+  /** Gives the notice; the targets go after it and come back later. */
+  private withdraw(targets: readonly Target[], noticeMs: number): void {
+    const domain = targets[0].domain;
+    const domainTargets = this.targets.filter(
+      target => target.cheap && target.accepts && target.domain === domain,
+    ).length;
+    for (const target of targets) target.accepts = false;
+    if (this.strategy.hasRules) this.applyPlan(targets, domainTargets, noticeMs);
+    this.clock.setTimer(noticeMs, () => {
+      for (const target of targets) this.remove(target);
+      this.dispatch();
+    });
+  }
+
+  private applyPlan(targets: readonly Target[], domainTargets: number, noticeMs: number): void {
+    const nowMs = this.clock.nowMs();
+    const failureDomain = targets[0].domain;
+    const notice = {
+      failureDomain,
+      targetIds: targets.map(({id}) => id),
+      domainTargets,
+      noticeMs,
+    };
+    this.state = applyWithdrawal(this.state, notice, DEFAULT_CHEAP_SETTINGS, nowMs).state;
+    const running = targets.flatMap(target => [...target.running]);
+    const {slotsPerTarget} = CHEAP_FLEET;
+    const works = running.map((job): RunningWork => ({
+      workId: job.id,
+      workClass: job.workClass,
+      repeatable: job.repeatable,
+      remainingMs: job.startMs + job.serviceMs - nowMs,
+      transferMs: Infinity,
+      work: 1 / slotsPerTarget,
+    }));
+    const free = this.targets
+      .filter(target => !target.cheap && target.accepts)
+      .reduce((sum, target) => sum + slotsPerTarget - target.running.size, 0);
+    const plan = planWithdrawal(noticeMs, works, free / slotsPerTarget);
+    const jobs = new Map(running.map(job => [job.id, job]));
+    for (const {workId, action} of plan.steps) this.applyStep(jobs.get(workId)!, action);
+    this.limits = new Map([...this.limits].filter(([domain]) => domain !== failureDomain));
+    this.dispatch();
+  }
+
+  private applyStep(job: Job, action: WithdrawalAction): void {
+    if (action === 'finish' || action === 'leave') return;
+    this.requeue(job);
+  }
+
+  /** Stops a job and puts it in front of its queue; its work so far is done again. */
+  private requeue(job: Job): void {
+    this.totals.repeatedMs += this.clock.nowMs() - job.startMs;
+    this.stop(job);
+    this.queues[job.workClass].unshift(job);
+  }
+
+  private remove(target: Target): void {
+    target.isUp = false;
+    for (const job of [...target.running]) {
+      if (job.workClass === 'urgent') this.totals.urgentCut++;
+      if (job.repeatable) {
+        this.requeue(job);
+      } else {
+        this.totals.cut++;
+        this.stop(job);
+      }
+    }
+    this.clock.setTimer(CHEAP_FLEET.returnMs, () => {
+      target.isUp = true;
+      target.accepts = true;
+      this.dispatch();
+    });
+  }
+
+  private decide(): void {
+    const {decisionIntervalMs, reportLagMs, cheapPrice} = CHEAP_FLEET;
+    const nowMs = this.clock.nowMs();
+    for (const {isUp, cheap} of this.targets) {
+      if (isUp) this.totals.price += (cheap ? cheapPrice : 1) * decisionIntervalMs;
+    }
+    this.reports.push({atMs: nowMs, loads: this.sampleLoads()});
+    const known = this.reports.filter(({atMs}) => atMs <= nowMs - reportLagMs).at(-1);
+    if (this.strategy.hasRules && known) {
+      const decision = decideCheapLimits(this.state, known.loads, DEFAULT_CHEAP_SETTINGS, nowMs);
+      this.state = decision.state;
+      this.limits = new Map(decision.limits.map(limit => [limit.failureDomain, limit]));
+    }
+    if (this.reports.length > 10) this.reports.shift();
+    this.clock.setTimer(decisionIntervalMs, () => this.decide());
+    this.dispatch();
+  }
+
+  private sampleLoads(): DomainLoad[] {
+    const domains = [...new Set(this.targets.map(({domain}) => domain))];
+    return domains.map(failureDomain => {
+      const load = {
+        failureDomain,
+        steadyCapacity: 0,
+        steadyWork: 0,
+        steadyMovableWork: 0,
+        cheapCapacity: 0,
+        cheapStandardWork: 0,
+        cheapBatchWork: 0,
+      };
+      for (const target of this.targets) {
+        if (target.domain !== failureDomain || !target.accepts) continue;
+        const busy = target.running.size / CHEAP_FLEET.slotsPerTarget;
+        if (!target.cheap) {
+          load.steadyCapacity++;
+          load.steadyWork += busy;
+          const movable = [...target.running].filter(
+            job => job.workClass === 'standard' && mayRunOnCheap(job),
+          );
+          load.steadyMovableWork += movable.length / CHEAP_FLEET.slotsPerTarget;
+          continue;
+        }
+        const batch = [...target.running].filter(job => job.workClass === 'batch').length;
+        load.cheapCapacity++;
+        load.cheapBatchWork += batch / CHEAP_FLEET.slotsPerTarget;
+        load.cheapStandardWork += busy - batch / CHEAP_FLEET.slotsPerTarget;
+      }
+      return load;
+    });
+  }
+
+  private summarise(): CheapFigures {
+    const {durationMs, domainWithdrawalsMs, work} = CHEAP_FLEET;
+    // Arrivals of the last seconds may rightly not have started yet.
+    const due = this.jobs.filter(job => job.atMs < durationMs - 60_000);
+    const prompt = due.filter(job => job.workClass !== 'batch');
+    const isOnTime = (job: Job) =>
+      (job.firstStartMs ?? Infinity) - job.atMs <= FIRST_TOKEN_TARGET_MS;
+    const afterLoss = prompt.filter(job =>
+      domainWithdrawalsMs.some(atMs => job.atMs >= atMs && job.atMs < atMs + AFTER_LOSS_MS),
+    );
+    const urgent = due.filter(job => job.workClass === 'urgent');
+    return {
+      cost: this.totals.price / durationMs / work,
+      cheapShare: this.totals.cheapMs / this.totals.workMs,
+      onTime: prompt.filter(isOnTime).length / prompt.length,
+      onTimeAfterLoss: afterLoss.filter(isOnTime).length / afterLoss.length,
+      urgentOnTime: urgent.filter(isOnTime).length / urgent.length,
+      nonRepeatableCut: this.totals.cut,
+      urgentCut: this.totals.urgentCut,
+      repeatedShare: this.totals.repeatedMs / this.totals.workMs,
+      unfinished: due.filter(job => job.firstStartMs === undefined).length,
+    };
+  }
+}
+
+function hasFreeSlot(target: Target): boolean {
+  return target.running.size < CHEAP_FLEET.slotsPerTarget;
+}
+
+function leastBusy(targets: readonly Target[]): Target | undefined {
+  let best: Target | undefined;
+  for (const target of targets) {
+    if (!best || target.running.size < best.running.size) best = target;
+  }
+  return best;
+}
--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -1,10 +1,12 @@
 import {Bench} from './bench.js';
+import {COST_BENCH} from './cost.js';
 import {SHIFT_BENCH} from './shift.js';
 import {SoakSuite} from './soak-suite.js';
 
 /** Measurements by name, in the order in which `all` runs them. */
 export const BENCHES: Readonly<Record<string, Bench>> = {
   shift: SHIFT_BENCH,
+  cost: COST_BENCH,
 };
 
 /** Randomised suites by name. */
--- a/packages/fleet/src/policies/cheap-policy.ts
+++ b/packages/fleet/src/policies/cheap-policy.ts
@@ -8,15 +8,19 @@
   DomainLoad,
   RunningWork,
   WithdrawalAction,
+  WithdrawalDecision,
   WithdrawalNotice,
   WithdrawalPlan,
   WorkTraits,
 } from './cheap-types.js';
-import {explain} from './reason.js';
+import {DecisionReason, explain} from './reason.js';
 
 /** Time between the end of a request and the withdrawal that is kept as a margin. */
 const NOTICE_MARGIN_MS = 500;
 
+/** Growth that the limits allow until the next decision sees it, as a share of the work. */
+const ARRIVAL_MARGIN = 0.25;
+
 /**
  * State before the first decision and after a takeover. No domain is suspended, and each limit
  * starts at the work that is already on the domain's cheap targets.
@@ -30,10 +34,21 @@
   return work.repeatable && work.workClass !== 'urgent';
 }
 
+/** A failure domain with the memory and the limit that follow from its own state. */
+interface DomainPlan {
+  readonly load: DomainLoad;
+  readonly memory: CheapDomainState;
+  readonly suspended: boolean;
+  readonly workLimit: number;
+}
+
 /**
- * Sets how much work may run on the cheap targets of each failure domain and how much steady
- * capacity is kept free, so that the loss of all cheap targets of any one domain finds room on
- * steady targets of the other domains.
+ * Sets how much work may run on the cheap targets of each failure domain, and how much steady
+ * capacity batch work leaves free for what the loss of all cheap targets of one domain displaces.
+ *
+ * Work that can't wait is spread evenly over the domains, so that the worst loss is small. It is
+ * not held back for lack of room: on steady targets it would take the same room all the time, and
+ * in a queue it would wait for certain. Missing room is reported instead.
  */
 export function decideCheapLimits(
   state: CheapState,
@@ -41,42 +56,87 @@
   settings: CheapSettings,
   nowMs: number,
 ): CheapDecision {
+  const plans = planDomains(state, loads, settings, nowMs);
+  const standard = loads.reduce(
+    (sum, load) => sum + load.cheapStandardWork + load.steadyMovableWork,
+    0,
+  );
+  const expected = spreadEvenly(plans, standard);
+  const allowed = spreadEvenly(plans, standard * (1 + ARRIVAL_MARGIN));
+  const needs = plans.map(({workLimit}, index) => {
+    const batch = Math.max(0, workLimit - expected[index]);
+    return (expected[index] + batch * settings.batchRoomShare) * (1 + settings.repeatedShare);
+  });
+  const reserves = placeReserve(loads, needs);
+  const onCheap = expected.reduce((sum, work) => sum + work, 0);
+  const roomShort = findRoomShort(loads, needs, Math.max(0, standard - onCheap), settings);
+  const limits = plans.map(({load, suspended, workLimit}, index): CheapLimit => ({
+    failureDomain: load.failureDomain,
+    standardWorkLimit: allowed[index],
+    workLimit,
+    reservedRoom: reserves[index],
+    suspended,
+  }));
+  const domains = plans.map(({memory, workLimit}) => ({...memory, workLimit}));
+  const reason = explainLimits(limits, roomShort);
+  return {state: {updatedMs: nowMs, domains}, limits, roomShort, reason};
+}
+
+/** Applies suspensions, the slow rise and the bound on the cheap share. */
+function planDomains(
+  state: CheapState,
+  loads: readonly DomainLoad[],
+  settings: CheapSettings,
+  nowMs: number,
+): DomainPlan[] {
   const elapsedMs = nowMs - (state.updatedMs ?? nowMs);
   const previous = new Map(state.domains.map(domain => [domain.failureDomain, domain]));
-  const totalRoom = loads.reduce((sum, load) => sum + findRoom(load, settings), 0);
-  const wanted = loads.map(load => {
+  const plans = loads.map(load => {
     const present = load.cheapStandardWork + load.cheapBatchWork;
     const memory =
       previous.get(load.failureDomain) ?? createDomainState(load.failureDomain, present);
     const suspended = nowMs < memory.suspendedUntilMs;
-    const roomElsewhere = totalRoom - findRoom(load, settings);
-    const planned = suspended ? 0 : load.cheapCapacity * settings.plannedUse;
+    const usable = suspended ? 0 : load.cheapCapacity * settings.emergencyUse;
     const rise = (elapsedMs / 60_000) * settings.risePerMinute * load.cheapCapacity;
-    const workLimit = Math.min(planned, memory.workLimit + rise);
-    const standard = Math.min(workLimit, roomElsewhere / (1 + settings.repeatedShare));
-    return {load, memory, suspended, workLimit, standard};
+    return {load, memory, suspended, workLimit: Math.min(usable, memory.workLimit + rise)};
   });
-  const scale = scaleToShare(loads, wanted, settings);
-  const shares = wanted.map(domain => ({
-    ...domain,
-    workLimit: domain.workLimit * scale,
-    standard: domain.standard * scale,
-  }));
-  const reserves = placeReserve(shares, settings);
-  const limits = shares.map(({load, suspended, workLimit, standard}, index): CheapLimit => ({
-    failureDomain: load.failureDomain,
-    standardWorkLimit: standard,
-    workLimit,
-    reservedRoom: reserves[index],
-    suspended,
-  }));
-  const domains = shares.map(({memory, workLimit}) => ({...memory, workLimit}));
-  return {state: {updatedMs: nowMs, domains}, limits, reason: explainLimits(limits, totalRoom)};
+  const scale = scaleToShare(loads, plans, settings);
+  return plans.map(plan => ({...plan, workLimit: plan.workLimit * scale}));
 }
 
-/** Steady capacity that displaced work can use now. */
-function findRoom(load: DomainLoad, settings: CheapSettings): number {
-  return Math.max(0, load.steadyCapacity * settings.emergencyUse - load.steadyWork);
+/** Work of each domain when `work` is spread as evenly as the limits allow. */
+function spreadEvenly(plans: readonly DomainPlan[], work: number): number[] {
+  let left = work;
+  let level = 0;
+  const limits = plans.map(({workLimit}) => workLimit).sort((a, b) => a - b);
+  limits.forEach((limit, index) => {
+    const open = limits.length - index;
+    const step = Math.min(limit - level, left / open);
+    level += step;
+    left -= step * open;
+  });
+  return plans.map(({workLimit}) => Math.min(workLimit, level));
+}
+
+/**
+ * Work of the worst loss that finds no room on steady targets outside the lost domain.
+ * @param remaining work that can't wait, may run on cheap targets and is still on steady ones
+ */
+function findRoomShort(
+  loads: readonly DomainLoad[],
+  needs: readonly number[],
+  remaining: number,
+  settings: CheapSettings,
+): number {
+  const rooms = loads.map(load => {
+    const fixed = load.steadyWork - load.steadyMovableWork;
+    return Math.max(0, load.steadyCapacity * settings.emergencyUse - fixed);
+  });
+  const total = rooms.reduce((sum, room) => sum + room, 0);
+  return needs.reduce((worst, need, lost) => {
+    if (need <= 0) return worst;
+    return Math.max(worst, need - Math.max(0, total - rooms[lost] - remaining));
+  }, 0);
 }
 
 function createDomainState(failureDomain: FailureDomain, workLimit = 0): CheapDomainState {
@@ -109,22 +169,10 @@
  * outside that domain, so each domain holds its part by steady capacity of the largest need of
  * the others.
  */
-function placeReserve(
-  domains: ReadonlyArray<{
-    readonly load: DomainLoad;
-    readonly standard: number;
-    readonly workLimit: number;
-  }>,
-  settings: CheapSettings,
-): number[] {
-  const needs = domains.map(({load, standard, workLimit}) => {
-    const onCheap = Math.min(standard, load.cheapStandardWork);
-    const batch = Math.min(Math.max(0, workLimit - onCheap), load.cheapBatchWork);
-    return (onCheap + batch * settings.batchRoomShare) * (1 + settings.repeatedShare);
-  });
-  const steady = domains.map(({load}) => load.steadyCapacity);
+function placeReserve(loads: readonly DomainLoad[], needs: readonly number[]): number[] {
+  const steady = loads.map(load => load.steadyCapacity);
   const totalSteady = steady.reduce((sum, capacity) => sum + capacity, 0);
-  return domains.map((_, index) => {
+  return loads.map((_, index) => {
     let reserve = 0;
     needs.forEach((need, lost) => {
       const elsewhere = totalSteady - steady[lost];
@@ -135,10 +183,10 @@
   });
 }
 
-function explainLimits(limits: readonly CheapLimit[], totalRoom: number) {
+function explainLimits(limits: readonly CheapLimit[], roomShort: number): DecisionReason {
   const suspended = limits.filter(limit => limit.suspended).length;
   const figures = {
-    totalRoom,
+    roomShort,
     standardWorkLimit: limits.reduce((sum, limit) => sum + limit.standardWorkLimit, 0),
     workLimit: limits.reduce((sum, limit) => sum + limit.workLimit, 0),
     reservedRoom: limits.reduce((sum, limit) => sum + limit.reservedRoom, 0),
@@ -151,7 +199,10 @@
       figures,
     );
   }
-  return explain('limit.room', 'limited by the room that is free outside each domain', figures);
+  if (roomShort > 0) {
+    return explain('limit.roomShort', 'steady targets lack room for the worst loss', figures);
+  }
+  return explain('limit.room', 'steady targets have room for the worst loss', figures);
 }
 
 /**
@@ -163,7 +214,7 @@
   notice: WithdrawalNotice,
   settings: CheapSettings,
   nowMs: number,
-): CheapDecision {
+): WithdrawalDecision {
   const known = state.domains.find(domain => domain.failureDomain === notice.failureDomain);
   const memory = known ?? createDomainState(notice.failureDomain);
   const withdrawals = [
@@ -173,7 +224,8 @@
   const withdrawn = withdrawals.reduce((sum, {targets}) => sum + targets, 0);
   // Earlier notices of the window have already left the count of ready targets.
   const present = notice.domainTargets + withdrawn - notice.targetIds.length;
-  const suspend = withdrawn >= settings.suspendShare * Math.max(1, present);
+  // One target alone says nothing about its domain, however few there are.
+  const suspend = withdrawn > 1 && withdrawn >= settings.suspendShare * present;
   const next = suspend
     ? suspendDomain({...memory, withdrawals}, settings, nowMs)
     : {...memory, withdrawals};
@@ -185,7 +237,7 @@
         suspendMs: next.suspendedUntilMs - nowMs,
       })
     : explain('withdraw.targets', 'only the withdrawn targets are left out', {withdrawn, present});
-  return {state: {...state, domains: [...others, next]}, limits: [], reason};
+  return {state: {...state, domains: [...others, next]}, reason};
 }
 
 function suspendDomain(
--- a/packages/fleet/src/policies/cheap-types.ts
+++ b/packages/fleet/src/policies/cheap-types.ts
@@ -16,8 +16,10 @@
   readonly failureDomain: FailureDomain;
   /** Capacity of ready targets that can't be reclaimed. */
   readonly steadyCapacity: number;
-  /** Work on these targets; `steadyUrgent` is the part of it that may not run on cheap targets. */
+  /** Work on these targets, of all kinds. */
   readonly steadyWork: number;
+  /** The part of it that can't wait and may run on cheap targets. */
+  readonly steadyMovableWork: number;
   /** Capacity of ready cheap targets that are not being withdrawn. */
   readonly cheapCapacity: number;
   /** Work on cheap targets that can't wait; it needs room at once when they are withdrawn. */
@@ -30,7 +32,7 @@
 export interface CheapSettings {
   /** Share of a target's capacity that is planned to be used. */
   readonly plannedUse: number;
-  /** Share of steady capacity that may be used while displaced work runs on it. */
+  /** Share of capacity that may be used when work would wait otherwise, and by displaced work. */
   readonly emergencyUse: number;
   /** Work lost by an interruption and done again, as a share of the displaced work. */
   readonly repeatedShare: number;
@@ -71,11 +73,17 @@
 /** Limits of one failure domain, in engines. */
 export interface CheapLimit {
   readonly failureDomain: FailureDomain;
-  /** Work that can't wait may use this much of the domain's cheap capacity. */
+  /**
+   * Work that can't wait prefers cheap targets up to this limit, then steady ones, and only then
+   * the rest of the work limit: to wait now is worse than a risk to wait later.
+   */
   readonly standardWorkLimit: number;
   /** Work of both classes together. */
   readonly workLimit: number;
-  /** Steady capacity in this domain that non-urgent work leaves free for displaced work. */
+  /**
+   * Steady capacity in this domain that batch work leaves free for displaced work. Batch work that
+   * may not run on cheap targets may use it, or it would have no place at all.
+   */
   readonly reservedRoom: number;
   readonly suspended: boolean;
 }
@@ -84,6 +92,14 @@
 export interface CheapDecision {
   readonly state: CheapState;
   readonly limits: readonly CheapLimit[];
+  /** Work that would find no room at once after the worst loss; more steady targets are needed. */
+  readonly roomShort: number;
+  readonly reason: DecisionReason;
+}
+
+/** State after a notice. The limits follow with the next {@link CheapDecision}. */
+export interface WithdrawalDecision {
+  readonly state: CheapState;
   readonly reason: DecisionReason;
 }
 
--- a/packages/fleet/src/policies/ordering-policy.ts
+++ b/packages/fleet/src/policies/ordering-policy.ts
@@ -154,18 +154,24 @@
   const steadyOnly = total * state.steadyOnlyShare;
   const usable = input.targets.filter(domain => domain.cheap && !isAvoided(state, domain, nowMs));
   const cheapMax = usable.reduce((sum, domain) => sum + domain.maxCount, 0);
-  if (usable.length === 0 || cheapMax === 0 || settings.cheapPrice >= 1) {
+  const {cheapAvailability} = settings;
+  if (cheapMax === 0 || settings.cheapPrice >= cheapAvailability) {
     return {steady: coverLoss(total, steadyOnly, input, settings), cheap: 0};
   }
-  const cheap = Math.min(total - steadyOnly, total * settings.maxCheapShare, cheapMax);
+  const present = Math.min(
+    total - steadyOnly,
+    total * settings.maxCheapShare,
+    cheapMax * cheapAvailability,
+  );
   const batchPart = Math.min(1, state.batchShare / Math.max(1e-9, 1 - state.steadyOnlyShare));
-  const largest = cheap / usable.length;
+  const largest = present / usable.length;
   const displaced = largest * plannedUse * (1 - batchPart) * (1 + settings.repeatedShare);
-  const steady = Math.max(
-    total - cheap,
-    ((total - cheap) * plannedUse + displaced) / settings.emergencyUse,
-  );
-  return {steady: coverLoss(steady, steadyOnly, input, settings), cheap};
+  const rest = total - present;
+  const steady = Math.max(rest, (rest * plannedUse + displaced) / settings.emergencyUse);
+  return {
+    steady: coverLoss(steady, steadyOnly, input, settings),
+    cheap: Math.min(cheapMax, present / cheapAvailability),
+  };
 }
 
 /** Raises the steady count until the work that needs steady targets survives a domain's loss. */
@@ -254,7 +260,7 @@
     return urgent || sinceIncreaseMs >= settings.minIncreaseGapMs ? needed : desired;
   }
   const band = Math.max(settings.releaseBandTargets, settings.releaseBandShare * desired);
-  return desired - heldNeed > band ? Math.max(heldNeed, needed) : desired;
+  return desired - heldNeed >= band ? Math.max(heldNeed, needed) : desired;
 }
 
 /** Moves the domains' counts to the total one by one, which keeps orders few and the spread even. */
--- a/packages/fleet/src/policies/ordering-types.ts
+++ b/packages/fleet/src/policies/ordering-types.ts
@@ -56,6 +56,8 @@
   readonly plannedUse: number;
   /** Price of missing one target for an hour over the price of one target-hour. */
   readonly shortfallPrice: number;
+  /** Share of the ordered cheap targets that is expected to be there; the rest is withdrawn. */
+  readonly cheapAvailability: number;
   /** Price of a cheap target over that of a steady one. */
   readonly cheapPrice: number;
   /** Least number of steady targets in each failure domain. */
@@ -140,6 +142,7 @@
   arrivalTimeoutMs: 720_000,
   plannedUse: 0.75,
   shortfallPrice: 20,
+  cheapAvailability: 0.8,
   cheapPrice: 0.35,
   minPerDomain: 1,
   lossCoverage: 1,
