--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -1,7 +1,9 @@
 import {Bench} from './bench.js';
 import {AUTHORITY_SUITE} from './control/authority-soak.js';
+import {COST_BENCH} from './cost.js';
 import {FAIRNESS} from './fairness.js';
 import {LIMITS_SOAK} from './limits-soak.js';
+import {SHIFT_BENCH} from './shift.js';
 import {SoakSuite} from './soak-suite.js';
 import {URGENCY} from './urgency.js';
 
@@ -9,6 +11,8 @@
 export const BENCHES: Readonly<Record<string, Bench>> = {
   fairness: FAIRNESS,
   urgency: URGENCY,
+  shift: SHIFT_BENCH,
+  cost: COST_BENCH,
 };
 
 /** Randomised suites by name. */
