--- a/packages/bench/src/control/authority-host.ts
+++ b/packages/bench/src/control/authority-host.ts
@@ -201,7 +201,7 @@
   private *orderEngine(orders: EngineOrders, targetId: TargetId): Procedure<void> {
     for (;;) {
       const spec: EngineSpec = {
-        role: (['prefill', 'decode', 'mixed'] as const)[this.random.nextInt(3)],
+        role: (['prefill', 'decode', 'both'] as const)[this.random.nextInt(3)],
         modelVersions: [`m@${this.random.nextInt(5)}`],
         adapters: [],
         drain: false,
--- a/packages/bench/src/control/recording-engine.ts
+++ b/packages/bench/src/control/recording-engine.ts
@@ -19,7 +19,7 @@
 
 const BLANK_STATE: EngineState = {
   orderId: null,
-  role: 'mixed',
+  role: 'both',
   modelVersions: [],
   adapters: [],
   drain: false,
--- a/packages/fleet/src/engine-control.ts
+++ b/packages/fleet/src/engine-control.ts
@@ -2,7 +2,7 @@
 import {OrderId, TargetId} from '@radishgw/core';
 
 /** What an engine works on. */
-export type EngineRole = 'prefill' | 'decode' | 'mixed';
+export type EngineRole = 'prefill' | 'decode' | 'both';
 
 /** What an engine shall be: the whole of it, never a change. Lists are sets in any order. */
 export interface EngineSpec {
--- a/packages/fleet/src/engine-orders.ts
+++ b/packages/fleet/src/engine-orders.ts
@@ -14,7 +14,7 @@
 }
 
 const specSchema = z.object({
-  role: z.enum(['prefill', 'decode', 'mixed']),
+  role: z.enum(['prefill', 'decode', 'both']),
   modelVersions: z.array(z.string()),
   adapters: z.array(z.string()),
   drain: z.boolean(),
--- a/packages/fleet/src/http-engine-control.ts
+++ b/packages/fleet/src/http-engine-control.ts
@@ -17,7 +17,7 @@
     .string()
     .nullable()
     .transform(value => value as OrderId | null),
-  role: z.enum(['prefill', 'decode', 'mixed']),
+  role: z.enum(['prefill', 'decode', 'both']),
   modelVersions: z.array(z.string()),
   adapters: z.array(z.string()),
   drain: z.boolean(),
--- a/packages/fleet/src/policies/role-policy.ts
+++ b/packages/fleet/src/policies/role-policy.ts
@@ -1,7 +1,7 @@
 import {DecisionReason, explain} from './reason.js';
+import {EngineRole} from '../engine-control.js';
 import {
   EngineLoad,
-  EngineRole,
   PoolLoad,
   RoleChange,
   RoleDecision,
--- a/packages/fleet/src/policies/role-types.ts
+++ b/packages/fleet/src/policies/role-types.ts
@@ -1,10 +1,9 @@
+import {EngineRole} from '../engine-control.js';
+
 import {FailureDomain, TargetId} from '@radishgw/core';
 import {DecisionReason} from './reason.js';
 import {TrendEstimate} from './smoothing.js';
 
-/** Work that an engine does: prompts only, generation only, or both on the same accelerator. */
-export type EngineRole = 'prefill' | 'decode' | 'both';
-
 /**
  * Last load report of an engine. Work is in engines: 1 is the work that one engine with only that
  * role can do within the latency targets, so that engines of different speed can be added up.
--- a/packages/fleet/test/order-rig.ts
+++ b/packages/fleet/test/order-rig.ts
@@ -39,7 +39,7 @@
   readonly faults: ('lostOrder' | 'lostAnswer' | 'rejected')[] = [];
   state: EngineState = {
     orderId: null,
-    role: 'mixed',
+    role: 'both',
     modelVersions: [],
     adapters: [],
     drain: false,
--- a/packages/fleet/test/orders.test.ts
+++ b/packages/fleet/test/orders.test.ts
@@ -32,7 +32,7 @@
     const rig = new OrderRig();
     const {engines} = rig.createHolder(1);
     await rig.finish(engines.reconcile(ENGINE, PREFILL));
-    rig.engine.state = {...rig.engine.state, orderId: null, role: 'mixed', modelVersions: []};
+    rig.engine.state = {...rig.engine.state, orderId: null, role: 'both', modelVersions: []};
     await rig.finish(engines.reconcile(ENGINE, PREFILL));
     expect(rig.engine.state.role).to.equal('prefill');
     expect(rig.engine.received[1].orderId).to.not.equal(rig.engine.received[0].orderId);
--- a/packages/gateway/src/limits/limit-messages.ts
+++ b/packages/gateway/src/limits/limit-messages.ts
@@ -82,12 +82,16 @@
       ...bucket,
       reserves: bucket.reserves.map(reserve => ({...reserve})),
     })),
-    syncedHolders: request.syncedHolders.map(holder => ({...holder})),
+    holders: request.holders.map(holder => ({...holder, sessionId: holder.sessionId ?? ''})),
   });
 }
 
 export function decodeHandOver(
   request: protocol.HandOverShardsRequest,
 ): limits.HandOverShardsRequest {
-  return request as unknown as limits.HandOverShardsRequest;
+  const holders = request.holders.map(holder => ({
+    ...holder,
+    sessionId: holder.sessionId || undefined,
+  }));
+  return {...request, holders} as unknown as limits.HandOverShardsRequest;
 }
--- a/packages/gateway/src/limits/owned-shards.ts
+++ b/packages/gateway/src/limits/owned-shards.ts
@@ -203,7 +203,7 @@
     shard,
     epoch: epoch - 1,
     buckets: [],
-    syncedHolders: [],
+    holders: [],
     runningMs: FULL_REFILL_MS,
     ageMs: 0,
   };
--- a/packages/limits/src/host.ts
+++ b/packages/limits/src/host.ts
@@ -164,7 +164,7 @@
       charge(state, link, holding, head);
       actions.push({type: 'admit', requestId: head.requestId});
     } else if (isHopeless(link, holding, head, nowMs)) {
-      actions.push(refuseHead(link, holding, head, nowMs));
+      actions.push(refuseHead(link, holding, head));
     } else {
       break;
     }
@@ -210,12 +210,7 @@
   return refused && link.failures === 0 && holding.nextAskMs > head.deadlineMs;
 }
 
-function refuseHead(
-  link: ShardLink,
-  holding: TeamHolding,
-  head: WaitingRequest,
-  nowMs: number,
-): HostAction {
+function refuseHead(link: ShardLink, holding: TeamHolding, head: WaitingRequest): HostAction {
   const refusedByOwner = head.answered && link.failures === 0;
   if (refusedByOwner) return refuse(head.requestId, 'rateExceeded', holding.retryAfterMs);
   return refuse(head.requestId, 'ownerUnreachable', UNREACHABLE_RETRY_MS);
--- a/packages/testkit/src/engine/engine-server.ts
+++ b/packages/testkit/src/engine/engine-server.ts
@@ -93,7 +93,7 @@
   private readonly streams = new Map<string, StreamState>();
   private readonly waiting: {urgent: boolean; start: () => void}[] = [];
   private running = 0;
-  private role = 'mixed';
+  private role = 'both';
   private fencingNumber = 0;
 
   constructor(behaviour: Partial<EngineBehaviour>) {
