Add usage metering, freezing, reporting and the soak suite usage

Hosts number increments for each session and shard and push them to the shard owner and, each second, to a host in another failure domain. The owner freezes windows one after another by conditional create; each carries how far every session's increments are counted, so that a repeated push or an owner that lost the shard can't count an increment twice. The holder of the role usage reports the stored bytes and moves a cursor.

Ruled out: counting an owner's acknowledgement as safe on a planned stop. A stopping host now waits for the host that keeps copies, and passes the copies that it keeps on as well.

--- a/packages/bench/src/control/simulated-process.ts
+++ b/packages/bench/src/control/simulated-process.ts
@@ -12,6 +12,8 @@
   constructor(
     private readonly world: VirtualClock,
     private readonly rate: number,
+    /** How far its wall clock is off. */
+    private readonly wallOffsetMs = 0,
   ) {}
 
   nowMs(): number {
@@ -19,7 +21,7 @@
   }
 
   now(): Date {
-    return this.world.now();
+    return new Date(this.world.now().getTime() + this.wallOffsetMs);
   }
 
   setTimer(delayMs: number, callback: () => void): Timer {
--- /dev/null
+++ b/packages/bench/src/control/usage-checks.ts
@@ -0,0 +1,133 @@
+import {assertInvariant, TeamId} from '@radishgw/core';
+import {UsageReport} from '@radishgw/platform';
+import {Received} from '@radishgw/platform/testing';
+import {UsageReportBody} from '@radishgw/usage';
+
+/** What the checks know of a process that serves requests. */
+export interface UsageSource {
+  readonly name: string;
+  /** Virtual time of its kill; undefined if it runs on or stopped as planned. */
+  readonly killedAtMs: number | undefined;
+  /** Epoch of the role `usage` while the host believes that it holds it. */
+  believedEpoch(): number | undefined;
+  readonly reportChecks: ReadonlyMap<string, {readonly atMs: number; readonly pauses: number}>;
+  readonly process: {readonly pauses: number};
+}
+
+/** Use as it happened: one call and its output tokens. */
+interface RecordedUse {
+  readonly atMs: number;
+  readonly outputTokens: number;
+}
+
+/** Checks of the reports that the platform received, against the use that was recorded. */
+export class UsageChecks {
+  /** Reports of an old epoch after a newer one, from a sender paused after its check. */
+  lateReports = 0;
+  private readonly bodies = new Map<string, string>();
+  private readonly recorded = new Map<string, RecordedUse[]>();
+  private highestFencing = 0;
+
+  constructor(
+    private readonly sources: () => readonly UsageSource[],
+    private readonly longestFlightMs: number,
+  ) {}
+
+  /** The process's name stands in for the model, so that figures can be traced to it. */
+  record(source: string, teamId: TeamId, windowStartMs: number, use: RecordedUse): void {
+    const key = figureKey(source, teamId, windowStartMs);
+    const uses = this.recorded.get(key) ?? [];
+    uses.push(use);
+    this.recorded.set(key, uses);
+  }
+
+  checkBeliefs(): void {
+    const believers = this.sources().filter(source => source.believedEpoch() !== undefined);
+    assertInvariant(believers.length <= 1, 'usage.oneReporter', () =>
+      believers.map(({name}) => name).join(', '),
+    );
+  }
+
+  checkReport({client, body: report, atMs}: Received<UsageReport>): void {
+    const known = this.bodies.get(report.windowId) ?? report.body;
+    this.bodies.set(report.windowId, known);
+    assertInvariant(
+      known === report.body,
+      'usage.sameBytes',
+      () => `window ${report.windowId} was reported as ${known} and as ${report.body}`,
+    );
+    const source = this.sources().find(({name}) => name === client)!;
+    const checked = source.reportChecks.get(`${report.windowId}/${report.fencingNumber}`)!;
+    const isLate =
+      atMs - checked.atMs > this.longestFlightMs && source.process.pauses !== checked.pauses;
+    if (report.fencingNumber < this.highestFencing && isLate) {
+      this.lateReports++;
+      return;
+    }
+    assertInvariant(
+      report.fencingNumber >= this.highestFencing,
+      'usage.reporterEpoch',
+      () => `a report of epoch ${report.fencingNumber} came after ${this.highestFencing}`,
+    );
+    this.highestFencing = report.fencingNumber;
+  }
+
+  /**
+   * Compares all reported figures with what was recorded. `exact` requires every use of processes
+   * that were not killed; `lossMs` is how long before a kill use may be missing.
+   */
+  checkTotals(exact: boolean, lossMs: number | undefined): Record<string, number> {
+    const reported = this.sumReported();
+    const totals = {usesRecorded: 0, usesReported: 0, usesLost: 0};
+    for (const [key, uses] of this.recorded) {
+      const [name] = JSON.parse(key) as [string];
+      const {killedAtMs} = this.sources().find(source => source.name === name)!;
+      const calls = reported.get(key)?.calls ?? 0;
+      const outputTokens = reported.get(key)?.outputTokens ?? 0;
+      const wantedTokens = uses.reduce((sum, use) => sum + use.outputTokens, 0);
+      totals.usesRecorded += uses.length;
+      totals.usesReported += calls;
+      totals.usesLost += uses.length - calls;
+      assertInvariant(
+        calls <= uses.length && outputTokens <= wantedTokens,
+        'usage.atMostOnce',
+        () => `${key}: ${calls} calls reported of ${uses.length}`,
+      );
+      const mayBeLost =
+        killedAtMs === undefined || lossMs === undefined
+          ? 0
+          : uses.filter(use => use.atMs >= killedAtMs - lossMs).length;
+      const isBounded = exact && (killedAtMs === undefined || lossMs !== undefined);
+      assertInvariant(
+        !isBounded || uses.length - calls <= mayBeLost,
+        'usage.loss',
+        () => `${key}: ${calls} calls reported of ${uses.length}, ${mayBeLost} may be lost`,
+      );
+      reported.delete(key);
+    }
+    assertInvariant(
+      reported.size === 0,
+      'usage.invented',
+      () => `figures that were never recorded: ${[...reported.keys()].join(', ')}`,
+    );
+    return totals;
+  }
+
+  private sumReported(): Map<string, {calls: number; outputTokens: number}> {
+    const sums = new Map<string, {calls: number; outputTokens: number}>();
+    for (const body of this.bodies.values()) {
+      for (const figure of (JSON.parse(body) as UsageReportBody).figures) {
+        const key = figureKey(figure.modelOrRoute, figure.teamId, figure.windowStartMs);
+        const sum = sums.get(key) ?? {calls: 0, outputTokens: 0};
+        sum.calls += figure.calls;
+        sum.outputTokens += figure.outputTokens;
+        sums.set(key, sum);
+      }
+    }
+    return sums;
+  }
+}
+
+function figureKey(source: string, teamId: TeamId, windowStartMs: number): string {
+  return JSON.stringify([source, teamId, windowStartMs]);
+}
--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -1,5 +1,6 @@
 import {Bench} from './bench.js';
 import {AUTHORITY_SUITE} from './control/authority-soak.js';
+import {USAGE_SUITE} from './control/usage-soak.js';
 import {SoakSuite} from './soak-suite.js';
 
 /** Measurements by name, in the order in which `all` runs them. */
@@ -8,4 +9,5 @@
 /** Randomised suites by name. */
 export const SOAK_SUITES: Readonly<Record<string, SoakSuite>> = {
   authority: AUTHORITY_SUITE,
+  usage: USAGE_SUITE,
 };
--- a/packages/usage/src/index.ts
+++ b/packages/usage/src/index.ts
@@ -1,1 +1,9 @@
-export {};
+export * from './copy-store.js';
+export * from './frozen-window.js';
+export * from './shard-ledger.js';
+export * from './types.js';
+export * from './usage-freezer.js';
+export * from './usage-meter.js';
+export * from './usage-reporter.js';
+export * from './usage-sender.js';
+export * from './usage-stream.js';
