--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -1,5 +1,6 @@
 import {Bench} from './bench.js';
 import {AUTHORITY_SUITE} from './control/authority-soak.js';
+import {USAGE_SUITE} from './control/usage-soak.js';
 import {COST_BENCH} from './cost.js';
 import {FAIRNESS} from './fairness.js';
 import {LIMITS_SOAK} from './limits-soak.js';
@@ -19,4 +20,5 @@
 export const SOAK_SUITES: Readonly<Record<string, SoakSuite>> = {
   limits: LIMITS_SOAK,
   authority: AUTHORITY_SUITE,
+  usage: USAGE_SUITE,
 };
