Compare sixteen targets for urgent work and drop the packing of long prompts

Packing long prompts on the first targets took away calm targets less evenly than spreading them and needed its own rule.

Change: long prompts go through the usual score on the targets that may take them; urgent work compares up to 16 random targets.

--- a/packages/scheduling/src/pool.ts
+++ b/packages/scheduling/src/pool.ts
@@ -39,12 +39,6 @@
    * choosing the same target; urgent work is short, so that more choices do little harm.
    */
   readonly choices: Readonly<Record<WorkClass, number>>;
-  /**
-   * Long prompts fill the targets in a fixed order, the same on all hosts, and short ones prefer
-   * targets without a long prompt in flight. Spread evenly, long prompts would lengthen the steps
-   * of all targets.
-   */
-  readonly packLong: boolean;
   /**
    * Share of the usable targets, rounded down, that get no long prompts, so that short steps
    * remain for urgent work.
@@ -66,8 +60,7 @@
   urgentReserve: 2,
   maxLongPrefills: 1,
   maxPendingForLong: 32_000,
-  choices: {urgent: 8, standard: 2, batch: 2},
-  packLong: true,
+  choices: {urgent: 16, standard: 2, batch: 2},
   calmShare: 1 / 3,
   blockTokens: 2000,
   tokensPerOutstanding: 400,
@@ -350,11 +343,14 @@
   readonly mayRunTwice?: boolean;
 }
 
+/** What decides whether a target can take a request. */
+export type Placement = Pick<RouteRequest, 'workClass' | 'isLong' | 'tried'>;
+
 /** Checks one target for a kind of work. With `probe`, only targets whose probe is due pass. */
 export function findExclusion(
   pool: Pool,
   target: TargetState,
-  request: Pick<RouteRequest, 'workClass' | 'isLong' | 'tried'>,
+  request: Placement,
   nowMs: number,
   probe = false,
 ): Exclusion | undefined {
@@ -374,11 +370,7 @@
 }
 
 /** Whether some target can take work of this kind. Usually the first target looked at can. */
-export function hasRoom(
-  pool: Pool,
-  request: Pick<RouteRequest, 'workClass' | 'isLong'>,
-  nowMs: number,
-): boolean {
+export function hasRoom(pool: Pool, request: Placement, nowMs: number): boolean {
   for (const target of pool.order) {
     if (findExclusion(pool, target, request, nowMs) === undefined) return true;
   }
@@ -391,7 +383,7 @@
  */
 export function findLastResort(
   pool: Pool,
-  request: Pick<RouteRequest, 'workClass' | 'isLong' | 'tried'>,
+  request: Placement,
   nowMs: number,
 ): TargetState | undefined {
   for (const target of pool.order) {
--- a/packages/scheduling/src/routing.ts
+++ b/packages/scheduling/src/routing.ts
@@ -24,7 +24,7 @@
 
 /** Why a target was chosen. */
 export interface RouteReason {
-  readonly rule: 'probe' | 'packedLong' | 'prefix' | 'load' | 'order' | 'chance';
+  readonly rule: 'probe' | 'prefix' | 'load' | 'order' | 'chance';
   readonly candidates: readonly Candidate[];
 }
 
@@ -101,7 +101,6 @@
   const context: RoutingContext = {pool, request, nowMs, random, isEligible};
   const pick =
     findProbe(context) ??
-    packLong(context) ??
     ROUTING_POLICIES[policy](context) ??
     asProbe(context, findLastResort(pool, request, nowMs));
   if (pick) return {type: 'target', target: pick.target.id, reason: pick.reason};
@@ -130,35 +129,21 @@
   return target && {target, reason: {rule: 'probe', candidates: [score(context, target)]}};
 }
 
-/** The first target in the fixed order that can take a long prompt, see `packLong`. */
-function packLong(context: RoutingContext): Pick | undefined {
-  const {pool, request} = context;
-  if (!request.isLong || !pool.settings.packLong) return undefined;
-  const target = pool.order.find(context.isEligible);
-  return target && {target, reason: {rule: 'packedLong', candidates: [score(context, target)]}};
-}
-
 /** Tries for each choice before a sample gives up and scans all targets; only a nearly full pool needs the scan. */
 const SAMPLE_TRIES = 4;
 
-/**
- * Up to `count` different eligible targets, uniformly at random. Targets without a long prompt of
- * this host in flight go first if long prompts are packed.
- */
+/** Up to `count` different eligible targets, uniformly at random. */
 function sampleTargets(context: RoutingContext, count: number): TargetState[] {
-  const {order, settings} = context.pool;
+  const {order} = context.pool;
   const found: TargetState[] = [];
-  const isCalm = (target: TargetState) => !settings.packLong || target.ownLongPrefills === 0;
-  for (let i = 0; i < count * SAMPLE_TRIES && found.length < count && order.length > 0; i++) {
+  for (let i = 0; i < count * SAMPLE_TRIES && found.length < count && order.length > count; i++) {
     const target = order[context.random.nextInt(order.length)];
-    if (!found.includes(target) && isCalm(target) && context.isEligible(target)) found.push(target);
+    if (!found.includes(target) && context.isEligible(target)) found.push(target);
   }
   if (found.length === count) return found;
   const rest = order.filter(target => !found.includes(target) && context.isEligible(target));
-  for (const part of [rest.filter(isCalm), rest.filter(target => !isCalm(target))]) {
-    while (found.length < count && part.length > 0) {
-      found.push(...part.splice(context.random.nextInt(part.length), 1));
-    }
+  while (found.length < count && rest.length > 0) {
+    found.push(...rest.splice(context.random.nextInt(rest.length), 1));
   }
   return found;
 }
