--- a/packages/gateway/src/request/headers.ts
+++ b/packages/gateway/src/request/headers.ts
@@ -48,15 +48,22 @@
 
 /** Whether a text holds the secret, or anything of a key's shape, plainly or percent-encoded. */
 export function holdsKey(text: string, secretHex: string | undefined): boolean {
+  for (const reading of listReadings(text)) {
+    if (KEY_PATTERN.test(reading)) return true;
+    if (secretHex && reading.toLowerCase().includes(secretHex)) return true;
+  }
+  return false;
+}
+
+/** The text as it stands and as it reads after each round of percent-decoding. */
+function* listReadings(text: string): Generator<string> {
   let current = text;
   for (let i = 0; i <= MAX_DECODINGS; i++) {
-    if (KEY_PATTERN.test(current)) return true;
-    if (secretHex && current.toLowerCase().includes(secretHex)) return true;
+    yield current;
     const decoded = decodePercent(current);
-    if (decoded === current) return false;
+    if (decoded === current) return;
     current = decoded;
   }
-  return false;
 }
 
 /** Decodes each valid escape by itself, so that an invalid one elsewhere doesn't hide a key. */
@@ -74,14 +81,10 @@
 export function refuseKeyInText(text: string, secretHex: string | undefined, where: string): void {
   if (secretHex === undefined) return;
   const unescaped = text.includes('\\u') ? decodeJsonEscapes(text) : text;
-  let current = unescaped;
-  for (let i = 0; i <= MAX_DECODINGS; i++) {
-    if (current.includes(secretHex) || current.toLowerCase().includes(secretHex)) {
+  for (const reading of listReadings(unescaped)) {
+    if (reading.includes(secretHex) || reading.toLowerCase().includes(secretHex)) {
       throw new Refusal('requestMalformed', `the ${where} holds the API key`);
     }
-    const decoded = decodePercent(current);
-    if (decoded === current) return;
-    current = decoded;
   }
 }
 
@@ -141,7 +144,10 @@
   if (holdsKey(path, secretHex)) {
     throw new Refusal('requestMalformed', 'the request path holds an API key');
   }
-  if (decodePercent(path).split(/[/\\]/).some(isDotSegment)) {
+  const leavesRoute = [...listReadings(path)].some(reading =>
+    reading.split(/[/\\]/).some(isDotSegment),
+  );
+  if (leavesRoute) {
     throw new Refusal('requestMalformed', 'the request path holds "." or ".." segments');
   }
   if (queryStart < 0) return path;
--- /dev/null
+++ b/packages/gateway/test/shutdown.test.ts
@@ -0,0 +1,283 @@
+import {once} from 'node:events';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {connect as connectTcp, Socket} from 'node:net';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {connect as connectTls, TLSSocket} from 'node:tls';
+import {expect} from 'chai';
+import {
+  createSelfSignedCertificate,
+  Deployment,
+  HostHandle,
+  startDeployment,
+  waitUntil,
+} from '@radishgw/testkit';
+import {
+  chat,
+  ChatOutcome,
+  expectedText,
+  findAttempts,
+  findExecutions,
+  setFaults,
+  waitForAttempt,
+} from './support.js';
+
+const DOMAINS = ['hobart-a', 'hobart-b', 'kingston'];
+
+describe('planned stops and lost hosts', () => {
+  let deployment: Deployment;
+
+  before(async () => {
+    deployment = await startDeployment({
+      hosts: 3,
+      engines: 3,
+      services: 2,
+      failureDomains: DOMAINS,
+      decodeMsPerToken: 10,
+      hostFlags: ['--progress-timeout-ms', '500'],
+    });
+  });
+
+  after(() => deployment.stop());
+
+  function auth(): string {
+    return `authorization: Bearer ${deployment.key}`;
+  }
+
+  async function setEngines(faults: object): Promise<void> {
+    for (const {url} of deployment.engines) await setFaults(url, faults);
+  }
+
+  function order(
+    marker: string,
+    hostIndex: number,
+    host: HostHandle = deployment.hosts[hostIndex],
+  ): Promise<number> {
+    return fetch(`${host.entryUrl}/orders`, {
+      method: 'POST',
+      headers: {authorization: `Bearer ${deployment.key}`},
+      body: marker,
+    }).then(async response => {
+      await response.text();
+      return response.status;
+    });
+  }
+
+  /** Sends a streaming request on a connection of its own that the test can go on using. */
+  function openStream(url: string, marker: string): {socket: Socket; all: Promise<string>} {
+    const socket = connectTcp(Number(new URL(url).port), '127.0.0.1');
+    const chunks: Buffer[] = [];
+    socket.on('data', chunk => chunks.push(chunk));
+    const body = JSON.stringify({
+      model: deployment.model,
+      stream: true,
+      max_tokens: 60,
+      messages: [{role: 'user', content: marker}],
+    });
+    const head = `POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n${auth()}\r\n`;
+    socket.write(`${head}content-length: ${body.length}\r\n\r\n${body}`);
+    const all = once(socket, 'close').then(() => Buffer.concat(chunks).toString('utf8'));
+    return {socket, all};
+  }
+
+  it('let requests in flight finish at the host, refuse new connections and exit with 0', async () => {
+    // Guards against G12: requests cut by a deployment, also when the signal comes twice.
+    const host = await deployment.startHost(3);
+    // The streams can't end before the test lets the engines work faster.
+    await setEngines({decodeMsPerToken: 200});
+    await setFaults(deployment.services[0].url, {delayMs: 300});
+    const streams = Array.from({length: 20}, (_, i) =>
+      chat(deployment, {marker: `host stops ${i}.`, tokens: 60}, host),
+    );
+    const call = order('host stops', 0, host);
+    const kept = openStream(host.entryUrl, 'kept open');
+    for (const marker of ['kept open', ...streams.map((_, i) => `host stops ${i}.`)]) {
+      await waitForAttempt(deployment, marker);
+    }
+    await waitUntil(
+      () => findExecutions(deployment, 'host stops'),
+      found => found.length > 0,
+    );
+    const exited = host.child.stop('SIGTERM');
+    await waitUntil(
+      () => host.child.logLines.join('\n'),
+      log => log.includes('hostStopping'),
+    );
+    host.child.signal('SIGTERM');
+    expect((await fetch(`${host.operatorUrl}/readyz`)).status).to.equal(503);
+    const refused = connectTcp(Number(new URL(host.entryUrl).port), '127.0.0.1');
+    const [error] = (await once(refused, 'error')) as [Error & {code: string}];
+    expect(error.code).to.equal('ECONNREFUSED');
+    // A request on a connection that is still open is served, and told that the connection closes.
+    kept.socket.write(`GET /v1/models HTTP/1.1\r\nhost: x\r\n${auth()}\r\n\r\n`);
+    await setEngines({decodeMsPerToken: 2});
+    for (const outcome of await Promise.all(streams)) {
+      expect(outcome).to.include({statusCode: 200, whole: true, text: expectedText(60)});
+    }
+    expect(await call).to.equal(200);
+    const [first, second] = (await kept.all).split(/(?=HTTP\/1\.1 )/);
+    expect(first).to.include('data: [DONE]');
+    expect(second.toLowerCase()).to.match(/^http\/1.1 200 [^]*\r\nconnection: close\r\n/);
+    expect(await exited).to.equal(0);
+    await setFaults(deployment.services[0].url, {delayMs: 0});
+    await setEngines({decodeMsPerToken: 10});
+    expect(await findExecutions(deployment, 'host stops')).to.have.length(1);
+  });
+
+  it('end at their bound, and requests that are still open are told so', async () => {
+    // Guards against a host that never stops because of one endless request.
+    const host = await deployment.startHost(4, ['--shutdown-timeout-ms', '200']);
+    const stream = chat(deployment, {marker: 'too long', tokens: 100_000}, host);
+    await waitUntil(
+      () => findAttempts(deployment, 'too long'),
+      found => found.length > 0,
+    );
+    const exited = host.child.stop('SIGTERM');
+    const outcome = await stream;
+    expect(outcome.whole).to.equal(false);
+    expect(outcome.error).to.include({code: 'shutting_down', execution: 'unknown'});
+    expect(await exited).to.equal(0);
+  });
+
+  it('of an engine and a service lose no request under load', async () => {
+    // Guards against G2 and G12 at targets: planned stops that callers notice.
+    let stopped: Promise<(number | null)[]> | undefined;
+    const stopTargets = () =>
+      (stopped ??= Promise.all([
+        deployment.engines[2].child.stop('SIGTERM'),
+        deployment.services[1].child.stop('SIGTERM'),
+      ]));
+    const work: Promise<ChatOutcome>[] = [];
+    const orders: Promise<number>[] = [];
+    for (let i = 0; i < 12; i++) {
+      const onChunk = (count: number) => {
+        if (count === 5) void stopTargets();
+      };
+      work.push(chat(deployment, {marker: `engine stops ${i}`, tokens: 40, onChunk}));
+      orders.push(order(`service stops ${i} `, i % 3));
+    }
+    await Promise.all(work.slice(0, 1));
+    for (let i = 12; i < 24; i++) {
+      work.push(chat(deployment, {marker: `engine stops ${i}`, tokens: 5}));
+      orders.push(order(`service stops ${i} `, i % 3));
+    }
+    for (const outcome of await Promise.all(work)) {
+      expect(outcome).to.include({statusCode: 200, whole: true});
+    }
+    expect(await Promise.all(orders)).to.deep.equal(Array.from({length: 24}, () => 200));
+    expect(await stopped).to.deep.equal([0, 0]);
+  });
+
+  it('of one host by a crash lose only requests that were sent to it', async () => {
+    // Guards against a crash that other hosts' callers notice, and against orders that run twice.
+    const outcomes: Promise<{host: number; marker: string; statusCode: number | undefined}>[] = [];
+    const chats: Promise<{host: number; outcome: ChatOutcome | undefined}>[] = [];
+    const victim = 2;
+    let killed: Promise<unknown> | undefined;
+    await setFaults(deployment.services[0].url, {delayMs: 20});
+    for (let i = 0; i < 60; i++) {
+      const host = i % 3;
+      if (i === 30) killed = deployment.hosts[victim].child.stop('SIGKILL');
+      const marker = `crash-${i}-`;
+      outcomes.push(
+        order(marker, host).then(
+          statusCode => ({host, marker, statusCode}),
+          () => ({host, marker, statusCode: undefined}),
+        ),
+      );
+      const options = {marker: `crash ${i}`, tokens: 10};
+      chats.push(
+        chat(deployment, options, deployment.hosts[host]).then(
+          outcome => ({host, outcome}),
+          () => ({host, outcome: undefined}),
+        ),
+      );
+    }
+    await killed;
+    for (const {host, marker, statusCode} of await Promise.all(outcomes)) {
+      if (host !== victim) expect(statusCode, marker).to.equal(200);
+      const count = (await findExecutions(deployment, marker)).length;
+      if (statusCode === 200) expect(count, marker).to.equal(1);
+      expect(count, marker).to.be.at.most(1);
+    }
+    for (const {host, outcome} of await Promise.all(chats)) {
+      if (host !== victim) expect(outcome).to.include({whole: true, text: expectedText(10)});
+      else if (outcome?.whole) expect(outcome.text).to.equal(expectedText(10));
+    }
+  });
+});
+
+describe('TLS towards callers', () => {
+  let deployment: Deployment;
+  let folder: string;
+
+  before(async () => {
+    folder = mkdtempSync(join(tmpdir(), 'radishgw-tls-'));
+    await writeCertificate('first');
+    deployment = await startDeployment({
+      hosts: 0,
+      engines: 0,
+      services: 0,
+      failureDomains: DOMAINS,
+      decodeMsPerToken: 1,
+    });
+  });
+
+  after(async () => {
+    await deployment.stop();
+    rmSync(folder, {recursive: true});
+  });
+
+  async function writeCertificate(commonName: string): Promise<void> {
+    const {certificate, privateKey} = await createSelfSignedCertificate(commonName);
+    writeFileSync(join(folder, 'certificate.pem'), certificate);
+    writeFileSync(join(folder, 'key.pem'), privateKey);
+  }
+
+  async function open(url: string): Promise<{socket: TLSSocket; name: string}> {
+    const port = Number(new URL(url).port);
+    const socket = connectTls({port, host: '127.0.0.1', rejectUnauthorized: false});
+    await once(socket, 'secureConnect');
+    return {socket, name: String(socket.getPeerCertificate().subject.CN)};
+  }
+
+  async function ask(socket: TLSSocket): Promise<string> {
+    const answered = once(socket, 'data') as Promise<[Buffer]>;
+    socket.write('GET /v1/models HTTP/1.1\r\nhost: x\r\n\r\n');
+    return (await answered)[0].toString();
+  }
+
+  it('takes a new certificate on SIGHUP without dropping connections', async () => {
+    // Guards against a restart, or cut connections, for each new certificate.
+    const files = ['certificate.pem', 'key.pem'].map(name => join(folder, name));
+    const host = await deployment.startHost(0, [
+      '--tls-certificate-file',
+      files[0],
+      '--tls-key-file',
+      files[1],
+    ]);
+    const first = await open(host.entryUrl);
+    expect(first.name).to.equal('first');
+    await writeCertificate('second');
+    host.child.signal('SIGHUP');
+    const second = await waitUntil(
+      () => open(host.entryUrl),
+      ({socket, name}) => {
+        if (name !== 'second') socket.destroy();
+        return name === 'second';
+      },
+    );
+    expect(await ask(first.socket)).to.match(/^HTTP\/1.1 401 /);
+    expect(await ask(second.socket)).to.match(/^HTTP\/1.1 401 /);
+    writeFileSync(files[1], 'not a key');
+    host.child.signal('SIGHUP');
+    await waitUntil(
+      () => host.child.logLines.join('\n'),
+      log => log.includes('settingInvalid'),
+    );
+    const third = await open(host.entryUrl);
+    expect(third.name).to.equal('second');
+    for (const {socket} of [first, second, third]) socket.destroy();
+    expect(await host.child.stop()).to.equal(0);
+  });
+});
--- a/packages/gateway/test/support.ts
+++ b/packages/gateway/test/support.ts
@@ -144,7 +144,8 @@
   marker: string,
 ): Promise<ServiceExecution[]> {
   const found: ServiceExecution[] = [];
-  for (const {url} of deployment.services) {
+  for (const {child, url} of deployment.services) {
+    if (!child.isRunning()) continue;
     const {executions} = (await (await fetch(`${url}/test/record`)).json()) as {
       executions: ServiceExecution[];
     };
@@ -204,7 +205,8 @@
   socket.on('error', () => undefined);
   await once(socket, 'connect');
   for (const part of parts) socket.write(part);
-  if (!socket.closed) await once(socket, 'close');
+  // Not events.once, which rejects when the connection is reset.
+  if (!socket.closed) await new Promise(resolve => socket.once('close', resolve));
   return Buffer.concat(chunks).toString('latin1');
 }
 
--- a/packages/testkit/src/deployment.ts
+++ b/packages/testkit/src/deployment.ts
@@ -53,8 +53,8 @@
   readonly model: string;
   readonly base: BaseConfig;
   readonly team: TeamConfig;
-  /** Starts the host with this index again, or a further one. */
-  startHost(index: number): Promise<HostHandle>;
+  /** Starts the host with this index again, or a further one, with flags of its own. */
+  startHost(index: number, flags?: readonly string[]): Promise<HostHandle>;
   /** Ends all processes; hosts first, by SIGTERM. */
   stop(): Promise<void>;
 }
@@ -169,7 +169,8 @@
   (await platform.put(BASE_KEY, JSON.stringify(base))).unwrap();
   (await platform.put(teamKey(DEMO_TEAM), JSON.stringify(team))).unwrap();
 
-  const startHost = async (index: number): Promise<HostHandle> => {
+  const started: Child[] = [];
+  const startHost = async (index: number, flags: readonly string[] = []): Promise<HostHandle> => {
     const [callerPort, operatorPort, innerPort] = await findFreePorts(PORTS_PER_HOST);
     const hostId = `host-${index + 1}`;
     const entryUrl = `http://127.0.0.1:${callerPort}`;
@@ -189,7 +190,9 @@
       '--inner-address',
       innerAddress,
       ...(options.hostFlags ?? []),
+      ...flags,
     ]);
+    started.push(child);
     await Promise.race([
       waitForUrl(`${operatorUrl}/readyz`, AbortSignal.timeout(START_TIMEOUT_MS)),
       new Promise<never>((_, reject) => {
@@ -222,7 +225,7 @@
         child.signal('SIGCONT');
         return child.stop();
       };
-      await Promise.all(hosts.map(host => stopIfRunning(host.child)));
+      await Promise.all(started.map(stopIfRunning));
       await Promise.all([...engines, ...services].map(({child}) => stopIfRunning(child)));
       await stopIfRunning(platformChild);
       await platform.close();
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -1,3 +1,4 @@
+export * from './certificate.js';
 export * from './engine/engine-server.js';
 export * from './fault-proxy.js';
 export * from './http.js';
