--- a/packages/bench/src/control/usage-host.ts
+++ b/packages/bench/src/control/usage-host.ts
@@ -1,4 +1,4 @@
-import {Err, Result} from 'ts-results/result.js';
+import {Err, Result} from '@radishgw/core';
 import {
   createHandlers,
   createSeededRandom,
--- a/packages/config/src/schema.ts
+++ b/packages/config/src/schema.ts
@@ -84,6 +84,11 @@
   cheap: z.boolean().default(false).describe('May be reclaimed at a few seconds notice.'),
   checksFencing: z.boolean().default(false).describe('Refuses orders with an old fencing number.'),
   state: z.enum(['active', 'draining']).default('active'),
+  loadPath: z
+    .string()
+    .startsWith('/')
+    .optional()
+    .describe('Path of the load report; engines without one are asked at /v1/load.'),
   slots: z.number().int().positive().default(16).describe('Requests in flight, over all hosts.'),
 });
 export type TargetConfig = z.infer<typeof targetSchema>;
--- a/packages/gateway/src/dispatch/load-poller.ts
+++ b/packages/gateway/src/dispatch/load-poller.ts
@@ -6,6 +6,7 @@
 
 const POLL_MS = 1000;
 const CALL_TIMEOUT_MS = 1000;
+const ENGINE_LOAD_PATH = '/v1/load';
 /** Targets that report no load are asked this many rounds later again. */
 const SKIP_ROUNDS = 10;
 
@@ -30,7 +31,10 @@
   const skipUntilRound = new Map<string, number>();
   for (let round = 0; ; round++) {
     const targets = services.config.getBase()?.targets ?? [];
-    const due = targets.filter(target => (skipUntilRound.get(target.targetId) ?? 0) <= round);
+    const due = targets.filter(
+      target =>
+        findLoadPath(target) !== undefined && (skipUntilRound.get(target.targetId) ?? 0) <= round,
+    );
     yield* call(() =>
       Promise.all(
         due.map(async target => {
@@ -43,13 +47,18 @@
   }
 }
 
+/** A plain service is only asked where its configuration says so: a call may have effects. */
+function findLoadPath(target: TargetConfig): string | undefined {
+  return target.loadPath ?? (target.kind === 'engine' ? ENGINE_LOAD_PATH : undefined);
+}
+
 /** Returns false if the target gave no usable answer. */
 async function pollTarget(services: LoadPollerServices, target: TargetConfig): Promise<boolean> {
   const sentMs = services.clock.nowMs();
   try {
     const response = await services.http.request({
       origin: new URL(target.url).origin,
-      path: '/v1/load',
+      path: findLoadPath(target) ?? ENGINE_LOAD_PATH,
       method: 'GET',
       headersTimeout: CALL_TIMEOUT_MS,
       bodyTimeout: CALL_TIMEOUT_MS,
--- a/packages/testkit/src/deployment.ts
+++ b/packages/testkit/src/deployment.ts
@@ -59,8 +59,8 @@
   readonly model: string;
   readonly base: BaseConfig;
   readonly team: TeamConfig;
-  /** Starts the host with this index again, or a further one. */
-  startHost(index: number): Promise<HostHandle>;
+  /** Starts the host with this index again, or a further one, with flags of its own. */
+  startHost(index: number, flags?: readonly string[]): Promise<HostHandle>;
   /** Ends all processes; hosts first, by SIGTERM. */
   stop(): Promise<void>;
 }
@@ -176,7 +176,8 @@
   (await platform.put(teamKey(DEMO_TEAM), JSON.stringify(team))).unwrap();
 
   const certificate = await createCertificate();
-  const startHost = async (index: number): Promise<HostHandle> => {
+  const started: Child[] = [];
+  const startHost = async (index: number, flags: readonly string[] = []): Promise<HostHandle> => {
     const [callerPort, operatorPort, innerPort] = await findFreePorts(PORTS_PER_HOST);
     const hostId = `host-${index + 1}`;
     const entryUrl = `http://127.0.0.1:${callerPort}`;
@@ -211,7 +212,9 @@
       '--inner-key-file',
       certificate.keyFile,
       ...(options.hostFlags ?? []),
+      ...flags,
     ]);
+    started.push(child);
     await Promise.race([
       waitForUrl(`${operatorUrl}/readyz`, AbortSignal.timeout(START_TIMEOUT_MS)),
       new Promise<never>((_, reject) => {
@@ -244,7 +247,7 @@
         child.signal('SIGCONT');
         return child.stop();
       };
-      await Promise.all(hosts.map(host => stopIfRunning(host.child)));
+      await Promise.all(started.map(stopIfRunning));
       await Promise.all([...engines, ...services].map(({child}) => stopIfRunning(child)));
       await stopIfRunning(platformChild);
       for (const {proxies} of hosts) {
--- a/packages/usage/src/frozen-window.ts
+++ b/packages/usage/src/frozen-window.ts
@@ -1,4 +1,4 @@
-import {Err, Ok, Result} from 'ts-results/result.js';
+import {Err, Ok, Result} from '@radishgw/core';
 import {call, Procedure} from '@radishgw/core';
 import {Platform, PlatformObject, putSettled} from '@radishgw/platform';
 import {FrozenMarks, UsageFigure} from './shard-ledger.js';
--- a/packages/usage/src/types.ts
+++ b/packages/usage/src/types.ts
@@ -1,4 +1,4 @@
-import {Result} from 'ts-results/result.js';
+import {Result} from '@radishgw/core';
 import {Clock, EventLog, HostId, RandomSource, SessionId, TeamId} from '@radishgw/core';
 import {Platform} from '@radishgw/platform';
 
