Join usage metering, freezing and reporting into the entry host

Hosts count tokens of finished model requests and calls that may have been run, push increments to the shard owner and a copy to a host in another failure domain each second; the owner freezes windows and the holder of the role usage reports them. Answers that were broken off are not billed.

--- a/packages/gateway/src/request/serve-service.ts
+++ b/packages/gateway/src/request/serve-service.ts
@@ -31,6 +31,8 @@
   readonly claims: IdempotencyClaims;
   readonly maxBodyBytes: number;
   readonly progressTimeoutMs: number;
+  /** Records a call that may have been run, for usage reports. */
+  recordCall(context: RequestContext): void;
 }
 
 const ATTEMPT_ID_BYTES = 12;
@@ -129,6 +131,7 @@
   } finally {
     // A call that wasn't run is given back to the team.
     charge?.settle(context.mayHaveRun ? route.costTokens : 0);
+    if (context.mayHaveRun) services.recordCall(context);
   }
 }
 
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -19,6 +19,7 @@
   HttpPlatform,
   Member,
   Membership,
+  RoleLease,
   ShardAssignment,
 } from '@radishgw/platform';
 import {DEFAULT_LIMIT_SETTINGS, placeShards} from '@radishgw/limits';
@@ -44,6 +45,7 @@
 import {PlatformMonitor} from './platform-monitor.js';
 import {IdempotencyClaims} from './request/idempotency.js';
 import {Refusal} from './request/refusal.js';
+import {answerPush, UsageService} from './usage/usage-service.js';
 import {readInnerTlsSettings, readTlsSettings, Settings} from './settings.js';
 
 /** A running entry host. */
@@ -162,9 +164,15 @@
     placement: (members, shardCount) =>
       placeShards(members, shardCount, limitSettings.placementSize),
     describeData: (shard, previous, placement) => owned.describeData(shard, previous, placement),
-    onAcquired: (shard, authority, claim) => owned.acquire(shard, authority.epoch, claim),
+    onAcquired: (shard, authority, claim) => {
+      owned.acquire(shard, authority.epoch, claim);
+      usage.addShard(shard, authority);
+    },
     onPlacement: (shard, placement) => owned.changePlacement(shard, placement),
-    onLost: shard => owned.lose(shard),
+    onLost: shard => {
+      owned.lose(shard);
+      usage.removeShard(shard);
+    },
     beforeRelease: shard =>
       sendHandOver(
         clients,
@@ -173,6 +181,21 @@
       ),
   });
 
+  const usage: UsageService = new UsageService({
+    ...dependencies,
+    handlers,
+    session,
+    membership,
+    clients,
+    shardCount: settings.shardCount,
+    shardOf: teamId => limiter.shardOf(teamId),
+    ownerOf: shard => assignment.owner(shard),
+  });
+  const usageRole = new RoleLease(dependencies, handlers, session, membership, {
+    role: 'usage',
+    work: authority => usage.report(authority),
+  });
+
   const http = new Agent({connections: 256, pipelining: 1});
   const claims = new IdempotencyClaims(platform, clock, random);
   const judgeFreshness = () => freshness.judge(clock.nowMs(), config.completeRevision);
@@ -204,7 +227,12 @@
         membership.members(),
         id => peers.isReachable(id),
       ),
-    recordUsage: () => undefined,
+    recordUsage: ({team, resource}, {promptTokens, outputTokens}) => {
+      if (team) usage.record(team.teamId, resource, {promptTokens, outputTokens, calls: 1});
+    },
+    recordCall: ({team, resource}) => {
+      if (team) usage.record(team.teamId, resource, {promptTokens: 0, outputTokens: 0, calls: 1});
+    },
   });
 
   let stopping: Promise<void> | undefined;
@@ -228,6 +256,7 @@
       inFlight: callers.getInFlight(),
       queued: dispatcher.countQueued(),
       shards: assignment.ownedShards().length,
+      roles: usageRole.check().ok ? ['usage'] : [],
       members: membership.members().map(member => member.hostId),
       subscribers: feed.countSubscribers(),
     }),
@@ -245,9 +274,7 @@
       owned.keepHandOver(messages.decodeHandOver(request));
       return create(HandOverShardsResponseSchema, {accepted: true});
     },
-    pushUsage: () => {
-      throw new Error('not available');
-    },
+    pushUsage: request => answerPush(usage, request),
   });
   await listenAt(callers.server, settings.callerAddress);
   await listenAt(operators, settings.operatorAddress);
@@ -270,6 +297,8 @@
   start(assignment.watch());
   start(assignment.run());
   start(limiter.run());
+  start(usage.run());
+  start(usageRole.run());
   start(
     pollLoads({
       clock,
@@ -285,7 +314,9 @@
     session.beginLeave();
     await callers.stop(settings.shutdownTimeoutMs);
     await claims.waitUntilSettled();
+    await startTask(usage.handOver(), handlers).done;
     await startTask(assignment.releaseAll(), handlers).done;
+    await startTask(usageRole.release(), handlers).done;
     for (const task of tasks) task.cancel();
     feed.close();
     await startTask(session.end(), handlers).done;
