Fade others' load with the age of the report; measure routing, retries, decisions

Change: others' load on a target fades within 3 s from the report to the mean over the pool. Targets are inserted in order instead of sorting all: adding 12,000 took minutes. Load estimate and eligibility have a module of their own.

--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -1,5 +1,8 @@
 import {Bench} from './bench.js';
+import {DECISIONS} from './decisions.js';
 import {FAIRNESS} from './fairness.js';
+import {RETRIES} from './retries.js';
+import {ROUTING} from './routing.js';
 import {SoakSuite} from './soak-suite.js';
 import {URGENCY} from './urgency.js';
 
@@ -7,6 +10,9 @@
 export const BENCHES: Readonly<Record<string, Bench>> = {
   fairness: FAIRNESS,
   urgency: URGENCY,
+  routing: ROUTING,
+  retries: RETRIES,
+  decisions: DECISIONS,
 };
 
 /** Randomised suites by name. */
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,4 +1,5 @@
 export {DISCIPLINES, type Discipline, type DisciplineName} from './disciplines.js';
+export * from './eligibility.js';
 export * from './health.js';
 export * from './pool.js';
 export {type CacheEvent, type PrefixHintSettings} from './prefix-hints.js';
--- a/packages/scheduling/src/pool.ts
+++ b/packages/scheduling/src/pool.ts
@@ -3,7 +3,6 @@
   AttemptOutcome,
   createHealth,
   DEFAULT_HEALTH_SETTINGS,
-  describeHealth,
   Health,
   HealthSettings,
   recordHealthDispatch,
@@ -50,8 +49,11 @@
   readonly tokensPerOutstanding: number;
   /** Penalty for a target whose attempts all fail, in prompt tokens. */
   readonly failurePenaltyTokens: number;
-  /** Reports older than this are ignored: the target's load is then the host's own work. */
-  readonly reportTimeoutMs: number;
+  /**
+   * Age at which a report no longer counts. Up to then, others' load on the target fades to the
+   * mean of the pool: hosts that follow old reports all choose the same targets.
+   */
+  readonly reportFadeMs: number;
   readonly health: HealthSettings;
   readonly hints: PrefixHintSettings;
 }
@@ -65,7 +67,7 @@
   blockTokens: 2000,
   tokensPerOutstanding: 400,
   failurePenaltyTokens: 20_000,
-  reportTimeoutMs: 10_000,
+  reportFadeMs: 3000,
   health: DEFAULT_HEALTH_SETTINGS,
   hints: {maxBlocksPerTarget: 1024, maxLostEvents: 64},
 };
@@ -98,6 +100,7 @@
 /** A target of a pool. Read-only outside this module. */
 export interface TargetState {
   readonly id: TargetId;
+  readonly hash: number;
   /** Requests that the target can run at a time. */
   slots: number;
   status: TargetStatus;
@@ -124,6 +127,8 @@
   /** Targets that get long prompts; undefined when it must be computed again. */
   longTargets: ReadonlySet<TargetState> | undefined;
   readonly hints: PrefixHints;
+  /** Sum of `othersOutstanding` over all targets. */
+  othersTotal: number;
   /** Position of the round-robin policy. */
   nextIndex: number;
 }
@@ -140,6 +145,7 @@
     unhealthy: new Set(),
     longTargets: undefined,
     hints: new PrefixHints(merged.hints),
+    othersTotal: 0,
     nextIndex: 0,
   };
 }
@@ -153,6 +159,7 @@
   }
   const target: TargetState = {
     id,
+    hash: hash32(id),
     slots,
     status: 'serving',
     health: createHealth(),
@@ -165,9 +172,21 @@
     othersPendingTokens: 0,
   };
   pool.targets.set(id, target);
-  pool.order.push(target);
+  pool.order.splice(findPosition(pool.order, target), 0, target);
   pool.longTargets = undefined;
-  pool.order.sort((a, b) => hash32(a.id) - hash32(b.id) || (a.id < b.id ? -1 : 1));
+}
+
+/** Where a target belongs in the order of hashes and ids. */
+function findPosition(order: readonly TargetState[], {hash, id}: TargetState): number {
+  let low = 0;
+  let high = order.length;
+  while (low < high) {
+    const middle = (low + high) >> 1;
+    const other = order[middle];
+    if (other.hash < hash || (other.hash === hash && other.id < id)) low = middle + 1;
+    else high = middle;
+  }
+  return low;
 }
 
 /** Applies from the next decision on; work that runs there is left alone. */
@@ -186,6 +205,7 @@
   pool.order.splice(pool.order.indexOf(target), 1);
   pool.unhealthy.delete(target);
   pool.longTargets = undefined;
+  pool.othersTotal -= target.othersOutstanding;
   pool.hints.reset(id);
 }
 
@@ -201,7 +221,9 @@
   // The last sample before the report stays, as the baseline of a later report.
   ownHistory.splice(0, last);
   target.report = report;
+  pool.othersTotal -= target.othersOutstanding;
   target.othersOutstanding = Math.max(0, report.outstanding - own.outstanding);
+  pool.othersTotal += target.othersOutstanding;
   target.othersPendingTokens = Math.max(0, report.pendingPrefillTokens - own.pendingTokens);
 }
 
@@ -271,18 +293,6 @@
   pool.longTargets = undefined;
 }
 
-/** The usable targets without the last ones in the fixed order, which stay calm. */
-function findLongTargets(pool: Pool): ReadonlySet<TargetState> {
-  if (!pool.longTargets) {
-    const usable = pool.order.filter(
-      target => target.status === 'serving' && !pool.unhealthy.has(target),
-    );
-    const calm = Math.floor(usable.length * pool.settings.calmShare);
-    pool.longTargets = new Set(usable.slice(0, usable.length - calm));
-  }
-  return pool.longTargets;
-}
-
 function endPrefill(target: TargetState, own: OwnAttempt): void {
   if (own.pendingTokens === 0) return;
   target.ownPendingTokens -= own.pendingTokens;
@@ -298,99 +308,3 @@
   });
   if (target.ownHistory.length > MAX_HISTORY) target.ownHistory.shift();
 }
-
-/** Load of a target: others' load at the last report, and the host's own work at present. */
-export interface EstimatedLoad {
-  readonly outstanding: number;
-  readonly pendingTokens: number;
-  /** Age of the report in use; undefined without one. */
-  readonly reportAgeMs: number | undefined;
-}
-
-export function estimateLoad(pool: Pool, target: TargetState, nowMs: number): EstimatedLoad {
-  const ageMs = target.report && nowMs - target.report.sampledAtMs;
-  if (ageMs === undefined || ageMs > pool.settings.reportTimeoutMs) {
-    return {
-      outstanding: target.own.size,
-      pendingTokens: target.ownPendingTokens,
-      reportAgeMs: undefined,
-    };
-  }
-  // Others' prompts that were pending at the report are computed as time passes; at the speed of
-  // an engine they are gone after about a second, so they are counted down linearly.
-  const remaining = Math.max(0, 1 - ageMs / OTHERS_PREFILL_MS);
-  return {
-    outstanding: target.othersOutstanding + target.own.size,
-    pendingTokens: target.othersPendingTokens * remaining + target.ownPendingTokens,
-    reportAgeMs: ageMs,
-  };
-}
-
-const OTHERS_PREFILL_MS = 1000;
-
-/** Why a target can't take an attempt; undefined if it can. */
-export type Exclusion = 'status' | 'health' | 'slots' | 'longPrefill' | 'tried';
-
-/** Work to be placed. */
-export interface RouteRequest {
-  readonly workClass: WorkClass;
-  readonly promptTokens: number;
-  readonly isLong: boolean;
-  readonly blocks: readonly string[];
-  /** Targets that this request has already been sent to. */
-  readonly tried?: ReadonlySet<TargetId>;
-  /** Work that may run twice is preferred for probes of failed targets; false by default. */
-  readonly mayRunTwice?: boolean;
-}
-
-/** What decides whether a target can take a request. */
-export type Placement = Pick<RouteRequest, 'workClass' | 'isLong' | 'tried'>;
-
-/** Checks one target for a kind of work. With `probe`, only targets whose probe is due pass. */
-export function findExclusion(
-  pool: Pool,
-  target: TargetState,
-  request: Placement,
-  nowMs: number,
-  probe = false,
-): Exclusion | undefined {
-  if (target.status !== 'serving') return 'status';
-  if (request.tried?.has(target.id)) return 'tried';
-  const wanted = probe ? 'probeDue' : 'healthy';
-  if (describeHealth(target.health, nowMs) !== wanted) return 'health';
-  const {settings} = pool;
-  const load = estimateLoad(pool, target, nowMs);
-  const reserve = request.workClass === 'urgent' ? 0 : settings.urgentReserve;
-  if (load.outstanding >= target.slots - reserve) return 'slots';
-  if (!request.isLong) return undefined;
-  const isFull =
-    target.ownLongPrefills >= settings.maxLongPrefills ||
-    (!probe && !findLongTargets(pool).has(target));
-  return isFull || load.pendingTokens > settings.maxPendingForLong ? 'longPrefill' : undefined;
-}
-
-/** Whether some target can take work of this kind. Usually the first target looked at can. */
-export function hasRoom(pool: Pool, request: Placement, nowMs: number): boolean {
-  for (const target of pool.order) {
-    if (findExclusion(pool, target, request, nowMs) === undefined) return true;
-  }
-  return findLastResort(pool, request, nowMs) !== undefined;
-}
-
-/**
- * A target whose probe is due, for any kind of work, if no serving target is healthy. Otherwise
- * work that makes no good probe would wait for ever for the target to recover.
- */
-export function findLastResort(
-  pool: Pool,
-  request: Placement,
-  nowMs: number,
-): TargetState | undefined {
-  for (const target of pool.order) {
-    if (target.status === 'serving' && !pool.unhealthy.has(target)) return undefined;
-  }
-  for (const target of pool.unhealthy) {
-    if (findExclusion(pool, target, request, nowMs, true) === undefined) return target;
-  }
-  return undefined;
-}
--- a/packages/scheduling/src/retries.ts
+++ b/packages/scheduling/src/retries.ts
@@ -16,7 +16,7 @@
 
 export const DEFAULT_RETRY_SETTINGS: RetrySettings = {
   share: 0.1,
-  maxSaved: 20,
+  maxSaved: 10,
   keptForRetries: 5,
   maxAttempts: 3,
   baseDelayMs: 20,
--- a/packages/scheduling/src/routing.ts
+++ b/packages/scheduling/src/routing.ts
@@ -4,10 +4,9 @@
   Exclusion,
   findExclusion,
   findLastResort,
-  Pool,
   RouteRequest,
-  TargetState,
-} from './pool.js';
+} from './eligibility.js';
+import {Pool, TargetState} from './pool.js';
 
 /** A target that was considered. */
 export interface Candidate {
--- a/packages/scheduling/src/scheduler.ts
+++ b/packages/scheduling/src/scheduler.ts
@@ -1,5 +1,6 @@
 import {RandomSource, TargetId} from '@radishgw/core';
-import {hasRoom, Pool} from './pool.js';
+import {hasRoom} from './eligibility.js';
+import {Pool} from './pool.js';
 import {RequestQueue} from './queue-state.js';
 import {QueueReason, returnItem, takeNext} from './queue.js';
 import {RouteReason, routeRequest, RoutingPolicyName} from './routing.js';
