--- a/packages/scheduling/test/routing.test.ts
+++ b/packages/scheduling/test/routing.test.ts
@@ -4,6 +4,7 @@
 import {
   Attempt,
   createPool,
+  estimateLoad,
   findExclusion,
   hasRoom,
   Pool,
@@ -185,6 +186,32 @@
     expect(dispatch(pool, 30, {workClass: 'urgent'})).not.to.equal(undefined);
   });
 
+  it('keeps a third of the usable targets free from long prompts, whichever are left', () => {
+    // Guards against long steps on all targets, and against long prompts that wait for targets
+    // that have left.
+    const pool = makePool(6, {maxLongPrefills: 1});
+    const long: (TargetId | undefined)[] = [];
+    for (let i = 0; i < 5; i++) long.push(dispatch(pool, 0, {isLong: true})?.target);
+    expect(new Set(long.slice(0, 4)).size).to.equal(4);
+    expect(long[4]).to.equal(undefined);
+    for (const id of long.slice(0, 3)) setTargetStatus(pool, id!, 'draining');
+    // Three are left, of which two may take long prompts; one of these has one in flight.
+    expect(dispatch(pool, 0, {isLong: true})).not.to.equal(undefined);
+    expect(dispatch(pool, 0, {isLong: true})).to.equal(undefined);
+  });
+
+  it('fades an old report to the mean of the pool', () => {
+    // Guards against hosts that all follow the same old report to the same target.
+    const pool = makePool(2, {reportFadeMs: 3000});
+    recordReport(pool, target(0), {sampledAtMs: 0, outstanding: 3, pendingPrefillTokens: 0});
+    recordReport(pool, target(1), {sampledAtMs: 0, outstanding: 1, pendingPrefillTokens: 0});
+    const estimateAt = (nowMs: number) =>
+      [0, 1].map(i => estimateLoad(pool, pool.targets.get(target(i))!, nowMs).outstanding);
+    expect(estimateAt(0)).to.deep.equal([3, 1]);
+    expect(estimateAt(1500)).to.deep.equal([2.5, 1.5]);
+    expect(estimateAt(5000)).to.deep.equal([2, 2]);
+  });
+
   it('drops the hints of a target after too many lost cache events', () => {
     // Guards against prefix hints that outlive the cache because removals were lost.
     const pool = makePool(2, {hints: {maxBlocksPerTarget: 4, maxLostEvents: 10}});
