--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -2,8 +2,11 @@
 import {AUTHORITY_SUITE} from './control/authority-soak.js';
 import {USAGE_SUITE} from './control/usage-soak.js';
 import {COST_BENCH} from './cost.js';
+import {DECISIONS} from './decisions.js';
 import {FAIRNESS} from './fairness.js';
 import {LIMITS_SOAK} from './limits-soak.js';
+import {RETRIES} from './retries.js';
+import {ROUTING} from './routing.js';
 import {SHIFT_BENCH} from './shift.js';
 import {SoakSuite} from './soak-suite.js';
 import {URGENCY} from './urgency.js';
@@ -14,6 +17,9 @@
   urgency: URGENCY,
   shift: SHIFT_BENCH,
   cost: COST_BENCH,
+  routing: ROUTING,
+  retries: RETRIES,
+  decisions: DECISIONS,
 };
 
 /** Randomised suites by name. */
