Order fewer, larger steps and measure the ordering policy

Increases now wait 240 s, add 5%, and fill one domain by up to a twentieth before the next; releases need 8%.

--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -1,5 +1,7 @@
 import {Bench} from './bench.js';
 import {COST_BENCH} from './cost.js';
+import {DECISIONS_BENCH} from './decisions.js';
+import {ORDERING_BENCH} from './ordering.js';
 import {SHIFT_BENCH} from './shift.js';
 import {SoakSuite} from './soak-suite.js';
 
@@ -7,6 +9,8 @@
 export const BENCHES: Readonly<Record<string, Bench>> = {
   shift: SHIFT_BENCH,
   cost: COST_BENCH,
+  ordering: ORDERING_BENCH,
+  decisions: DECISIONS_BENCH,
 };
 
 /** Randomised suites by name. */
--- a/packages/fleet/src/policies/ordering-policy.ts
+++ b/packages/fleet/src/policies/ordering-policy.ts
@@ -17,6 +17,9 @@
 } from './ordering-types.js';
 import {explain} from './reason.js';
 
+/** Part of a domain's targets by which one step of the spread changes it. */
+const SPREAD_STEP_SHARE = 0.05;
+
 /** Targets needed of both kinds. */
 interface Need {
   readonly steady: number;
@@ -257,13 +260,18 @@
 ): number {
   if (needed > desired) {
     const urgent = needed - desired > settings.urgentShare * desired;
-    return urgent || sinceIncreaseMs >= settings.minIncreaseGapMs ? needed : desired;
+    if (!urgent && sinceIncreaseMs < settings.minIncreaseGapMs) return desired;
+    // The surplus of a growing pool saves the next orders; a small pool gets none.
+    return needed + Math.floor(settings.increaseSurplus * needed);
   }
   const band = Math.max(settings.releaseBandTargets, settings.releaseBandShare * desired);
   return desired - heldNeed >= band ? Math.max(heldNeed, needed) : desired;
 }
 
-/** Moves the domains' counts to the total one by one, which keeps orders few and the spread even. */
+/**
+ * Moves the domains' counts to the total. Each step changes the emptiest or fullest domain by up to
+ * a twentieth, so that a small change is one order and the spread stays nearly even.
+ */
 function spreadTargets(
   state: OrderingState,
   domains: readonly DomainTargets[],
@@ -280,15 +288,23 @@
   while (total < goal) {
     const free = counts.filter(({domain, count, open}) => open && count < domain.maxCount);
     if (free.length === 0) break;
-    free.reduce((least, entry) => (entry.count < least.count ? entry : least)).count++;
-    total++;
+    const least = free.reduce((a, b) => (b.count < a.count ? b : a));
+    const step = Math.min(goal - total, least.domain.maxCount - least.count, stepOf(least.count));
+    least.count += step;
+    total += step;
   }
   while (total > goal) {
     const over = counts.filter(({domain, count}) => !domain.unavailable && count > minimum);
     if (over.length === 0) break;
-    over.reduce((most, entry) => (entry.count > most.count ? entry : most)).count--;
-    total--;
+    const most = over.reduce((a, b) => (b.count > a.count ? b : a));
+    const step = Math.min(total - goal, most.count - minimum, stepOf(most.count));
+    most.count -= step;
+    total -= step;
   }
   // An unavailable domain keeps its order: what comes back is given back under the usual rules.
   return counts.map(({domain, count}) => [domain, domain.unavailable ? domain.desired : count]);
 }
+
+function stepOf(count: number): number {
+  return Math.max(1, Math.floor(SPREAD_STEP_SHARE * count));
+}
--- a/packages/fleet/src/policies/ordering-types.ts
+++ b/packages/fleet/src/policies/ordering-types.ts
@@ -78,6 +78,8 @@
   /** Least time between two increases, unless the shortage is larger than `urgentShare`. */
   readonly minIncreaseGapMs: number;
   readonly urgentShare: number;
+  /** Surplus of an increase over the need, as a share of the need, rounded down. */
+  readonly increaseSurplus: number;
   readonly levelTauMs: number;
   readonly trendTauMs: number;
   /** Figures older than this only hold. */
@@ -141,7 +143,7 @@
   leadMs: 240_000,
   arrivalTimeoutMs: 720_000,
   plannedUse: 0.75,
-  shortfallPrice: 20,
+  shortfallPrice: 8,
   cheapAvailability: 0.8,
   cheapPrice: 0.35,
   minPerDomain: 1,
@@ -151,9 +153,10 @@
   emergencyUse: 0.95,
   releaseHoldMs: 1_200_000,
   releaseBandTargets: 1,
-  releaseBandShare: 0.04,
-  minIncreaseGapMs: 60_000,
+  releaseBandShare: 0.08,
+  minIncreaseGapMs: 240_000,
   urgentShare: 0.1,
+  increaseSurplus: 0.05,
   levelTauMs: 60_000,
   trendTauMs: 600_000,
   maxDemandAgeMs: 30_000,
--- a/packages/fleet/test/ordering-policy.test.ts
+++ b/packages/fleet/test/ordering-policy.test.ts
@@ -186,4 +186,49 @@
     const room = sum(targets, false) * SETTINGS.emergencyUse - Math.max(0, work);
     expect(room).to.be.at.least(displaced - 1);
   });
+
+  it('orders ahead of a daily rise that it has seen before', () => {
+    // Guards against targets that arrive minutes after the work, every morning.
+    const dayMs = 86_400_000;
+    const riseMs = 8 * 3_600_000;
+    const workAt = (timeMs: number) => {
+      const sinceRiseMs = (timeMs % dayMs) - riseMs;
+      return 6 + 6 * Math.min(1, Math.max(0, sinceRiseMs / 900_000));
+    };
+    let targets: readonly DomainTargets[] = fleet(3, 0);
+    let state = createOrderingState(0);
+    const missing = [0, 0];
+    for (let nowMs = 0; nowMs < 2 * dayMs; nowMs += 30_000) {
+      const timeOfDayMs = nowMs % dayMs;
+      const decision = decideTargets(
+        state,
+        {...input(targets, workAt(nowMs)), timeOfDayMs},
+        SETTINGS,
+        nowMs,
+      );
+      state = decision.state;
+      targets = deliver(targets, decision.orders);
+      const ahead = workAt(nowMs + SETTINGS.leadMs) / SETTINGS.plannedUse;
+      if (timeOfDayMs > riseMs - SETTINGS.leadMs && timeOfDayMs < riseMs + 900_000) {
+        missing[Math.floor(nowMs / dayMs)] += Math.max(0, ahead - sum(targets, false));
+      }
+    }
+    expect(missing[1]).to.be.below(missing[0] / 2);
+  });
+
+  it('orders more cheap targets when some of them are usually missing', () => {
+    // Guards against a fleet that is short whenever cheap targets are withdrawn as expected.
+    const count = (cheapAvailability: number) => {
+      let targets: readonly DomainTargets[] = fleet(6, 0);
+      let state = createOrderingState(0);
+      for (let nowMs = 0; nowMs < 600_000; nowMs += STEP_MS) {
+        const settings = {...SETTINGS, cheapAvailability};
+        const decision = decideTargets(state, input(targets, 12, 0.3), settings, nowMs);
+        state = decision.state;
+        targets = deliver(targets, decision.orders);
+      }
+      return sum(targets, true);
+    };
+    expect(count(0.5)).to.be.at.least(1.8 * count(1));
+  });
 });
