--- a/packages/bench/src/decisions.ts
+++ b/packages/bench/src/fleet-decisions.ts
@@ -173,7 +173,7 @@
 }
 
 /** Wall-clock time of each fleet decision at three fleet sizes. */
-export const DECISIONS_BENCH: Bench = {
+export const FLEET_DECISIONS_BENCH: Bench = {
   description: 'microseconds for each fleet decision',
   run: ({seeds}) => {
     const measured = DECISIONS.flatMap(({name, create, callsPerRound}) =>
--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -1,6 +1,6 @@
 import {Bench} from './bench.js';
 import {COST_BENCH} from './cost.js';
-import {DECISIONS_BENCH} from './decisions.js';
+import {FLEET_DECISIONS_BENCH} from './fleet-decisions.js';
 import {ORDERING_BENCH} from './ordering.js';
 import {SHIFT_BENCH} from './shift.js';
 import {SoakSuite} from './soak-suite.js';
@@ -10,7 +10,7 @@
   shift: SHIFT_BENCH,
   cost: COST_BENCH,
   ordering: ORDERING_BENCH,
-  decisions: DECISIONS_BENCH,
+  fleetDecisions: FLEET_DECISIONS_BENCH,
 };
 
 /** Randomised suites by name. */
