--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -4,7 +4,9 @@
 import {COST_BENCH} from './cost.js';
 import {DECISIONS} from './decisions.js';
 import {FAIRNESS} from './fairness.js';
+import {FLEET_DECISIONS_BENCH} from './fleet-decisions.js';
 import {LIMITS_SOAK} from './limits-soak.js';
+import {ORDERING_BENCH} from './ordering.js';
 import {RETRIES} from './retries.js';
 import {ROUTING} from './routing.js';
 import {SHIFT_BENCH} from './shift.js';
@@ -20,6 +22,8 @@
   routing: ROUTING,
   retries: RETRIES,
   decisions: DECISIONS,
+  ordering: ORDERING_BENCH,
+  fleetDecisions: FLEET_DECISIONS_BENCH,
 };
 
 /** Randomised suites by name. */
--- a/packages/fleet/test/ordering-policy.test.ts
+++ b/packages/fleet/test/ordering-policy.test.ts
@@ -186,4 +186,58 @@
     const room = sum(targets, false) * SETTINGS.emergencyUse - Math.max(0, work);
     expect(room).to.be.at.least(displaced - 1);
   });
+
+  it('orders ahead of a daily rise that it has seen before', () => {
+    // Guards against targets that arrive minutes after the work, every morning.
+    const dayMs = 86_400_000;
+    const riseMs = 8 * 3_600_000;
+    const workAt = (timeMs: number) => {
+      const sinceRiseMs = (timeMs % dayMs) - riseMs;
+      return 6 + 6 * Math.min(1, Math.max(0, sinceRiseMs / 360_000));
+    };
+    // Without room for the loss of a domain, which would hide a late order.
+    const settings = {...SETTINGS, lossCoverage: 0};
+    /** Work of the second day's rise that finds no target, which arrives a lead time after its order. */
+    const sumLate = (keepsProfile: boolean) => {
+      let targets: readonly DomainTargets[] = fleet(3, 0);
+      let state = createOrderingState(0);
+      let late = 0;
+      const ordered: number[] = [];
+      for (let nowMs = 0; nowMs < 2 * dayMs; nowMs += 30_000) {
+        const timeOfDayMs = nowMs % dayMs;
+        const moment = {...input(targets, workAt(nowMs)), timeOfDayMs};
+        const decision = decideTargets(state, moment, settings, nowMs);
+        state = decision.state;
+        if (!keepsProfile) state = {...state, profile: createOrderingState(0).profile};
+        targets = deliver(targets, decision.orders);
+        ordered.push(sum(targets, false));
+        const arrived = ordered.at(-1 - SETTINGS.leadMs / 30_000) ?? 0;
+        if (nowMs < dayMs + riseMs || nowMs > dayMs + riseMs + 1_800_000) continue;
+        late += Math.max(
+          0,
+          workAt(nowMs) - SETTINGS.emergencyUse * Math.min(arrived, ordered.at(-1)!),
+        );
+      }
+      return late;
+    };
+    const without = sumLate(false);
+    expect(without).to.be.above(0);
+    expect(sumLate(true)).to.be.below(without / 2);
+  });
+
+  it('orders more cheap targets when some of them are usually missing', () => {
+    // Guards against a fleet that is short whenever cheap targets are withdrawn as expected.
+    const count = (cheapAvailability: number) => {
+      let targets: readonly DomainTargets[] = fleet(6, 0);
+      let state = createOrderingState(0);
+      for (let nowMs = 0; nowMs < 600_000; nowMs += STEP_MS) {
+        const settings = {...SETTINGS, cheapAvailability};
+        const decision = decideTargets(state, input(targets, 12, 0.3), settings, nowMs);
+        state = decision.state;
+        targets = deliver(targets, decision.orders);
+      }
+      return sum(targets, true);
+    };
+    expect(count(0.5)).to.be.at.least(1.8 * count(1));
+  });
 });
