--- a/packages/gateway/test/services.test.ts
+++ b/packages/gateway/test/services.test.ts
@@ -75,13 +75,13 @@
     for (const {operatorUrl} of deployment.hosts) {
       await waitUntil(
         async () => (await fetch(`${operatorUrl}/status`)).json() as Promise<Status>,
-        status => status.appliedRevision >= revision,
+        status => status.completeRevision >= revision,
       );
     }
   }
 
   interface Status {
-    appliedRevision: number;
+    completeRevision: number;
   }
 
   async function setServices(faults: object): Promise<void> {
--- a/packages/testkit/src/deployment.ts
+++ b/packages/testkit/src/deployment.ts
@@ -10,6 +10,8 @@
 } from '@radishgw/config';
 import {createSystemRandom, KeyId, toId} from '@radishgw/core';
 import {HttpPlatform} from '@radishgw/platform';
+import {createCertificate} from './certificates.js';
+import {FaultProxy, startFaultProxy} from './fault-proxy.js';
 import {Child, findFreePorts, startChild, startStandIn, waitForUrl} from './child.js';
 
 /** Size and behaviour of a deployment on the loopback interface. */
@@ -21,6 +23,8 @@
   readonly decodeMsPerToken: number;
   /** Further flags for each host. */
   readonly hostFlags?: readonly string[];
+  /** Puts fault proxies before the inner address of each host and between it and the platform. */
+  readonly proxied?: boolean;
   readonly tokensPerSecond?: number;
   readonly burstTokens?: number;
   readonly maxInFlight?: number;
@@ -38,6 +42,8 @@
   readonly entryUrl: string;
   readonly operatorUrl: string;
   readonly innerAddress: string;
+  /** Proxies of the host; undefined unless the deployment is proxied. */
+  readonly proxies?: {readonly platform: FaultProxy; readonly inner: FaultProxy};
 }
 
 /** Processes of a deployment and what is needed to call them. */
@@ -169,26 +175,42 @@
   (await platform.put(BASE_KEY, JSON.stringify(base))).unwrap();
   (await platform.put(teamKey(DEMO_TEAM), JSON.stringify(team))).unwrap();
 
+  const certificate = await createCertificate();
   const started: Child[] = [];
   const startHost = async (index: number, flags: readonly string[] = []): Promise<HostHandle> => {
     const [callerPort, operatorPort, innerPort] = await findFreePorts(PORTS_PER_HOST);
     const hostId = `host-${index + 1}`;
     const entryUrl = `http://127.0.0.1:${callerPort}`;
     const operatorUrl = `http://127.0.0.1:${operatorPort}`;
-    const innerAddress = `127.0.0.1:${innerPort}`;
+    const innerListenAddress = `127.0.0.1:${innerPort}`;
+    const proxies = options.proxied
+      ? {
+          platform: await startFaultProxy({targetUrl: platformUrl, seed: index}),
+          inner: await startFaultProxy({targetUrl: `http://${innerListenAddress}`, seed: index}),
+        }
+      : undefined;
+    const innerAddress = proxies ? new URL(proxies.inner.url).host : innerListenAddress;
     const child = startChild(hostId, GATEWAY_MAIN, [
       '--host-id',
       hostId,
       '--failure-domain',
       options.failureDomains[index % options.failureDomains.length],
       '--platform-url',
-      hostPlatformUrl,
+      proxies?.platform.url ?? hostPlatformUrl,
       '--caller-address',
       `127.0.0.1:${callerPort}`,
       '--operator-address',
       `127.0.0.1:${operatorPort}`,
       '--inner-address',
       innerAddress,
+      '--inner-listen-address',
+      innerListenAddress,
+      '--inner-ca-file',
+      certificate.certificateFile,
+      '--inner-certificate-file',
+      certificate.certificateFile,
+      '--inner-key-file',
+      certificate.keyFile,
       ...(options.hostFlags ?? []),
       ...flags,
     ]);
@@ -201,7 +223,7 @@
         });
       }),
     ]);
-    return {hostId, child, entryUrl, operatorUrl, innerAddress};
+    return {hostId, child, entryUrl, operatorUrl, innerAddress, proxies};
   };
 
   const hosts = await Promise.all(Array.from({length: options.hosts}, (_, i) => startHost(i)));
@@ -228,7 +250,12 @@
       await Promise.all(started.map(stopIfRunning));
       await Promise.all([...engines, ...services].map(({child}) => stopIfRunning(child)));
       await stopIfRunning(platformChild);
+      for (const {proxies} of hosts) {
+        await proxies?.platform.stop();
+        await proxies?.inner.stop();
+      }
       await platform.close();
+      await certificate.remove();
     },
   };
 }
