--- /dev/null
+++ b/packages/fleet/src/policies/cheap-policy.ts
@@ -0,0 +1,309 @@
+import {FailureDomain} from '@radishgw/core';
+import {
+  CheapDecision,
+  CheapDomainState,
+  CheapLimit,
+  CheapSettings,
+  CheapState,
+  DomainLoad,
+  RunningWork,
+  WithdrawalAction,
+  WithdrawalDecision,
+  WithdrawalNotice,
+  WithdrawalPlan,
+  WorkTraits,
+} from './cheap-types.js';
+import {DecisionReason, explain} from './reason.js';
+
+/** Time between the end of a request and the withdrawal that is kept as a margin. */
+const NOTICE_MARGIN_MS = 500;
+
+/** Growth that the limits allow until the next decision sees it, as a share of the work. */
+const ARRIVAL_MARGIN = 0.25;
+
+/**
+ * State before the first decision and after a takeover. No domain is suspended, and each limit
+ * starts at the work that is already on the domain's cheap targets.
+ */
+export function createCheapState(): CheapState {
+  return {updatedMs: undefined, domains: []};
+}
+
+/** True for work that may run on cheap targets: it may run again and it isn't urgent. */
+export function mayRunOnCheap(work: WorkTraits): boolean {
+  return work.repeatable && work.workClass !== 'urgent';
+}
+
+/** A failure domain with the memory and the limit that follow from its own state. */
+interface DomainPlan {
+  readonly load: DomainLoad;
+  readonly memory: CheapDomainState;
+  readonly suspended: boolean;
+  readonly workLimit: number;
+}
+
+/**
+ * Sets how much work may run on the cheap targets of each failure domain, and how much steady
+ * capacity batch work leaves free for what the loss of all cheap targets of one domain displaces.
+ *
+ * Work that can't wait is spread evenly over the domains, so that the worst loss is small. It is
+ * not held back for lack of room: on steady targets it would take the same room all the time, and
+ * in a queue it would wait for certain. Missing room is reported instead.
+ */
+export function decideCheapLimits(
+  state: CheapState,
+  loads: readonly DomainLoad[],
+  settings: CheapSettings,
+  nowMs: number,
+): CheapDecision {
+  const plans = planDomains(state, loads, settings, nowMs);
+  const standard = loads.reduce(
+    (sum, load) => sum + load.cheapStandardWork + load.steadyMovableWork,
+    0,
+  );
+  const expected = spreadEvenly(plans, standard);
+  const allowed = spreadEvenly(plans, standard * (1 + ARRIVAL_MARGIN));
+  const needs = plans.map(({workLimit}, index) => {
+    const batch = Math.max(0, workLimit - expected[index]);
+    return (expected[index] + batch * settings.batchRoomShare) * (1 + settings.repeatedShare);
+  });
+  const reserves = placeReserve(loads, needs);
+  const onCheap = expected.reduce((sum, work) => sum + work, 0);
+  const roomShort = findRoomShort(loads, needs, Math.max(0, standard - onCheap), settings);
+  const limits = plans.map(({load, suspended, workLimit}, index): CheapLimit => ({
+    failureDomain: load.failureDomain,
+    standardWorkLimit: allowed[index],
+    workLimit,
+    reservedRoom: reserves[index],
+    suspended,
+  }));
+  const domains = plans.map(({memory, workLimit}) => ({...memory, workLimit}));
+  const reason = explainLimits(limits, roomShort);
+  return {state: {updatedMs: nowMs, domains}, limits, roomShort, reason};
+}
+
+/** Applies suspensions, the slow rise and the bound on the cheap share. */
+function planDomains(
+  state: CheapState,
+  loads: readonly DomainLoad[],
+  settings: CheapSettings,
+  nowMs: number,
+): DomainPlan[] {
+  const elapsedMs = nowMs - (state.updatedMs ?? nowMs);
+  const previous = new Map(state.domains.map(domain => [domain.failureDomain, domain]));
+  const plans = loads.map(load => {
+    const present = load.cheapStandardWork + load.cheapBatchWork;
+    const memory =
+      previous.get(load.failureDomain) ?? createDomainState(load.failureDomain, present);
+    const suspended = nowMs < memory.suspendedUntilMs;
+    const usable = suspended ? 0 : load.cheapCapacity * settings.emergencyUse;
+    const rise = (elapsedMs / 60_000) * settings.risePerMinute * load.cheapCapacity;
+    return {load, memory, suspended, workLimit: Math.min(usable, memory.workLimit + rise)};
+  });
+  const scale = scaleToShare(loads, plans, settings);
+  return plans.map(plan => ({...plan, workLimit: plan.workLimit * scale}));
+}
+
+/** Work of each domain when `work` is spread as evenly as the limits allow. */
+function spreadEvenly(plans: readonly DomainPlan[], work: number): number[] {
+  let left = work;
+  let level = 0;
+  const limits = plans.map(({workLimit}) => workLimit).sort((a, b) => a - b);
+  limits.forEach((limit, index) => {
+    const open = limits.length - index;
+    const step = Math.min(limit - level, left / open);
+    level += step;
+    left -= step * open;
+  });
+  return plans.map(({workLimit}) => Math.min(workLimit, level));
+}
+
+/**
+ * Work of the worst loss that finds no room on steady targets outside the lost domain.
+ * @param remaining work that can't wait, may run on cheap targets and is still on steady ones
+ */
+function findRoomShort(
+  loads: readonly DomainLoad[],
+  needs: readonly number[],
+  remaining: number,
+  settings: CheapSettings,
+): number {
+  const rooms = loads.map(load => {
+    const fixed = load.steadyWork - load.steadyMovableWork;
+    return Math.max(0, load.steadyCapacity * settings.emergencyUse - fixed);
+  });
+  const total = rooms.reduce((sum, room) => sum + room, 0);
+  return needs.reduce((worst, need, lost) => {
+    if (need <= 0) return worst;
+    return Math.max(worst, need - Math.max(0, total - rooms[lost] - remaining));
+  }, 0);
+}
+
+function createDomainState(failureDomain: FailureDomain, workLimit = 0): CheapDomainState {
+  return {
+    failureDomain,
+    withdrawals: [],
+    suspendedUntilMs: -Infinity,
+    lastSuspendMs: -Infinity,
+    suspensions: 0,
+    workLimit,
+  };
+}
+
+function scaleToShare(
+  loads: readonly DomainLoad[],
+  wanted: ReadonlyArray<{readonly workLimit: number}>,
+  settings: CheapSettings,
+): number {
+  const cheap = wanted.reduce((sum, domain) => sum + domain.workLimit, 0);
+  const steady = loads.reduce((sum, load) => sum + load.steadyCapacity, 0) * settings.plannedUse;
+  const allowed =
+    settings.maxCheapShare >= 1
+      ? Infinity
+      : (steady * settings.maxCheapShare) / (1 - settings.maxCheapShare);
+  return cheap > allowed ? allowed / cheap : 1;
+}
+
+/**
+ * Spreads the room for the worst loss over steady targets. Each domain's loss must find its room
+ * outside that domain, so each domain holds its part by steady capacity of the largest need of
+ * the others.
+ */
+function placeReserve(loads: readonly DomainLoad[], needs: readonly number[]): number[] {
+  const steady = loads.map(load => load.steadyCapacity);
+  const totalSteady = steady.reduce((sum, capacity) => sum + capacity, 0);
+  return loads.map((_, index) => {
+    let reserve = 0;
+    needs.forEach((need, lost) => {
+      const elsewhere = totalSteady - steady[lost];
+      if (lost === index || elsewhere <= 0) return;
+      reserve = Math.max(reserve, (need * steady[index]) / elsewhere);
+    });
+    return Math.min(reserve, steady[index]);
+  });
+}
+
+function explainLimits(limits: readonly CheapLimit[], roomShort: number): DecisionReason {
+  const suspended = limits.filter(limit => limit.suspended).length;
+  const figures = {
+    roomShort,
+    standardWorkLimit: limits.reduce((sum, limit) => sum + limit.standardWorkLimit, 0),
+    workLimit: limits.reduce((sum, limit) => sum + limit.workLimit, 0),
+    reservedRoom: limits.reduce((sum, limit) => sum + limit.reservedRoom, 0),
+    suspendedDomains: suspended,
+  };
+  if (suspended > 0) {
+    return explain(
+      'limit.suspended',
+      'failure domains with recent withdrawals get no work',
+      figures,
+    );
+  }
+  if (roomShort > 0) {
+    return explain('limit.roomShort', 'steady targets lack room for the worst loss', figures);
+  }
+  return explain('limit.room', 'steady targets have room for the worst loss', figures);
+}
+
+/**
+ * Takes a notice into account. A domain is suspended when a large part of its cheap targets is
+ * withdrawn within the window, because the rest usually follows.
+ */
+export function applyWithdrawal(
+  state: CheapState,
+  notice: WithdrawalNotice,
+  settings: CheapSettings,
+  nowMs: number,
+): WithdrawalDecision {
+  const known = state.domains.find(domain => domain.failureDomain === notice.failureDomain);
+  const memory = known ?? createDomainState(notice.failureDomain);
+  const withdrawals = [
+    ...memory.withdrawals.filter(({atMs}) => nowMs - atMs <= settings.noticeWindowMs),
+    {atMs: nowMs, targets: notice.targetIds.length},
+  ];
+  const withdrawn = withdrawals.reduce((sum, {targets}) => sum + targets, 0);
+  // Earlier notices of the window have already left the count of ready targets.
+  const present = notice.domainTargets + withdrawn - notice.targetIds.length;
+  // One target alone says nothing about its domain, however few there are.
+  const suspend = withdrawn > 1 && withdrawn >= settings.suspendShare * present;
+  const next = suspend
+    ? suspendDomain({...memory, withdrawals}, settings, nowMs)
+    : {...memory, withdrawals};
+  const others = state.domains.filter(domain => domain !== known);
+  const reason = suspend
+    ? explain('suspend.domain', `${notice.failureDomain} gets no new work on cheap targets`, {
+        withdrawn,
+        present,
+        suspendMs: next.suspendedUntilMs - nowMs,
+      })
+    : explain('withdraw.targets', 'only the withdrawn targets are left out', {withdrawn, present});
+  return {state: {...state, domains: [...others, next]}, reason};
+}
+
+function suspendDomain(
+  memory: CheapDomainState,
+  settings: CheapSettings,
+  nowMs: number,
+): CheapDomainState {
+  // Further notices of the same withdrawal extend nothing.
+  if (nowMs < memory.suspendedUntilMs) return memory;
+  const forgotten = nowMs - memory.lastSuspendMs > settings.forgetMs;
+  const suspensions = forgotten ? 1 : memory.suspensions + 1;
+  const suspendMs = Math.min(settings.maxSuspendMs, settings.suspendMs * 2 ** (suspensions - 1));
+  return {
+    ...memory,
+    suspensions,
+    lastSuspendMs: nowMs,
+    suspendedUntilMs: nowMs + suspendMs,
+    workLimit: 0,
+  };
+}
+
+/**
+ * Decides what becomes of each request on targets that are being withdrawn.
+ * @param room free capacity on other targets, in engines; work that can't wait gets it first
+ */
+export function planWithdrawal(
+  noticeMs: number,
+  running: readonly RunningWork[],
+  room: number,
+): WithdrawalPlan {
+  const usableMs = noticeMs - NOTICE_MARGIN_MS;
+  const counts: Record<WithdrawalAction, number> = {
+    finish: 0,
+    transfer: 0,
+    restart: 0,
+    wait: 0,
+    leave: 0,
+  };
+  let left = room;
+  const steps = [...running].sort(compareUrgency).map(work => {
+    const action = chooseAction(work, usableMs, left);
+    if (action === 'transfer' || action === 'restart') left -= work.work;
+    counts[action]++;
+    return {workId: work.workId, action};
+  });
+  return {
+    steps,
+    reason: explain('withdraw.plan', 'work that cannot wait moves first', {
+      noticeMs,
+      room,
+      ...counts,
+    }),
+  };
+}
+
+const CLASS_ORDER: Record<WorkTraits['workClass'], number> = {urgent: 0, standard: 1, batch: 2};
+
+function compareUrgency(a: RunningWork, b: RunningWork): number {
+  return CLASS_ORDER[a.workClass] - CLASS_ORDER[b.workClass] || a.remainingMs - b.remainingMs;
+}
+
+function chooseAction(work: RunningWork, usableMs: number, room: number): WithdrawalAction {
+  if (work.remainingMs <= usableMs) return 'finish';
+  // Work that may not run again is here only when its class was changed while it ran.
+  if (!work.repeatable) return 'leave';
+  const fits = work.work <= room;
+  if (!fits && work.workClass !== 'urgent') return 'wait';
+  return work.transferMs <= usableMs ? 'transfer' : 'restart';
+}
--- a/packages/scheduling/src/routing.ts
+++ b/packages/scheduling/src/routing.ts
@@ -52,18 +52,17 @@
 
 /** Policies by name; `prefixOrLoad` is the one in use, the others are kept for comparison. */
 export const ROUTING_POLICIES = {
-  /** Two random targets and the best prefix holder, by uncached tokens plus load. */
-  prefixOrLoad: context =>
-    pickBest(context, [...sampleTargets(context, 2), ...findHolder(context)]),
+  /** A few random targets and the best prefix holder, by uncached tokens plus load. */
+  prefixOrLoad: context => pickBest(context, [...sampleChoices(context), ...findHolder(context)]),
   /** The same score over all targets. */
   prefixOrLoadAll: context => pickBest(context, context.pool.order.filter(context.isEligible)),
-  /** Two random targets, by load alone. */
+  /** A few random targets, by load alone. */
   twoChoices: context =>
-    pickBest({...context, request: {...context.request, blocks: []}}, sampleTargets(context, 2)),
-  /** The best prefix holder whatever its load, or two random targets if nobody holds the prefix. */
+    pickBest({...context, request: {...context.request, blocks: []}}, sampleChoices(context)),
+  /** The best prefix holder whatever its load, or a few random targets if nobody holds the prefix. */
   prefixOnly: context => {
     const holder = findHolder(context);
-    return pickBest(context, holder.length > 0 ? holder : sampleTargets(context, 2));
+    return pickBest(context, holder.length > 0 ? holder : sampleChoices(context));
   },
   /** The target with the fewest requests of this host. */
   leastOutstanding: context => {
@@ -130,14 +129,14 @@
   return target && {target, reason: {rule: 'probe', candidates: [score(context, target)]}};
 }
 
-/** Tries before a sample gives up and scans all targets; only a nearly full pool needs the scan. */
-const SAMPLE_TRIES = 8;
+/** Tries for each choice before a sample gives up and scans all targets; only a nearly full pool needs the scan. */
+const SAMPLE_TRIES = 4;
 
 /** Up to `count` different eligible targets, uniformly at random. */
 function sampleTargets(context: RoutingContext, count: number): TargetState[] {
   const {order} = context.pool;
   const found: TargetState[] = [];
-  for (let i = 0; i < SAMPLE_TRIES && found.length < count && order.length > 0; i++) {
+  for (let i = 0; i < count * SAMPLE_TRIES && found.length < count && order.length > count; i++) {
     const target = order[context.random.nextInt(order.length)];
     if (!found.includes(target) && context.isEligible(target)) found.push(target);
   }
@@ -149,6 +148,10 @@
   return found;
 }
 
+function sampleChoices(context: RoutingContext): TargetState[] {
+  return sampleTargets(context, context.pool.settings.choices[context.request.workClass]);
+}
+
 /** The least loaded of the eligible targets that hold the longest part of the prompt. */
 function findHolder(context: RoutingContext): TargetState[] {
   const {pool, request, nowMs} = context;
