Add the overhead measurement

Compares the request path with direct calls to the stand-in engine and with a bare undici pass-through, by requests for each second of the process's CPU time and by latency.

--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -4,6 +4,7 @@
 import {COST_BENCH} from './cost.js';
 import {FAIRNESS} from './fairness.js';
 import {LIMITS_SOAK} from './limits-soak.js';
+import {OVERHEAD_BENCH} from './overhead.js';
 import {SHIFT_BENCH} from './shift.js';
 import {SoakSuite} from './soak-suite.js';
 import {URGENCY} from './urgency.js';
@@ -14,6 +15,7 @@
   urgency: URGENCY,
   shift: SHIFT_BENCH,
   cost: COST_BENCH,
+  overhead: OVERHEAD_BENCH,
 };
 
 /** Randomised suites by name. */
