--- a/packages/gateway/src/caller/caller-server.ts
+++ b/packages/gateway/src/caller/caller-server.ts
@@ -34,7 +34,7 @@
 }
 
 const REQUEST_ID_BYTES = 12;
-const MAX_HEADER_BYTES = 32_768;
+export const MAX_HEADER_BYTES = 32_768;
 /** Node.js checks all connections at this interval, so a slow request may last this much longer. */
 const TIMEOUT_CHECK_MS = 1000;
 /** How long a stopping host still serves requests that come on open connections. */
--- a/packages/gateway/src/caller/parser-errors.ts
+++ b/packages/gateway/src/caller/parser-errors.ts
@@ -9,7 +9,7 @@
 }
 
 /** Errors of Node's HTTP parser and timeouts by code; all others are malformed requests. */
-const PARSER_ERROR_KINDS: Readonly<Record<string, ParserErrorKind>> = {
+export const PARSER_ERROR_KINDS: Readonly<Record<string, ParserErrorKind>> = {
   HPE_HEADER_OVERFLOW: {
     statusCode: 431,
     code: 'request_too_large',
--- a/packages/gateway/src/request/refusal.ts
+++ b/packages/gateway/src/request/refusal.ts
@@ -12,7 +12,7 @@
 }
 
 /** How each error is shown to callers. */
-const REFUSAL_KINDS = {
+export const REFUSAL_KINDS = {
   keyMissing: {statusCode: 401, type: 'authentication_error', code: 'key_missing'},
   keyUnknown: {statusCode: 401, type: 'authentication_error', code: 'invalid_api_key'},
   configNotFresh: {statusCode: 503, type: 'server_error', code: 'config_not_fresh'},
