--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -7,6 +7,7 @@
 import {FLEET_DECISIONS_BENCH} from './fleet-decisions.js';
 import {LIMITS_SOAK} from './limits-soak.js';
 import {ORDERING_BENCH} from './ordering.js';
+import {OVERHEAD_BENCH} from './overhead.js';
 import {RETRIES} from './retries.js';
 import {ROUTING} from './routing.js';
 import {SHIFT_BENCH} from './shift.js';
@@ -24,6 +25,7 @@
   decisions: DECISIONS,
   ordering: ORDERING_BENCH,
   fleetDecisions: FLEET_DECISIONS_BENCH,
+  overhead: OVERHEAD_BENCH,
 };
 
 /** Randomised suites by name. */
