--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -1,5 +1,7 @@
 import {Bench} from './bench.js';
 import {AUTHORITY_SUITE} from './control/authority-soak.js';
+import {MEMBERSHIP_COST} from './control/membership-cost.js';
+import {RECOVERY_ROLES} from './control/recovery-roles.js';
 import {USAGE_SUITE} from './control/usage-soak.js';
 import {COST_BENCH} from './cost.js';
 import {DECISIONS} from './decisions.js';
@@ -26,6 +28,8 @@
   ordering: ORDERING_BENCH,
   fleetDecisions: FLEET_DECISIONS_BENCH,
   overhead: OVERHEAD_BENCH,
+  'recovery-roles': RECOVERY_ROLES,
+  'membership-cost': MEMBERSHIP_COST,
 };
 
 /** Randomised suites by name. */
