--- a/packages/bench/src/control/membership-cost.ts
+++ b/packages/bench/src/control/membership-cost.ts
@@ -1,4 +1,4 @@
-import {Ok} from 'ts-results/result.js';
+import {Ok} from '@radishgw/core';
 import {
   createHandlers,
   createSeededRandom,
--- a/packages/usage/test/usage.test.ts
+++ b/packages/usage/test/usage.test.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {Ok, Result} from 'ts-results/result.js';
+import {Ok, Result} from '@radishgw/core';
 import {
   createHandlers,
   createSeededRandom,
