Make takeovers, planned stops and lost hosts cost fewer refusals

Change: a stopping host releases its reserves before it hands over; grants above half the burst live 900 ms, below the takeover margin, so a successor assumes only half; one lost call no longer pauses the host; an owner releases the reserves of a lost host once most hosts know the record without it (fenceHolder, dropReserves); waiting requests end at their deadline.

Ruled out: a hard limit of half the burst on grants, because a request of more than that is then never granted.

--- a/packages/bench/test/limits-soak.test.ts
+++ b/packages/bench/test/limits-soak.test.ts
@@ -9,6 +9,11 @@
     });
   }
 
+  it('refuses nothing within the rate while all hosts are up, seed 270', async () => {
+    // Guards against refill lost at the burst while spent tokens are still counted as outstanding.
+    expect((await LIMITS_SOAK.run(270)).failure).to.equal(undefined);
+  });
+
   it('gives the same run for the same seed', () => {
     // Guards against failures that can't be repeated.
     const options = soakOptions(8, 'mixed');
--- /dev/null
+++ b/packages/limits/src/host-refunds.ts
@@ -0,0 +1,94 @@
+import {takeRefund} from './bucket.js';
+import {
+  ChargePart,
+  HostState,
+  LocalGrant,
+  refreshReserve,
+  ShardLink,
+  TeamHolding,
+} from './host-state.js';
+
+/** Refunds wait this long for others, so that they share a message. */
+const REFUND_DELAY_MS = 200;
+
+/** Gives back up to `tokens` of one part of a charge; returns what is left to give back. */
+export function refundPart(
+  state: HostState,
+  link: ShardLink,
+  holding: TeamHolding,
+  part: ChargePart,
+  tokens: number,
+  nowMs: number,
+): number {
+  const amount = Math.min(tokens, part.tokens);
+  part.tokens -= amount;
+  if (part.state === 'unreported') {
+    if (part.grant) refundGrant(part.grant, amount, nowMs);
+    else refundReserve(state, link, holding, part, amount, nowMs);
+  } else {
+    part.owedTokens += amount;
+    if (part.state === 'stamped') queueRefund(state, link, holding, part, nowMs);
+  }
+  return tokens - amount;
+}
+
+function queueRefund(
+  state: HostState,
+  link: ShardLink,
+  holding: TeamHolding,
+  part: ChargePart,
+  nowMs: number,
+): void {
+  const tokens = part.owedTokens;
+  part.owedTokens = 0;
+  // The log of a former owner is gone, and with it the proof that the refund is allowed.
+  if (tokens <= 0 || part.epoch !== link.epoch) return;
+  const refund = {teamId: holding.teamId, tokens, stamp: part.stamp};
+  if (part.grant) {
+    holding.grantRefunds.push(refund);
+    holding.refundDueMs = Math.min(holding.refundDueMs, nowMs + REFUND_DELAY_MS);
+    state.active.add(holding.teamId);
+    state.wakeMs = Math.min(state.wakeMs, holding.refundDueMs);
+  } else {
+    holding.reserveRefunds.push(refund);
+    link.dirty.add(holding.teamId);
+  }
+}
+
+/** Takes the owner's stamp for reported charges; undefined when the report may be lost. */
+export function stampParts(
+  state: HostState,
+  link: ShardLink,
+  holding: TeamHolding,
+  parts: readonly ChargePart[],
+  stamp: number | undefined,
+  nowMs: number,
+): void {
+  for (const part of parts) {
+    part.state = stamp === undefined ? 'lost' : 'stamped';
+    part.stamp = stamp ?? 0;
+    if (stamp !== undefined) queueRefund(state, link, holding, part, nowMs);
+  }
+}
+
+function refundGrant(grant: LocalGrant, tokens: number, nowMs: number): void {
+  if (grant.validUntilMs <= nowMs) return;
+  grant.availableTokens += tokens;
+  grant.spentTokens -= tokens;
+}
+
+function refundReserve(
+  state: HostState,
+  link: ShardLink,
+  holding: TeamHolding,
+  part: ChargePart,
+  tokens: number,
+  nowMs: number,
+): void {
+  refreshReserve(state, link, holding, nowMs);
+  if (link.validUntilMs <= nowMs) return;
+  const credit = takeRefund(holding.reserveLog, part.localStamp, tokens);
+  holding.reserveTokens += credit;
+  holding.reserveSpentTokens -= credit;
+  link.dirty.add(holding.teamId);
+}
--- a/packages/limits/src/host-reserve.ts
+++ b/packages/limits/src/host-reserve.ts
@@ -8,16 +8,20 @@
   recordReserve,
   refreshReserve,
   ShardLink,
-  stampParts,
   TeamHolding,
 } from './host-state.js';
+import {stampParts} from './host-refunds.js';
 import {serveTeam} from './host.js';
 import {ConfirmReserveResponse, Refund, ReserveReport} from './messages.js';
 
+function mayConfirm(state: HostState, link: ShardLink): boolean {
+  return link.releasing || (link.placed && !state.isStopping);
+}
+
 /** Sends a confirmation if one is due; it reports reserves and asks to keep using them. */
 export function buildConfirm(state: HostState, link: ShardLink, nowMs: number): HostAction[] {
   if (link.call || link.epoch === 0 || link.nextConfirmMs > nowMs) return [];
-  if (!link.placed && !link.releasing && link.validUntilMs <= nowMs) return [];
+  if (!mayConfirm(state, link)) return [];
   const complete = link.wantAll;
   const teams = complete ? [...link.teams] : [...link.dirty];
   link.dirty.clear();
@@ -50,9 +54,9 @@
 }
 
 /** Time at which a confirmation has to be sent or given up. */
-export function confirmDueMs(link: ShardLink): number {
+export function confirmDueMs(state: HostState, link: ShardLink): number {
   if (link.call) return link.call.deadlineMs;
-  return link.epoch > 0 && (link.placed || link.releasing) ? link.nextConfirmMs : Infinity;
+  return link.epoch > 0 && mayConfirm(state, link) ? link.nextConfirmMs : Infinity;
 }
 
 /** Gives up a confirmation whose time is over; its reports are sent again. */
@@ -112,7 +116,7 @@
     if (holding.waiting.length > 0) actions.push(...serveTeam(state, link, holding, nowMs));
   }
   actions.push(...buildConfirm(state, link, nowMs));
-  state.wakeMs = Math.min(state.wakeMs, confirmDueMs(link));
+  state.wakeMs = Math.min(state.wakeMs, confirmDueMs(state, link));
   return actions;
 }
 
@@ -131,13 +135,22 @@
   }
 }
 
-/** The host isn't a placement host any more: gives up all reserves and tells the owner. */
+/** The host isn't a placement host any more, or the owner has noted the release. */
 function rejectReserves(state: HostState, link: ShardLink, nowMs: number): HostAction[] {
+  if (!link.releasing) return releaseReserves(state, link, nowMs);
+  link.releasing = false;
+  link.nextConfirmMs = nowMs + state.settings.confirmHoldMs;
+  return [];
+}
+
+/** Gives up all reserves of a shard and tells the owner. */
+export function releaseReserves(state: HostState, link: ShardLink, nowMs: number): HostAction[] {
+  abandonConfirm(link);
   for (const teamId of link.teams) state.teams.get(teamId)!.reserveTokens = 0;
   link.validUntilMs = -Infinity;
   link.lendUntilMs = Infinity;
   link.wantAll = true;
-  link.releasing = !link.releasing;
-  link.nextConfirmMs = link.releasing ? nowMs : nowMs + state.settings.confirmHoldMs;
+  link.releasing = true;
+  link.nextConfirmMs = nowMs;
   return buildConfirm(state, link, nowMs);
 }
--- a/packages/limits/src/host-state.ts
+++ b/packages/limits/src/host-state.ts
@@ -1,20 +1,11 @@
 import {assertInvariant, HostId, RequestId, SessionId, TeamId} from '@radishgw/core';
-import {
-  createHeadroomLog,
-  HeadroomLog,
-  leastHeadroomSince,
-  recordHeadroom,
-  takeRefund,
-} from './bucket.js';
+import {createHeadroomLog, HeadroomLog, recordHeadroom} from './bucket.js';
 import {AcquireGrantRequest, ConfirmReserveRequest, GrantReport, Refund} from './messages.js';
 import {LimitSettings, reserveCapTokens, reserveTokensPerSecond, TeamLimit} from './settings.js';
 
 /** Time constant of the demand average. */
 const DEMAND_WINDOW_MS = 2000;
 
-/** Refunds wait this long for others, so that they share a message. */
-const REFUND_DELAY_MS = 200;
-
 /** What a host asks of its caller. */
 export type HostAction =
   | {readonly type: 'admit'; readonly requestId: RequestId}
@@ -128,8 +119,10 @@
   lendUntilMs: number;
   /** Until then reserves may be used. */
   validUntilMs: number;
-  /** The owner didn't answer; until then it isn't asked. */
-  suspectUntilMs: number;
+  /** Calls to the owner that failed since the last answer; while above 0, reserves are used. */
+  failures: number;
+  /** The owner isn't asked before this time. */
+  pausedUntilMs: number;
   readonly dirty: Set<TeamId>;
   readonly teams: Set<TeamId>;
 }
@@ -147,6 +140,8 @@
   /** Teams with requests, calls or grants. */
   readonly active: Set<TeamId>;
   nextGrant: number;
+  /** The host gives all tokens back and asks for no more. */
+  isStopping: boolean;
   /** No work is due before this time. */
   wakeMs: number;
 }
@@ -162,6 +157,7 @@
     teams: new Map(),
     active: new Set(),
     nextGrant: 1,
+    isStopping: false,
     wakeMs: Infinity,
   };
 }
@@ -182,7 +178,8 @@
       nextConfirmMs: -Infinity,
       lendUntilMs: Infinity,
       validUntilMs: -Infinity,
-      suspectUntilMs: -Infinity,
+      failures: 0,
+      pausedUntilMs: -Infinity,
       dirty: new Set(),
       teams: new Set(),
     };
@@ -339,86 +336,3 @@
   const cap = limit ? reserveCapTokens(limit, state.settings) : 0;
   return recordHeadroom(holding.reserveLog, Math.max(0, cap - holding.reserveTokens));
 }
-
-/** Gives back up to `tokens` of one part of a charge; returns what is left to give back. */
-export function refundPart(
-  state: HostState,
-  link: ShardLink,
-  holding: TeamHolding,
-  part: ChargePart,
-  tokens: number,
-  nowMs: number,
-): number {
-  const amount = Math.min(tokens, part.tokens);
-  part.tokens -= amount;
-  if (part.state === 'unreported') {
-    if (part.grant) refundGrant(part.grant, amount, nowMs);
-    else refundReserve(state, link, holding, part, amount, nowMs);
-  } else {
-    part.owedTokens += amount;
-    if (part.state === 'stamped') queueRefund(state, link, holding, part, nowMs);
-  }
-  return tokens - amount;
-}
-
-function queueRefund(
-  state: HostState,
-  link: ShardLink,
-  holding: TeamHolding,
-  part: ChargePart,
-  nowMs: number,
-): void {
-  const tokens = part.owedTokens;
-  part.owedTokens = 0;
-  // The log of a former owner is gone, and with it the proof that the refund is allowed.
-  if (tokens <= 0 || part.epoch !== link.epoch) return;
-  const refund = {teamId: holding.teamId, tokens, stamp: part.stamp};
-  if (part.grant) {
-    holding.grantRefunds.push(refund);
-    holding.refundDueMs = Math.min(holding.refundDueMs, nowMs + REFUND_DELAY_MS);
-    state.active.add(holding.teamId);
-    state.wakeMs = Math.min(state.wakeMs, holding.refundDueMs);
-  } else {
-    holding.reserveRefunds.push(refund);
-    link.dirty.add(holding.teamId);
-  }
-}
-
-/** Takes the owner's stamp for reported charges; undefined when the report may be lost. */
-export function stampParts(
-  state: HostState,
-  link: ShardLink,
-  holding: TeamHolding,
-  parts: readonly ChargePart[],
-  stamp: number | undefined,
-  nowMs: number,
-): void {
-  for (const part of parts) {
-    part.state = stamp === undefined ? 'lost' : 'stamped';
-    part.stamp = stamp ?? 0;
-    if (stamp !== undefined) queueRefund(state, link, holding, part, nowMs);
-  }
-}
-
-function refundGrant(grant: LocalGrant, tokens: number, nowMs: number): void {
-  if (grant.validUntilMs <= nowMs) return;
-  grant.availableTokens += tokens;
-  grant.spentTokens -= tokens;
-}
-
-function refundReserve(
-  state: HostState,
-  link: ShardLink,
-  holding: TeamHolding,
-  part: ChargePart,
-  tokens: number,
-  nowMs: number,
-): void {
-  refreshReserve(state, link, holding, nowMs);
-  if (link.validUntilMs <= nowMs) return;
-  if (leastHeadroomSince(holding.reserveLog, part.localStamp) <= 0) return;
-  const credit = takeRefund(holding.reserveLog, part.localStamp, tokens);
-  holding.reserveTokens += credit;
-  holding.reserveSpentTokens -= credit;
-  link.dirty.add(holding.teamId);
-}
--- a/packages/limits/src/host.ts
+++ b/packages/limits/src/host.ts
@@ -1,5 +1,5 @@
 import {RequestId, TeamId} from '@radishgw/core';
-import {abandonConfirm, buildConfirm, confirmDueMs, expireConfirm} from './host-reserve.js';
+import {buildConfirm, confirmDueMs, expireConfirm} from './host-reserve.js';
 import {
   availableInGrants,
   averageDemand,
@@ -11,13 +11,12 @@
   openLink,
   recordDemand,
   refreshReserve,
-  refundPart,
   RefusalReason,
   ShardLink,
-  stampParts,
   TeamHolding,
   WaitingRequest,
 } from './host-state.js';
+import {refundPart, stampParts} from './host-refunds.js';
 import {AcquireGrantResponse, GrantReport, Refund} from './messages.js';
 import {shardOfTeam} from './placement.js';
 
@@ -102,12 +101,15 @@
   const current = response && response.outcome !== 'notOwner' && response.epoch === link.epoch;
   stampParts(state, link, holding, call.parts, current ? response.stamp : undefined, nowMs);
   if (!current) {
-    link.suspectUntilMs = nowMs + state.settings.retryPauseMs;
+    // One lost message is no reason to pause; an owner that stays silent is.
+    link.failures++;
+    if (link.failures > 1) link.pausedUntilMs = nowMs + state.settings.retryPauseMs;
     // The owner may have issued the grant; it gets it back with the next report.
     holding.ended.push({grantId, spentTokens: 0, returnedTokens: 0, closed: true});
     return serveTeam(state, link, holding, nowMs);
   }
-  link.suspectUntilMs = -Infinity;
+  link.failures = 0;
+  link.pausedUntilMs = -Infinity;
   for (const request of holding.waiting) request.answered = true;
   if (response.outcome === 'granted') {
     acceptGrant(holding, link, response, call.sentMs, grantId);
@@ -149,13 +151,18 @@
   while (holding.waiting.length > 0) {
     const head = holding.waiting[0];
     const own = ownTokens(state, link, holding, nowMs);
+    if (head.deadlineMs <= nowMs) {
+      actions.push(refuseHead(link, holding, head));
+      holding.waiting.shift();
+      continue;
+    }
     // What was just refused needn't be asked for again.
     if (isRefused(holding, head.costTokens - own, nowMs)) head.answered = true;
     if (mayCharge(state, link, holding, head, nowMs)) {
       charge(state, link, holding, head);
       actions.push({type: 'admit', requestId: head.requestId});
     } else if (isHopeless(link, holding, head, nowMs)) {
-      actions.push(refuseHead(link, holding, head, nowMs));
+      actions.push(refuseHead(link, holding, head));
     } else {
       break;
     }
@@ -185,7 +192,7 @@
   const granted = availableInGrants(holding, nowMs);
   if (granted >= head.costTokens) return true;
   // The reserve is kept for times without an owner, and for tokens that the owner hasn't got.
-  const ownerAnswers = link.epoch > 0 && link.suspectUntilMs <= nowMs;
+  const ownerAnswers = link.epoch > 0 && link.failures === 0;
   if (ownerAnswers && !head.answered) return false;
   return granted + refreshReserve(state, link, holding, nowMs) >= head.costTokens;
 }
@@ -196,18 +203,12 @@
   head: WaitingRequest,
   nowMs: number,
 ): boolean {
-  if (nowMs >= head.deadlineMs) return true;
   const refused = head.answered && holding.call === undefined && holding.nextAskMs > nowMs;
-  return refused && link.suspectUntilMs <= nowMs && holding.nextAskMs > head.deadlineMs;
+  return refused && link.failures === 0 && holding.nextAskMs > head.deadlineMs;
 }
 
-function refuseHead(
-  link: ShardLink,
-  holding: TeamHolding,
-  head: WaitingRequest,
-  nowMs: number,
-): HostAction {
-  const refusedByOwner = head.answered && link.suspectUntilMs <= nowMs;
+function refuseHead(link: ShardLink, holding: TeamHolding, head: WaitingRequest): HostAction {
+  const refusedByOwner = head.answered && link.failures === 0;
   if (refusedByOwner) return refuse(head.requestId, 'rateExceeded', holding.retryAfterMs);
   return refuse(head.requestId, 'ownerUnreachable', UNREACHABLE_RETRY_MS);
 }
@@ -223,7 +224,7 @@
   actions: HostAction[],
   nowMs: number,
 ): void {
-  if (holding.call || link.epoch === 0 || link.suspectUntilMs > nowMs) return;
+  if (holding.call || link.epoch === 0 || link.pausedUntilMs > nowMs) return;
   const granted = availableInGrants(holding, nowMs);
   const demand = averageDemand(holding, nowMs);
   const ahead = (demand * state.settings.grantHorizonMs) / 1000;
@@ -239,7 +240,7 @@
   }
   if (holding.nextAskMs > nowMs) return;
   const isSteady = ahead > AHEAD_REQUESTS * holding.lastCostTokens;
-  if (isSteady && granted < ahead / 2 && holding.nextAheadMs <= nowMs) {
+  if (isSteady && !state.isStopping && granted < ahead / 2 && holding.nextAheadMs <= nowMs) {
     holding.nextAheadMs = nowMs + state.settings.grantHorizonMs * AHEAD_PAUSE_SHARE;
     actions.push(sendAcquire(state, link, holding, 0, ahead - granted, nowMs));
   } else if (hasTokensToReturn(holding, nowMs)) {
@@ -318,7 +319,7 @@
 function holdingDueMs(link: ShardLink, holding: TeamHolding, nowMs: number): number {
   let dueMs = holding.call?.deadlineMs ?? Infinity;
   const head = holding.waiting.at(0);
-  const askMs = Math.max(holding.nextAskMs, link.suspectUntilMs, nowMs);
+  const askMs = Math.max(holding.nextAskMs, link.pausedUntilMs, nowMs);
   if (head) dueMs = Math.min(dueMs, head.deadlineMs);
   const wantsAsk = head !== undefined || holding.ended.length > 0;
   if (wantsAsk && !holding.call && link.epoch > 0) dueMs = Math.min(dueMs, askMs);
@@ -349,7 +350,7 @@
   for (const link of state.links.values()) {
     expireConfirm(state, link, nowMs);
     actions.push(...buildConfirm(state, link, nowMs));
-    state.wakeMs = Math.min(state.wakeMs, confirmDueMs(link));
+    state.wakeMs = Math.min(state.wakeMs, confirmDueMs(state, link));
   }
   return actions;
 }
@@ -364,50 +365,3 @@
 export function nextHostWakeMs(state: HostState): number {
   return state.wakeMs;
 }
-
-/** What the shard record says about one shard. */
-export interface ShardView {
-  readonly shard: number;
-  readonly epoch: number;
-  /** This host is one of the placement hosts. */
-  readonly placed: boolean;
-}
-
-/** Follows a change of the shard record. A new epoch ends all calls to the former owner. */
-export function followShard(state: HostState, view: ShardView, nowMs: number): HostAction[] {
-  const link = openLink(state, view.shard);
-  if (view.epoch < link.epoch) return [];
-  const actions: HostAction[] = [];
-  link.placed = view.placed;
-  if (view.epoch > link.epoch) {
-    link.epoch = view.epoch;
-    link.appliedSequence = 0;
-    link.wantAll = true;
-    link.suspectUntilMs = -Infinity;
-    link.nextConfirmMs = -Infinity;
-    abandonConfirm(link);
-    for (const teamId of link.teams) {
-      actions.push(...restartCalls(state, link, state.teams.get(teamId)!, nowMs));
-    }
-  }
-  actions.push(...buildConfirm(state, link, nowMs));
-  state.wakeMs = Math.min(state.wakeMs, confirmDueMs(link));
-  return actions;
-}
-
-function restartCalls(
-  state: HostState,
-  link: ShardLink,
-  holding: TeamHolding,
-  nowMs: number,
-): HostAction[] {
-  if (holding.call) stampParts(state, link, holding, holding.call.parts, undefined, nowMs);
-  holding.call = undefined;
-  holding.nextAskMs = -Infinity;
-  holding.ended = [];
-  holding.grantRefunds = [];
-  holding.refundDueMs = Infinity;
-  holding.reserveRefunds = [];
-  for (const request of holding.waiting) request.answered = false;
-  return holding.waiting.length > 0 ? serveTeam(state, link, holding, nowMs) : [];
-}
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -1,6 +1,7 @@
 export * from './auditor.js';
 export {changeLimit, createBucket, refundTokens, takeTokens, type TokenBucket} from './bucket.js';
 export * from './host.js';
+export * from './host-shards.js';
 export {onConfirmResponse} from './host-reserve.js';
 export {createHost, type HostAction, type HostState, type RefusalReason} from './host-state.js';
 export * from './messages.js';
--- a/packages/limits/src/messages.ts
+++ b/packages/limits/src/messages.ts
@@ -110,7 +110,8 @@
 /** A host that holds reserves, as known to the owner that stops. */
 export interface HandedHolder {
   readonly hostId: HostId;
-  readonly sessionId: SessionId;
+  /** Undefined when the host hasn't confirmed; its reserves are then counted as full. */
+  readonly sessionId: SessionId | undefined;
   readonly lastSequence: number;
 }
 
@@ -130,8 +131,8 @@
   /** Epoch of the owner that stops. */
   readonly epoch: number;
   readonly buckets: readonly TeamBucketState[];
-  /** Reserve holders whose reserves `buckets` states; the reserves of others may be full. */
-  readonly syncedHolders: readonly HandedHolder[];
+  /** All hosts that may have reserves. */
+  readonly holders: readonly HandedHolder[];
   /** For how long buckets without an entry have refilled from 0, when the state was taken. */
   readonly runningMs: number;
   /** Least time since the state was taken. */
--- a/packages/limits/src/owner-grants.ts
+++ b/packages/limits/src/owner-grants.ts
@@ -3,6 +3,7 @@
 import {ConfirmReply, recallReserves} from './owner-reserve.js';
 import {
   applyRefund,
+  assumedTokens,
   hasAuthority,
   heldBy,
   openTeam,
@@ -12,11 +13,13 @@
 } from './owner-state.js';
 
 /** Share of the level beyond the needed tokens that one host may take ahead of its demand. */
-const AHEAD_SHARE = 0.25;
+const AHEAD_SHARE = 0.5;
 /** Expected time for reserves at other hosts to come back: two message delays and a margin. */
 const RECALL_WAIT_MS = 10;
 /** A recall that brought nothing for this long isn't waited for any more. */
-const RECALL_PATIENCE_MS = 200;
+const RECALL_PATIENCE_MS = 50;
+/** Pause between two recalls of a team's reserves. */
+const RECALL_PERIOD_MS = 1000;
 /** Time after which to ask again when enough tokens are in grants that may be returned. */
 const RETURN_WAIT_MS = 200;
 /** Least pause between two requests for the same tokens. */
@@ -44,22 +47,23 @@
     for (const refund of request.refunds) applyRefund(team, refund);
   }
   const stamp = settleLevel(state, request.teamId, team, nowMs);
-  const room = outstandingRoom(state, team, nowMs);
-  const available = Math.min(team.levelTokens, room);
-  if (request.neededTokens > available) {
+  const {levelTokens, limit, outstandingTokens} = team;
+  const assumed = assumedTokens(state, team, nowMs);
+  const room = Math.max(0, limit.burstTokens - outstandingTokens - assumed);
+  if (request.neededTokens > Math.min(levelTokens, room)) {
     return refuseGrant(state, request, team, stamp, nowMs);
   }
+  const most = limit.burstTokens * state.settings.outstandingFraction;
+  const ordinaryRoom = Math.max(0, most - outstandingTokens - assumed);
+  const isLarge = request.neededTokens > ordinaryRoom;
   const ahead = Math.max(0, request.wantedTokens - request.neededTokens);
-  const granted =
-    request.neededTokens + Math.min(ahead, (available - request.neededTokens) * AHEAD_SHARE);
-  issueGrant(state, request, team, granted, nowMs);
-  return {response: answer(state, 'granted', granted, 0, stamp), replies: []};
-}
-
-function outstandingRoom(state: OwnerState, team: TeamAccount, nowMs: number): number {
-  const assumed = nowMs < state.assumedUntilMs ? team.assumedTokens : 0;
-  const most = team.limit.burstTokens * state.settings.outstandingFraction;
-  return Math.max(0, most - team.outstandingTokens - assumed);
+  const share = (levelTokens - request.neededTokens) * AHEAD_SHARE;
+  const extra = isLarge ? 0 : Math.min(ahead, share, ordinaryRoom - request.neededTokens);
+  const granted = request.neededTokens + extra;
+  const {grantTtlMs, largeGrantTtlMs} = state.settings;
+  const timeToLiveMs = isLarge ? largeGrantTtlMs : grantTtlMs;
+  issueGrant(state, request, team, granted, timeToLiveMs, nowMs);
+  return {response: {...answer(state, 'granted', granted, 0, stamp), timeToLiveMs}, replies: []};
 }
 
 function issueGrant(
@@ -67,10 +71,11 @@
   request: AcquireGrantRequest,
   team: TeamAccount,
   tokens: number,
+  timeToLiveMs: number,
   nowMs: number,
 ): void {
   if (tokens <= 0) return;
-  const {grantTtlMs, clockDriftFraction} = state.settings;
+  const {clockDriftFraction} = state.settings;
   team.levelTokens -= tokens;
   team.outstandingTokens += tokens;
   assertInvariant(
@@ -83,7 +88,7 @@
     openTokens: tokens,
     spentTokens: 0,
     returnedTokens: 0,
-    endsMs: nowMs + grantTtlMs * (1 + clockDriftFraction),
+    endsMs: nowMs + timeToLiveMs * (1 + clockDriftFraction),
   });
   settleLevel(state, request.teamId, team, nowMs);
 }
@@ -116,14 +121,15 @@
   const recallable = sumRecallable(state, request, team);
   const sinceRecallMs = nowMs - team.lastRecallMs;
   const replies: ConfirmReply[] = [];
-  if (recallable > 0 && sinceRecallMs > RECALL_PATIENCE_MS) {
+  if (recallable > 0 && sinceRecallMs > RECALL_PERIOD_MS) {
     team.lastRecallMs = nowMs;
     replies.push(...recallReserves(state, request, nowMs));
   }
   const recalling = recallable > 0 && nowMs - team.lastRecallMs <= RECALL_PATIENCE_MS;
   let waitMs = Math.max(MIN_WAIT_MS, refillMs);
   if (recalling) waitMs = Math.min(waitMs, RECALL_WAIT_MS);
-  else if (team.outstandingTokens >= missing) waitMs = Math.min(waitMs, RETURN_WAIT_MS);
+  else if (team.outstandingTokens + recallable >= missing)
+    waitMs = Math.min(waitMs, RETURN_WAIT_MS);
   return {response: answer(state, 'refused', 0, waitMs, stamp), replies};
 }
 
--- a/packages/limits/src/owner-reserve.ts
+++ b/packages/limits/src/owner-reserve.ts
@@ -129,7 +129,7 @@
       account.spentTokens = report.spentTokens;
       holder.reported.add(report.teamId);
     }
-  } else if (holder.lentUntilMs <= nowMs) {
+  } else if (holder.lentUntilMs <= nowMs && !request.released) {
     holder.reportsIgnored = true;
   } else {
     if (request.complete) holder.reportsIgnored = false;
--- a/packages/limits/src/owner-state.ts
+++ b/packages/limits/src/owner-state.ts
@@ -24,7 +24,6 @@
   levelTokens: number;
   updatedMs: number;
   outstandingTokens: number;
-  /** In the order of their ends, because all grants have the same time to live. */
   readonly grants: Map<string, GrantRecord>;
   /** Grants of an earlier owner, counted until `assumedUntilMs` of the shard. */
   assumedTokens: number;
@@ -81,6 +80,8 @@
   readonly startedMs: number;
   /** Until then grants of an earlier owner may be in use. */
   readonly assumedUntilMs: number;
+  /** Until then large grants of an earlier owner may be in use. */
+  readonly assumedLargeUntilMs: number;
   /** True after a takeover without handover. */
   readonly assumeGrants: boolean;
   placement: ReadonlySet<HostId>;
@@ -142,7 +143,9 @@
   return account;
 }
 
-function assumedTokens(state: OwnerState, team: TeamAccount, nowMs: number): number {
+/** Tokens that grants of an earlier owner may still hold. */
+export function assumedTokens(state: OwnerState, team: TeamAccount, nowMs: number): number {
+  if (nowMs < state.assumedLargeUntilMs) return team.limit.burstTokens;
   return nowMs < state.assumedUntilMs ? team.assumedTokens : 0;
 }
 
@@ -193,7 +196,7 @@
 /** Removes ended grants; their open tokens count as spent. */
 function expireGrants(state: OwnerState, teamId: TeamId, team: TeamAccount, nowMs: number): void {
   for (const [grantId, grant] of team.grants) {
-    if (grant.endsMs > nowMs) break;
+    if (grant.endsMs > nowMs) continue;
     team.outstandingTokens -= grant.openTokens;
     team.grants.delete(grantId);
   }
@@ -205,12 +208,13 @@
 export function advanceTeam(state: OwnerState, teamId: TeamId, team: TeamAccount, nowMs: number) {
   while (team.updatedMs < nowMs) {
     let toMs = nowMs;
-    const firstGrant = team.grants.values().next();
-    if (!firstGrant.done) toMs = Math.min(toMs, firstGrant.value.endsMs);
+    for (const {endsMs} of team.grants.values()) toMs = Math.min(toMs, endsMs);
     for (const holder of state.holders.values()) {
       if (holder.lentUntilMs > team.updatedMs) toMs = Math.min(toMs, holder.lentUntilMs);
     }
-    if (state.assumedUntilMs > team.updatedMs) toMs = Math.min(toMs, state.assumedUntilMs);
+    for (const endMs of [state.assumedLargeUntilMs, state.assumedUntilMs]) {
+      if (endMs > team.updatedMs) toMs = Math.min(toMs, endMs);
+    }
     refillStretch(state, teamId, team, Math.max(toMs, team.updatedMs));
     expireGrants(state, teamId, team, team.updatedMs);
   }
--- a/packages/limits/src/owner.ts
+++ b/packages/limits/src/owner.ts
@@ -1,7 +1,9 @@
 import {assertInvariant, HostId, TeamId} from '@radishgw/core';
 import {HandOverShardsRequest} from './messages.js';
 import {
+  advanceAllTeams,
   advanceTeam,
+  assumedTokens,
   createHolder,
   hasAuthority,
   levelCap,
@@ -27,7 +29,7 @@
    * session. Nobody gave out the refill of this time, and grants are at least this old.
    */
   readonly silentMs: number;
-  /** Hosts that may hold reserves, from the shard record before the takeover. */
+  /** Hosts that may hold reserves, from the shard record; a handover states them itself. */
   readonly formerHolders: Iterable<HostId>;
   /** Placement hosts; the shard record must name them before this call. */
   readonly placement: Iterable<HostId>;
@@ -51,6 +53,9 @@
     findLimit: start.findLimit,
     authorityUntilMs: start.authorityUntilMs,
     startedMs: handOver ? nowMs - handOver.ageMs - handOver.runningMs : nowMs - start.silentMs,
+    assumedLargeUntilMs: handOver
+      ? -Infinity
+      : nowMs + (settings.largeGrantTtlMs - start.silentMs) * (1 + settings.clockDriftFraction),
     assumedUntilMs: nowMs + grantLeftMs * (1 + settings.clockDriftFraction),
     assumeGrants: !handOver,
     placement: new Set(start.placement),
@@ -59,7 +64,8 @@
     handedOver: false,
   };
   const validUntilMs = nowMs + settings.reserveValidMs * (1 + settings.clockDriftFraction);
-  for (const hostId of start.formerHolders) {
+  const formerHolders = handOver?.holders.map(({hostId}) => hostId) ?? start.formerHolders;
+  for (const hostId of formerHolders) {
     state.holders.set(hostId, createHolder(hostId, validUntilMs));
   }
   if (handOver) applyHandOver(state, handOver, nowMs);
@@ -67,11 +73,10 @@
 }
 
 function applyHandOver(state: OwnerState, handOver: HandOverShardsRequest, nowMs: number): void {
-  for (const {hostId, sessionId, lastSequence} of handOver.syncedHolders) {
-    const holder = state.holders.get(hostId);
-    if (!holder) continue;
+  for (const {hostId, sessionId, lastSequence} of handOver.holders) {
+    const holder = state.holders.get(hostId)!;
     holder.sessionId = sessionId;
-    holder.synced = true;
+    holder.synced = sessionId !== undefined;
     holder.lastSequence = lastSequence;
   }
   for (const bucket of handOver.buckets) {
@@ -104,6 +109,18 @@
   state.placement = new Set(placement);
 }
 
+/**
+ * Stops counting the reserves of a host that can't use them any more although they are still valid.
+ * The caller has to know three things: the shard record names the host no longer as a placement host;
+ * since at least the freshness time plus the age limit of outage evidence, more than half of all
+ * hosts have applied that record; and a host that isn't fresh serves nothing and drops its reserves.
+ */
+export function fenceHolder(state: OwnerState, hostId: HostId, nowMs: number): void {
+  if (state.placement.has(hostId) || !state.holders.has(hostId)) return;
+  advanceAllTeams(state, nowMs);
+  state.holders.delete(hostId);
+}
+
 /** Ends the ownership on a planned stop; the result goes to the next owner. */
 export function handOverOwner(
   state: OwnerState,
@@ -111,23 +128,22 @@
   nowMs: number,
 ): HandOverShardsRequest | undefined {
   if (!hasAuthority(state, nowMs)) return undefined;
-  const assumed = nowMs < state.assumedUntilMs;
   const buckets = [];
   for (const teamId of state.teams.keys()) {
     const team = openTeam(state, teamId, nowMs);
     if (!team) continue;
-    const outstandingTokens = team.outstandingTokens + (assumed ? team.assumedTokens : 0);
+    const outstandingTokens = team.outstandingTokens + assumedTokens(state, team, nowMs);
     const reserves = listReserves(state, teamId);
     buckets.push({teamId, levelTokens: team.levelTokens, outstandingTokens, reserves});
   }
-  const syncedHolders = [];
+  const holders = [];
   for (const {hostId, sessionId, synced, lastSequence} of state.holders.values()) {
-    if (synced && sessionId) syncedHolders.push({hostId, sessionId, lastSequence});
+    holders.push({hostId, sessionId: synced ? sessionId : undefined, lastSequence});
   }
   state.handedOver = true;
   const {shard, epoch, startedMs} = state;
   const runningMs = nowMs - startedMs;
-  return {...from, shard, epoch, buckets, syncedHolders, runningMs, ageMs: 0};
+  return {...from, shard, epoch, buckets, holders, runningMs, ageMs: 0};
 }
 
 /** Tokens that the owner could still give out for a team, for status pages and tests. */
--- a/packages/limits/src/settings.ts
+++ b/packages/limits/src/settings.ts
@@ -16,9 +16,14 @@
   readonly reserveBurstFraction: number;
   /** Share of the rate at which reserves refill on their own while the owner is silent. */
   readonly reserveRateFraction: number;
-  /** Share of the burst that may be outstanding in grants. */
+  /** Share of the burst that may be outstanding in grants with the full time to live. */
   readonly outstandingFraction: number;
   readonly grantTtlMs: number;
+  /**
+   * Time to live of grants above that share. Below the margin of a takeover, so that a new owner
+   * finds them ended and a single request may still use the whole burst.
+   */
+  readonly largeGrantTtlMs: number;
   /** Demand that a grant covers, in milliseconds of recent demand. */
   readonly grantHorizonMs: number;
   /** How long a reserve stays usable without confirmation. */
@@ -42,12 +47,13 @@
   shardCount: 64,
   placementSize: 3,
   reserveBurstFraction: 0.75,
-  reserveRateFraction: 0.3,
-  outstandingFraction: 1,
+  reserveRateFraction: 0.6,
+  outstandingFraction: 0.5,
   grantTtlMs: 2000,
+  largeGrantTtlMs: 900,
   grantHorizonMs: 1000,
   reserveValidMs: 1_800_000,
-  lendMs: 3000,
+  lendMs: 1500,
   confirmHoldMs: 1000,
   callTimeoutMs: 100,
   retryPauseMs: 250,
