--- /dev/null
+++ b/packages/bench/src/limits-recovery.ts
@@ -0,0 +1,65 @@
+import {shardOfTeam} from '@radishgw/limits';
+import {BenchRow} from './bench.js';
+import {createScenario, Scenario, ScenarioEvent} from './limits-bench.js';
+
+const EVENT_AT_MS = 15_000;
+const RUN_MS = 45_000;
+
+interface Recovery {
+  ownerMs: number;
+  grantMs: number;
+  refused: number;
+  admitted: number;
+}
+
+function recoverOnce(scenario: Scenario, seed: number): Recovery {
+  const world = createScenario(scenario, seed);
+  const {teamId} = world.options.teams[0];
+  const shard = shardOfTeam(teamId, world.options.settings.shardCount);
+  const startMs = world.clock.nowMs() + EVENT_AT_MS;
+  const result: Recovery = {ownerMs: Infinity, grantMs: Infinity, refused: 0, admitted: 0};
+  world.onGranted = (atMs, id) => {
+    const {epoch} = world.store.shards.get(shard)!;
+    if (id !== teamId || atMs <= startMs || epoch === 1) return;
+    result.grantMs = Math.min(result.grantMs, atMs - startMs);
+  };
+  world.onWrongful = (_, reason, id) => (result.refused += id === teamId ? 1 : 0);
+  world.onAdmitted = (atMs, id) => {
+    if (id === teamId && atMs > startMs && atMs < startMs + 10_000) result.admitted++;
+  };
+  while (world.clock.nowMs() < startMs + RUN_MS - EVENT_AT_MS) {
+    world.clock.advance(1);
+    const {epoch} = world.store.shards.get(shard)!;
+    const elapsedMs = world.clock.nowMs() - startMs;
+    if (epoch > 1 && elapsedMs > 0) result.ownerMs = Math.min(result.ownerMs, elapsedMs);
+  }
+  return result;
+}
+
+function median(values: number[]): number {
+  const sorted = [...values].sort((a, b) => a - b);
+  return sorted[Math.floor(sorted.length / 2)];
+}
+
+/** Time from the loss of a shard owner until its successor grants, on the virtual clock. */
+export function measureLimitsRecovery(seeds: readonly number[]): BenchRow[] {
+  const events: ScenarioEvent[] = ['owner crash', 'planned stop'];
+  return events.flatMap(event =>
+    [0.5, 0.9].map(load => {
+      const scenario: Scenario = {hostCount: 9, shape: 'steady', event, system: 'shared', load};
+      const runs = seeds.map(seed => recoverOnce(scenario, seed));
+      const grants = runs.map(run => run.grantMs);
+      return {
+        part: 'limits',
+        event,
+        load,
+        runs: runs.length,
+        'new owner ms (median)': Math.round(median(runs.map(run => run.ownerMs))),
+        'grants ms (median)': Math.round(median(grants)),
+        'grants ms (max)': Math.round(Math.max(...grants)),
+        'admitted in 10 s': runs.reduce((sum, run) => sum + run.admitted, 0),
+        refused: runs.reduce((sum, run) => sum + run.refused, 0),
+      };
+    }),
+  );
+}
--- /dev/null
+++ b/packages/bench/src/recovery.ts
@@ -0,0 +1,14 @@
+import {Bench} from './bench.js';
+import {measureLimitsRecovery} from './limits-recovery.js';
+
+/** Time from the loss of a process until its work goes on. */
+export const RECOVERY_BENCH: Bench = {
+  description: 'time from the loss of an owner until its successor acts',
+  run: ({seeds}) => {
+    const rows = measureLimitsRecovery(seeds);
+    const crash = rows.filter(row => row.event === 'owner crash');
+    const worst = Math.max(...crash.map(row => Number(row['grants ms (max)'])));
+    const conclusion = `Limits: grants resume at most ${worst} ms after the owner was killed.`;
+    return {settings: {}, rows, conclusion};
+  },
+};
