--- a/packages/bench/src/limits-bench.ts
+++ b/packages/bench/src/limits-bench.ts
@@ -33,6 +33,8 @@
   /** Offered load as a share of the rate. */
   readonly load?: number;
   readonly neverFence?: boolean;
+  /** Actual cost as a share of the estimate, at least; 0.5 by default. */
+  readonly leastActualShare?: number;
 }
 
 function createTeams(scenario: Scenario, count: number): TeamSpec[] {
@@ -44,7 +46,7 @@
     meanCostTokens: 300,
     load: scenario.load ?? 0.9,
     greedy: false,
-    leastActualShare: 0.5,
+    leastActualShare: scenario.leastActualShare ?? 0.5,
   }));
 }
 
@@ -207,8 +209,9 @@
   }
   for (const neverFence of [true, false]) {
     const event: ScenarioEvent = 'holder crash';
-    const base = {hostCount: 9, shape: 'steady', event, system: 'shared', load: 1} as const;
-    const scenario: Scenario = {...base, neverFence};
+    const base = {hostCount: 9, shape: 'steady', event, system: 'shared', load: 1.2} as const;
+    // Exact costs, so that the team uses its whole rate.
+    const scenario: Scenario = {...base, neverFence, leastActualShare: 1};
     const label = neverFence ? 'lost host withheld 30 min' : 'lost host fenced';
     rows.push(toRow('fence', scenario, label, measure(scenario, seeds, 90_000)));
   }
--- a/packages/limits/test/owner.test.ts
+++ b/packages/limits/test/owner.test.ts
@@ -115,8 +115,9 @@
     handleAcquire(late, ask(400), 0);
     const reported = handleAcquire(late, ask(0, {reports: [spent]}), 10).response;
     handleAcquire(late, ask(900, {grantId: 'h'}), 10_000);
+    const second = {grantId: 'h', spentTokens: 900, returnedTokens: 0, closed: true};
     const lateRefunds = [{teamId: TEAM, tokens: 400, stamp: reported.stamp}];
-    handleAcquire(late, ask(0, {refunds: lateRefunds}), 10_000);
+    handleAcquire(late, ask(0, {reports: [second], refunds: lateRefunds}), 10_000);
     expect(describeTeam(late, TEAM, 10_000)?.levelTokens).to.equal(100);
   });
 
