--- a/packages/bench/src/limits-soak.ts
+++ b/packages/bench/src/limits-soak.ts
@@ -1,6 +1,7 @@
 import {createSeededRandom, HostId, InvariantError, RandomSource, toId} from '@radishgw/core';
 import {DEFAULT_LIMIT_SETTINGS} from '@radishgw/limits';
-import {LimitsWorld, TeamSpec, TrafficShape, WorldOptions} from './limits-world.js';
+import {TeamSpec, TrafficShape, WorldOptions} from './limits-options.js';
+import {LimitsWorld} from './limits-world.js';
 import {SoakOutcome, SoakSuite} from './soak-suite.js';
 
 const RUN_MS = 45_000;
@@ -17,7 +18,7 @@
   'handover',
   'rateChange',
   'mixed',
-  'mixed',
+  'ownerCut',
 ] as const;
 
 export type FaultKind = (typeof FAULT_KINDS)[number];
@@ -76,12 +77,27 @@
     world.network.setBlocked(hostId, other, true);
     world.clock.setTimer(durationMs, () => world.network.setBlocked(hostId, other, false));
   },
+  // The owner grants until its authority ends; at the takeover its last grants are still valid.
+  ownerCut: (world, random) => {
+    const records = [...world.store.shards.values()];
+    const {owner, placement} = records[random.nextInt(records.length)];
+    const durationMs = 8000 + random.next() * 10_000;
+    const other = placement[random.nextInt(placement.length)];
+    world.note(`cut ${owner} from the platform and ${other} from its peers`);
+    world.network.setBlocked(owner, 'platform', true);
+    if (other !== owner) world.clock.setTimer(5000, () => cutPeers(world, other, true));
+    world.clock.setTimer(durationMs, () => {
+      world.network.setBlocked(owner, 'platform', false);
+      if (other !== owner) cutPeers(world, other, false);
+    });
+  },
   outage: (world, random) => {
     world.note('platform down');
     world.store.isUp = false;
     world.clock.setTimer(random.next() * 25_000, () => {
       world.note('platform up');
       world.store.isUp = true;
+      world.store.outageEndedMs = world.clock.nowMs();
     });
   },
   handover: (world, random) => {
--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -7,9 +7,11 @@
 import {DECISIONS} from './decisions.js';
 import {FAIRNESS} from './fairness.js';
 import {FLEET_DECISIONS_BENCH} from './fleet-decisions.js';
+import {LIMITS_BENCH} from './limits-bench.js';
 import {LIMITS_SOAK} from './limits-soak.js';
 import {ORDERING_BENCH} from './ordering.js';
 import {OVERHEAD_BENCH} from './overhead.js';
+import {RECOVERY_BENCH} from './recovery.js';
 import {RETRIES} from './retries.js';
 import {ROUTING} from './routing.js';
 import {SHIFT_BENCH} from './shift.js';
@@ -30,6 +32,8 @@
   overhead: OVERHEAD_BENCH,
   'recovery-roles': RECOVERY_ROLES,
   'membership-cost': MEMBERSHIP_COST,
+  limits: LIMITS_BENCH,
+  recovery: RECOVERY_BENCH,
 };
 
 /** Randomised suites by name. */
--- a/packages/limits/src/host.ts
+++ b/packages/limits/src/host.ts
@@ -1,11 +1,5 @@
 import {RequestId, TeamId} from '@radishgw/core';
-import {
-  abandonConfirm,
-  buildConfirm,
-  confirmDueMs,
-  expireConfirm,
-  releaseReserves,
-} from './host-reserve.js';
+import {buildConfirm, confirmDueMs, expireConfirm} from './host-reserve.js';
 import {
   availableInGrants,
   averageDemand,
@@ -17,13 +11,12 @@
   openLink,
   recordDemand,
   refreshReserve,
-  refundPart,
   RefusalReason,
   ShardLink,
-  stampParts,
   TeamHolding,
   WaitingRequest,
 } from './host-state.js';
+import {refundPart, stampParts} from './host-refunds.js';
 import {AcquireGrantResponse, GrantReport, Refund} from './messages.js';
 import {shardOfTeam} from './placement.js';
 
@@ -158,6 +151,11 @@
   while (holding.waiting.length > 0) {
     const head = holding.waiting[0];
     const own = ownTokens(state, link, holding, nowMs);
+    if (head.deadlineMs <= nowMs) {
+      actions.push(refuseHead(link, holding, head));
+      holding.waiting.shift();
+      continue;
+    }
     // What was just refused needn't be asked for again.
     if (isRefused(holding, head.costTokens - own, nowMs)) head.answered = true;
     if (mayCharge(state, link, holding, head, nowMs)) {
@@ -205,7 +203,6 @@
   head: WaitingRequest,
   nowMs: number,
 ): boolean {
-  if (nowMs >= head.deadlineMs) return true;
   const refused = head.answered && holding.call === undefined && holding.nextAskMs > nowMs;
   return refused && link.failures === 0 && holding.nextAskMs > head.deadlineMs;
 }
@@ -368,62 +365,3 @@
 export function nextHostWakeMs(state: HostState): number {
   return state.wakeMs;
 }
-
-/** What the shard record says about one shard. */
-export interface ShardView {
-  readonly shard: number;
-  readonly epoch: number;
-  /** This host is one of the placement hosts. */
-  readonly placed: boolean;
-}
-
-/** Follows a change of the shard record. A new epoch ends all calls to the former owner. */
-export function followShard(state: HostState, view: ShardView, nowMs: number): HostAction[] {
-  const link = openLink(state, view.shard);
-  if (view.epoch < link.epoch) return [];
-  const actions: HostAction[] = [];
-  link.placed = view.placed;
-  if (view.epoch > link.epoch) {
-    link.epoch = view.epoch;
-    link.appliedSequence = 0;
-    link.wantAll = true;
-    link.failures = 0;
-    link.pausedUntilMs = -Infinity;
-    link.nextConfirmMs = -Infinity;
-    abandonConfirm(link);
-    for (const teamId of link.teams) {
-      actions.push(...restartCalls(state, link, state.teams.get(teamId)!, nowMs));
-    }
-  }
-  actions.push(...buildConfirm(state, link, nowMs));
-  state.wakeMs = Math.min(state.wakeMs, confirmDueMs(state, link));
-  return actions;
-}
-
-function restartCalls(
-  state: HostState,
-  link: ShardLink,
-  holding: TeamHolding,
-  nowMs: number,
-): HostAction[] {
-  if (holding.call) stampParts(state, link, holding, holding.call.parts, undefined, nowMs);
-  holding.call = undefined;
-  holding.nextAskMs = -Infinity;
-  holding.ended = [];
-  holding.grantRefunds = [];
-  holding.refundDueMs = Infinity;
-  holding.reserveRefunds = [];
-  for (const request of holding.waiting) request.answered = false;
-  return holding.waiting.length > 0 ? serveTeam(state, link, holding, nowMs) : [];
-}
-
-/**
- * Planned stop: gives up all reserves. Requests that still come are served by asking the owner.
- * Shards that this host owns are handed over after the resulting messages were processed.
- */
-export function stopHost(state: HostState, nowMs: number): HostAction[] {
-  state.isStopping = true;
-  const actions: HostAction[] = [];
-  for (const link of state.links.values()) actions.push(...releaseReserves(state, link, nowMs));
-  return actions;
-}
