--- a/packages/gateway/src/limits/limit-service.ts
+++ b/packages/gateway/src/limits/limit-service.ts
@@ -29,6 +29,7 @@
   requestTokens,
   settleRequest,
   shardOfTeam,
+  stopHost,
   TeamLimit,
 } from '@radishgw/limits';
 import {INNER_SERVICE} from '@radishgw/protocol';
@@ -67,6 +68,8 @@
 
 const SHARD_REFRESH_MS = 200;
 const CONFIRM_MARGIN_MS = 500;
+/** Time for the owners to take the reserves back. */
+const RELEASE_WAIT_MS = 100;
 const ID_BYTES = 8;
 
 const REFUSAL_MESSAGES: Readonly<Record<RefusalReason, string>> = {
@@ -143,6 +146,12 @@
     }
   }
 
+  /** Gives up all reserves; part of a planned stop, before the owned shards are handed over. */
+  *stop(): Procedure<void> {
+    this.perform(stopHost(this.host, this.nowMs()));
+    yield* sleep(RELEASE_WAIT_MS);
+  }
+
   /** Takes over a new configuration. */
   applyConfig(): void {
     this.host.configRevision = this.services.config.configRevision;
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -315,6 +315,7 @@
     await callers.stop(settings.shutdownTimeoutMs);
     await claims.waitUntilSettled();
     await startTask(usage.handOver(), handlers).done;
+    await startTask(limiter.stop(), handlers).done;
     await startTask(assignment.releaseAll(), handlers).done;
     await startTask(usageRole.release(), handlers).done;
     for (const task of tasks) task.cancel();
