--- a/packages/bench/test/usage-soak.test.ts
+++ b/packages/bench/test/usage-soak.test.ts
@@ -3,12 +3,12 @@
 import {runUsageSoak} from '../src/control/usage-soak.js';
 
 /** One seed of each profile and one that once lost use on a planned stop (5). */
-const PASSING_SEEDS = [1, 2, 3, 4, 5, 34];
+const PASSING_SEEDS = [1, 2, 3, 4, 5, 13];
 
 /** A seed that fails without the mechanism, and the invariant that it violates. */
 const FAILING_SEEDS: readonly [Mechanism, number, string][] = [
   ['sequenceCheck', 1, 'usage.atMostOnce'],
-  ['freezeBeforeReport', 34, 'usage.sameBytes'],
+  ['freezeBeforeReport', 13, 'usage.sameBytes'],
 ];
 
 describe('Soak suite usage', () => {
--- a/packages/usage/src/usage-sender.ts
+++ b/packages/usage/src/usage-sender.ts
@@ -54,11 +54,12 @@
       void this.pushToOwner(stream);
       if (copyHost) void this.push(stream, copyHost, copyHost, true);
     }
-    for (const stream of this.copies.orphans(this.routing.isSessionOver)) {
-      void this.pushToOwner(stream);
-    }
-    if (!copyHost || !this.copies.isClosed) return;
-    for (const stream of this.copies.all()) void this.push(stream, copyHost, copyHost, true);
+    const orphans = this.copies.orphans(this.routing.isSessionOver);
+    for (const stream of orphans) void this.pushToOwner(stream);
+    if (!copyHost) return;
+    // The copy of a lost host may be the last one, so it is kept on a second host too.
+    const endangered = this.copies.isClosed ? this.copies.all() : orphans;
+    for (const stream of endangered) void this.push(stream, copyHost, copyHost, true);
   }
 
   /**
--- a/packages/usage/test/usage.test.ts
+++ b/packages/usage/test/usage.test.ts
@@ -228,6 +228,23 @@
     expect(rig.bodies()[0].figures[0]).to.include({calls: 2});
   });
 
+  it('keeps the copy of a lost host on a second host', async () => {
+    // Guards against use that is lost when the host with the last copy is lost too.
+    const rig = new UsageRig();
+    const [copies, elsewhere] = [new CopyStore(), new CopyStore()];
+    copies.accept(createStream([1, 2]).createPush(0, true)).unwrap();
+    const meter = new UsageMeter(rig.clock, {hostId: HOST, sessionId: SESSION, shardOf: () => 0});
+    const sender = new UsageSender(
+      {push: async (_to, push) => elsewhere.accept(push)},
+      meter,
+      copies,
+      {ownerOf: () => undefined, copyHost: () => OTHER, isSessionOver: () => true},
+    );
+    rig.start(sender.run());
+    await rig.pass(2000);
+    expect(elsewhere.all().map(stream => stream.lastSequence)).to.deep.equal([2]);
+  });
+
   it('hands increments and copies over before a planned stop', async () => {
     // Guards against planned stops that lose figures, of this host or of others.
     const rig = new UsageRig();
