--- /dev/null
+++ b/packages/gateway/src/request/idempotency.ts
@@ -0,0 +1,229 @@
+import {createHash} from 'node:crypto';
+import {call, Clock, Procedure, RandomSource} from '@radishgw/core';
+import {Platform, PlatformObject, putSettled, Revision, SettledPutError} from '@radishgw/platform';
+import {z} from 'zod';
+import {Refusal} from './refusal.js';
+
+/** Larger responses aren't stored; the platform's objects are bounded and read on each retry. */
+export const MAX_STORED_BODY_BYTES = 65_536;
+
+const storedResponseSchema = z.object({
+  statusCode: z.number().int().min(200).max(599),
+  headers: z.record(z.string(), z.union([z.string(), z.array(z.string())])),
+  /** Absent if the body was larger than {@link MAX_STORED_BODY_BYTES}. */
+  bodyBase64: z.string().optional(),
+});
+
+/** A target's response as it is kept for retries. */
+export type StoredResponse = z.infer<typeof storedResponseSchema>;
+
+/** Object `idempotency/<teamId>/<digest of the key>`. */
+const claimSchema = z.object({
+  schemaVersion: z.literal(1),
+  /** Identifies the host's own claim when the platform's answer to it was lost. */
+  attemptId: z.string(),
+  /** Digest of method, path and body: a key stands for one request. */
+  requestDigest: z.string(),
+  claimedAt: z.string(),
+  state: z.enum(['claimed', 'finished', 'unknown']),
+  response: storedResponseSchema.optional(),
+});
+type ClaimRecord = z.infer<typeof claimSchema>;
+
+/** A request under an idempotency key. */
+export interface KeyedRequest {
+  /** Team whose key it is; `undefined` on open routes. */
+  readonly teamId: string | undefined;
+  readonly idempotencyKey: string;
+  readonly method: string;
+  readonly path: string;
+  readonly body: Uint8Array;
+}
+
+/** A claim that this host holds: the request may be sent to a target, once. */
+export interface Claim {
+  readonly key: string;
+  readonly revision: Revision;
+  readonly record: ClaimRecord;
+}
+
+/** Outcome of claiming: the right to run the request, or the response of an earlier run. */
+export type ClaimOutcome =
+  | {readonly kind: 'claimed'; readonly claim: Claim}
+  | {readonly kind: 'replay'; readonly response: StoredResponse};
+
+const ATTEMPT_ID_BYTES = 12;
+/** Time after which a claim that the platform doesn't answer is given up. */
+const CLAIM_TIMEOUT_MS = 500;
+const SETTLE_DELAY_MS = 250;
+const MAX_SETTLE_TRIES = 120;
+
+/** Claims and stored responses of calls that must run at most once, kept in the platform. */
+export class IdempotencyClaims {
+  private readonly unsettled = new Set<Promise<unknown>>();
+
+  constructor(
+    private readonly platform: Platform,
+    private readonly clock: Clock,
+    private readonly random: RandomSource,
+  ) {}
+
+  /** Claims the key before dispatch. Throws a refusal if the request must not be run. */
+  *claim(request: KeyedRequest): Procedure<ClaimOutcome> {
+    const key = formatClaimKey(request);
+    const record: ClaimRecord = {
+      schemaVersion: 1,
+      attemptId: this.random.nextHex(ATTEMPT_ID_BYTES),
+      requestDigest: digestRequest(request),
+      claimedAt: this.clock.now().toISOString(),
+      state: 'claimed',
+    };
+    let mayBeUnused = true;
+    try {
+      const answer = yield* putSettled(
+        {platform: this.platform, clock: this.clock},
+        {
+          key,
+          body: record,
+          attemptId: record.attemptId,
+          ifRevision: 0,
+          giveUpAfterMs: CLAIM_TIMEOUT_MS,
+        },
+      );
+      if (answer.ok) {
+        mayBeUnused = false;
+        return {kind: 'claimed', claim: {key, revision: answer.val.revision, record}};
+      }
+      // When each answer to an update is lost, a read can still show whose claim stands.
+      const read =
+        answer.val.kind === 'unknown' ? yield* call(() => this.platform.get(key)) : undefined;
+      mayBeUnused = answer.val.kind === 'unknown' && !read?.ok;
+      if (!read?.ok) return answerFromError(answer.val, record.requestDigest);
+      const standing = parseClaim(read.val);
+      if (standing?.attemptId !== record.attemptId) {
+        return answerFromClaim(standing, record.requestDigest);
+      }
+      return {kind: 'claimed', claim: {key, revision: read.val.revision, record}};
+    } finally {
+      // Also reached when the request is given up while the platform is being asked.
+      if (mayBeUnused) this.track(this.withdraw(key, record));
+    }
+  }
+
+  /** Stores the response for retries, in the background. */
+  store(claim: Claim, response: StoredResponse): void {
+    this.track(this.settle(claim, {...claim.record, state: 'finished', response}));
+  }
+
+  /** Records that the call may have been run without an answer, in the background. */
+  storeUnknown(claim: Claim): void {
+    this.track(this.settle(claim, {...claim.record, state: 'unknown'}));
+  }
+
+  /** Gives the claim back after a call that was certainly not run; resolves after the first try. */
+  async release(claim: Claim): Promise<void> {
+    const answer = await this.platform.remove(claim.key, {ifRevision: claim.revision});
+    if (answer.err) this.track(this.withdraw(claim.key, claim.record));
+  }
+
+  /** Resolves when no background update is pending. */
+  async waitUntilSettled(): Promise<void> {
+    while (this.unsettled.size > 0) await Promise.allSettled(this.unsettled);
+  }
+
+  /** Updates an own claim until the platform has taken the update or refused it for good. */
+  private async settle(claim: Claim, record: ClaimRecord): Promise<void> {
+    const text = JSON.stringify(record);
+    for (let i = 0; i < MAX_SETTLE_TRIES; i++) {
+      const answer = await this.platform.put(claim.key, text, {ifRevision: claim.revision});
+      // A conflict means that an earlier try took effect: nobody else updates a claim.
+      if (answer.ok || answer.val.kind === 'conflict' || answer.val.kind === 'rejected') return;
+      const read = await this.platform.get(claim.key);
+      if (read.ok && parseClaim(read.val)?.state === record.state) return;
+      await this.wait();
+    }
+  }
+
+  /** Removes an own claim that was never used; the claim of another host is left alone. */
+  private async withdraw(key: string, record: ClaimRecord): Promise<void> {
+    for (let i = 0; i < MAX_SETTLE_TRIES; i++) {
+      const read = await this.platform.get(key);
+      if (read.ok) {
+        if (parseClaim(read.val)?.attemptId !== record.attemptId) return;
+        const removed = await this.platform.remove(key, {ifRevision: read.val.revision});
+        if (removed.ok || removed.val.kind === 'conflict') return;
+      } else if (read.val.kind === 'notFound') {
+        return;
+      }
+      await this.wait();
+    }
+  }
+
+  private wait(): Promise<void> {
+    return new Promise(resolve => this.clock.setTimer(SETTLE_DELAY_MS, resolve));
+  }
+
+  private track(work: Promise<unknown>): void {
+    this.unsettled.add(work);
+    work.catch(() => undefined).finally(() => this.unsettled.delete(work));
+  }
+}
+
+/** Key of the platform's object; teams can't reach each other's claims. */
+function formatClaimKey(request: KeyedRequest): string {
+  const digest = createHash('sha256').update(request.idempotencyKey).digest('hex');
+  // "~" can't occur in a team's id, so open routes don't share claims with any team.
+  return `idempotency/${request.teamId ?? '~open'}/${digest}`;
+}
+
+function digestRequest(request: KeyedRequest): string {
+  return createHash('sha256')
+    .update(JSON.stringify([request.method, request.path]))
+    .update(request.body)
+    .digest('hex');
+}
+
+/** Parses a claim from the platform; undefined if it has another form. */
+export function parseClaim(object: PlatformObject): ClaimRecord | undefined {
+  try {
+    const parsed = claimSchema.safeParse(JSON.parse(object.value));
+    return parsed.success ? parsed.data : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+function answerFromError(error: SettledPutError, requestDigest: string): ClaimOutcome {
+  if (error.kind === 'conflict') {
+    return answerFromClaim(error.object && parseClaim(error.object), requestDigest);
+  }
+  // Without a settled claim, an earlier request with the same key may exist and have been run.
+  const execution = error.kind === 'unknown' ? 'unknown' : 'not_run';
+  const message = `the platform did not take the claim: ${error.detail}`;
+  throw new Refusal('idempotencyUnavailable', message, execution);
+}
+
+function answerFromClaim(record: ClaimRecord | undefined, requestDigest: string): ClaimOutcome {
+  if (!record) {
+    const message = 'the record of an earlier request with this idempotency key is not readable';
+    throw new Refusal('idempotencyUnavailable', message, 'unknown');
+  }
+  if (record.requestDigest !== requestDigest) {
+    const message = 'the idempotency key was used for a request with another path or body';
+    throw new Refusal('idempotencyMismatch', message);
+  }
+  if (record.state === 'claimed') {
+    const message =
+      'a request with this idempotency key is in progress, or its host was lost; it is not run again';
+    throw new Refusal('idempotencyInProgress', message, 'unknown');
+  }
+  if (record.state === 'unknown' || !record.response) {
+    const message = 'the outcome of the first request with this idempotency key is not known';
+    throw new Refusal('outcomeUnknown', message, 'unknown');
+  }
+  if (record.response.bodyBase64 === undefined) {
+    const message = `the first request was run; its response of more than ${MAX_STORED_BODY_BYTES} bytes is not stored`;
+    throw new Refusal('outcomeUnknown', message, 'unknown');
+  }
+  return {kind: 'replay', response: record.response};
+}
--- /dev/null
+++ b/packages/gateway/src/request/serve-model.ts
@@ -0,0 +1,216 @@
+import {ClassRule, ConfigStore, ModelConfig, Team, WorkClass} from '@radishgw/config';
+import {
+  AttemptId,
+  call,
+  Clock,
+  EventLog,
+  Procedure,
+  RandomSource,
+  TargetId,
+  toId,
+} from '@radishgw/core';
+import {Dispatcher as HttpDispatcher} from 'undici';
+import {TokenUsage} from '../engine/answer.js';
+import {cancelAttempt, EngineError, runEngineStream} from '../engine/engine-stream.js';
+import {AnswerRelay} from './answer-relay.js';
+import {estimatePromptTokens, ModelRequestPath, parseModelRequest, readBody} from './body.js';
+import {RequestContext} from './context.js';
+import {refuseKeyInText} from './headers.js';
+import {
+  AttemptOutcome,
+  Dispatch,
+  Dispatcher,
+  DispatchRequest,
+  FailureKind,
+  RequestLimiter,
+} from './ports.js';
+import {listPromptBlocks} from './prompt-blocks.js';
+import {Refusal} from './refusal.js';
+
+/** What serving a model request needs. */
+export interface ModelServices {
+  readonly clock: Clock;
+  readonly config: ConfigStore;
+  readonly limiter: RequestLimiter;
+  readonly dispatcher: Dispatcher;
+  readonly http: HttpDispatcher;
+  readonly log: EventLog;
+  readonly random: RandomSource;
+  readonly maxBodyBytes: number;
+  readonly progressTimeoutMs: number;
+  /** Records usage of a finished request. */
+  recordUsage(context: RequestContext, usage: TokenUsage): void;
+}
+
+const MAX_FAILED_RESUMES = 3;
+const ATTEMPT_ID_BYTES = 12;
+const MAX_ENGINE_MESSAGE_CHARS = 500;
+
+/** Serves a chat or text completion, streaming or not. */
+export function* serveModel(
+  services: ModelServices,
+  context: RequestContext,
+  team: Team,
+  secretHex: string,
+  path: ModelRequestPath,
+): Procedure<void> {
+  const bytes = yield* call(() => readBody(context, services.maxBodyBytes));
+  const request = parseModelRequest(path, bytes);
+  context.resource = request.model;
+  const model = findModel(services.config, team, request.model);
+  context.workClass = chooseClass(team.parameters.classRules, context, {model: request.model});
+  const promptTokens = estimatePromptTokens(bytes.length);
+  const maxTokens = request.max_completion_tokens ?? request.max_tokens ?? model.maxOutputTokens;
+  const relay = new AnswerRelay(context, path, request, maxTokens, promptTokens);
+  const firstBody = relay.beginAttempt()!;
+  refuseKeyInText(firstBody, secretHex, 'request body');
+  const costTokens = promptTokens + maxTokens * (request.n ?? 1);
+  const charge = yield* services.limiter.acquire(team, costTokens, context.deadlineMs);
+  let actualTokens = 0;
+  try {
+    const usage = yield* attemptUntilWhole(services, context, path, relay, firstBody, {
+      requestId: context.requestId,
+      pool: model.pool,
+      team,
+      workClass: context.workClass,
+      costTokens,
+      promptTokens,
+      blocks: listPromptBlocks(team.teamId, bytes.toString('latin1')),
+      repeatable: true,
+      deadlineMs: context.deadlineMs,
+      excluded: new Set(),
+    });
+    actualTokens = usage.promptTokens + usage.outputTokens;
+    services.recordUsage(context, usage);
+  } finally {
+    charge.settle(actualTokens);
+  }
+}
+
+function findModel(config: ConfigStore, team: Team, name: string): ModelConfig {
+  const model = config.findModel(name);
+  if (!model) throw new Refusal('modelNotFound', `model "${name}" does not exist`);
+  if (!team.parameters.models.includes(name)) {
+    throw new Refusal('modelNotAllowed', `team "${team.teamId}" may not use model "${name}"`);
+  }
+  return model;
+}
+
+/** Class of a request by the first matching rule of its team. */
+export function chooseClass(
+  rules: readonly ClassRule[],
+  context: RequestContext,
+  resource: {readonly model?: string; readonly route?: string},
+): WorkClass {
+  const work = context.request.headers['x-radishgw-work'];
+  const rule = rules.find(
+    candidate =>
+      (candidate.model === undefined || candidate.model === resource.model) &&
+      (candidate.route === undefined || candidate.route === resource.route) &&
+      (candidate.work === undefined || candidate.work === work),
+  );
+  return rule?.class ?? 'standard';
+}
+
+function* attemptUntilWhole(
+  services: ModelServices,
+  context: RequestContext,
+  path: ModelRequestPath,
+  relay: AnswerRelay,
+  firstBody: string,
+  dispatchRequest: DispatchRequest,
+): Procedure<TokenUsage> {
+  const excluded = new Set<string>();
+  let body: string | undefined = firstBody;
+  for (;;) {
+    const dispatch = yield* services.dispatcher.acquire({...dispatchRequest, excluded});
+    context.targetId = toId<TargetId>(dispatch.target.targetId);
+    context.attempts++;
+    let outcome: AttemptOutcome = 'cancelled';
+    let failure: FailureKind = 'failed';
+    try {
+      yield* runAttempt(services, context, path, relay, body, dispatch);
+      outcome = 'succeeded';
+      return relay.finish();
+    } catch (error) {
+      if (context.signal.aborted || !(error instanceof EngineError)) throw error;
+      outcome = 'failed';
+      if (!error.mayHaveRun) failure = 'unreachable';
+      excluded.add(dispatch.target.targetId);
+      services.log.write('attemptFailed', {
+        requestId: context.requestId,
+        targetId: dispatch.target.targetId,
+        detail: error.message,
+      });
+      if (relay.isDelivered()) return relay.finish();
+      if (isCallersFault(error)) throw describeCallersFault(error);
+      body = relay.beginAttempt();
+      // An attempt that didn't run costs no engine time, so it isn't held against the retry budget.
+      const mayRetry =
+        !error.mayHaveRun || services.dispatcher.allowRetry(dispatchRequest, context.attempts);
+      if (body === undefined || !mayRetry) {
+        throw new Refusal('targetFailed', `target failed: ${error.message}`);
+      }
+    } finally {
+      dispatch.release(outcome, failure);
+    }
+  }
+}
+
+function* runAttempt(
+  services: ModelServices,
+  context: RequestContext,
+  path: ModelRequestPath,
+  relay: AnswerRelay,
+  body: string,
+  dispatch: Dispatch,
+): Procedure<void> {
+  const attemptId = toId<AttemptId>(services.random.nextHex(ATTEMPT_ID_BYTES));
+  const ranBefore = context.mayHaveRun;
+  let whole = false;
+  try {
+    yield* call(() =>
+      runEngineStream(services.http, {
+        clock: services.clock,
+        url: dispatch.target.url,
+        path,
+        attemptId,
+        headers: {'content-type': 'application/json', 'x-radishgw-priority': context.workClass},
+        body,
+        signal: context.signal,
+        progressTimeoutMs: services.progressTimeoutMs,
+        maxFailedResumes: MAX_FAILED_RESUMES,
+        onSent: () => {
+          context.mayHaveRun = true;
+        },
+        onEvent: data => relay.add(data),
+        onBatch: () => {
+          dispatch.reportProgress(relay.outputTokens);
+          return relay.flush();
+        },
+        onResume: (after, reason) => {
+          services.log.write('streamResumed', {requestId: context.requestId, after, reason});
+        },
+      }),
+    );
+    whole = true;
+  } catch (error) {
+    if (error instanceof EngineError && !error.mayHaveRun) context.mayHaveRun = ranBefore;
+    throw error;
+  } finally {
+    if (!whole && context.mayHaveRun) {
+      const {http, progressTimeoutMs} = services;
+      cancelAttempt(http, dispatch.target.url, attemptId, progressTimeoutMs).catch(() => undefined);
+    }
+  }
+}
+
+/** A request that the engine finds wrong would be wrong at each other engine too. */
+function isCallersFault(error: EngineError): boolean {
+  return error.statusCode === 400 || error.statusCode === 413 || error.statusCode === 422;
+}
+
+function describeCallersFault(error: EngineError): Refusal {
+  const detail = (error.body ?? '').slice(0, MAX_ENGINE_MESSAGE_CHARS);
+  return new Refusal('requestMalformed', `the engine refused the request: ${detail}`);
+}
--- /dev/null
+++ b/packages/gateway/src/request/serve-service.ts
@@ -0,0 +1,201 @@
+import {RouteConfig, Team} from '@radishgw/config';
+import {
+  AttemptId,
+  call,
+  Clock,
+  EventLog,
+  Procedure,
+  RandomSource,
+  TargetId,
+  toId,
+} from '@radishgw/core';
+import {Dispatcher as HttpDispatcher} from 'undici';
+import {readBody} from './body.js';
+import {parseIdempotencyKey} from './caller-headers.js';
+import {RequestContext} from './context.js';
+import {forwardHeaders, forwardPath, refuseKeyInText} from './headers.js';
+import {Claim, IdempotencyClaims, StoredResponse} from './idempotency.js';
+import {AttemptOutcome, Dispatcher, DispatchRequest, RequestLimiter} from './ports.js';
+import {Refusal} from './refusal.js';
+import {chooseClass} from './serve-model.js';
+import {OutgoingCall, sendCall, sendOnce, ServiceError} from './service-attempt.js';
+
+/** What serving a service call needs. */
+export interface ServiceServices {
+  readonly clock: Clock;
+  readonly limiter: RequestLimiter;
+  readonly dispatcher: Dispatcher;
+  readonly http: HttpDispatcher;
+  readonly log: EventLog;
+  readonly random: RandomSource;
+  readonly claims: IdempotencyClaims;
+  readonly maxBodyBytes: number;
+  readonly progressTimeoutMs: number;
+}
+
+const ATTEMPT_ID_BYTES = 12;
+/** A service may take longer than an engine between events; its first attempt ends after this. */
+const HEAD_TIMEOUT_FACTOR = 5;
+
+/** Passes a call on to a plain service. */
+export function* serveService(
+  services: ServiceServices,
+  context: RequestContext,
+  route: RouteConfig,
+  team: Team | undefined,
+  secretHex: string | undefined,
+): Procedure<void> {
+  context.resource = route.routeId;
+  if (team && !team.parameters.routes.includes(route.routeId)) {
+    throw new Refusal('modelNotAllowed', `team "${team.teamId}" may not use this route`);
+  }
+  if (team) {
+    context.workClass = chooseClass(team.parameters.classRules, context, {route: route.routeId});
+  }
+  const {headers, url} = context.request;
+  const idempotencyKey = parseIdempotencyKey(headers);
+  const path = forwardPath(url ?? '/', secretHex);
+  const body = yield* call(() => readBody(context, services.maxBodyBytes));
+  // Latin-1 keeps each byte as one character, which is all that the search needs.
+  refuseKeyInText(body.toString('latin1'), secretHex, 'request body');
+  const outgoing = {
+    method: route.method,
+    path,
+    headers: forwardHeaders(headers, secretHex),
+    body,
+  };
+  if (route.idempotent || idempotencyKey === undefined) {
+    yield* chargeAndSend(services, context, route, team, outgoing, false);
+    return;
+  }
+  // From here on the caller may leave: its retry is to find the response.
+  context.outlivesCaller = true;
+  const request = {teamId: team?.teamId, idempotencyKey, ...outgoing};
+  const outcome = yield* services.claims.claim(request);
+  if (outcome.kind === 'replay') replay(context, outcome.response);
+  else yield* sendClaimed(services, context, route, team, outgoing, outcome.claim);
+}
+
+type CallContent = Pick<OutgoingCall, 'method' | 'path' | 'headers' | 'body'>;
+
+/** Runs a call under a claim and records what became of it, also if the procedure is cancelled. */
+function* sendClaimed(
+  services: ServiceServices,
+  context: RequestContext,
+  route: RouteConfig,
+  team: Team | undefined,
+  outgoing: CallContent,
+  claim: Claim,
+): Procedure<void> {
+  const {claims} = services;
+  let recorded = false;
+  try {
+    const response = yield* chargeAndSend(services, context, route, team, outgoing, true);
+    recorded = true;
+    if (response) claims.store(claim, response);
+    else claims.storeUnknown(claim);
+  } catch (error) {
+    recorded = true;
+    if (context.mayHaveRun) claims.storeUnknown(claim);
+    else yield* call(() => claims.release(claim));
+    throw error;
+  } finally {
+    if (!recorded && context.mayHaveRun) claims.storeUnknown(claim);
+    else if (!recorded) claims.release(claim).catch(() => undefined);
+  }
+}
+
+function replay(context: RequestContext, stored: StoredResponse): void {
+  context.response.writeHead(stored.statusCode, {
+    ...stored.headers,
+    'x-radishgw-idempotent-replay': 'true',
+  });
+  context.response.end(Buffer.from(stored.bodyBase64 ?? '', 'base64'));
+}
+
+function* chargeAndSend(
+  services: ServiceServices,
+  context: RequestContext,
+  route: RouteConfig,
+  team: Team | undefined,
+  outgoing: CallContent,
+  store: boolean,
+): Procedure<StoredResponse | undefined> {
+  const charge = team
+    ? yield* services.limiter.acquire(team, route.costTokens, context.deadlineMs)
+    : undefined;
+  try {
+    return yield* attemptService(services, context, route, team, outgoing, store);
+  } finally {
+    // A call that wasn't run is given back to the team.
+    charge?.settle(context.mayHaveRun ? route.costTokens : 0);
+  }
+}
+
+function* attemptService(
+  services: ServiceServices,
+  context: RequestContext,
+  route: RouteConfig,
+  team: Team | undefined,
+  outgoing: CallContent,
+  store: boolean,
+): Procedure<StoredResponse | undefined> {
+  const excluded = new Set<string>();
+  const dispatchRequest: DispatchRequest = {
+    requestId: context.requestId,
+    pool: route.pool,
+    team,
+    workClass: context.workClass,
+    costTokens: route.costTokens,
+    promptTokens: 0,
+    blocks: [],
+    repeatable: route.idempotent,
+    deadlineMs: context.deadlineMs,
+    excluded,
+  };
+  // A call that wasn't run may go to another target, and isn't held against the retry budget.
+  const mayTryAgain = (error: ServiceError) =>
+    !error.mayHaveRun ||
+    (route.idempotent && services.dispatcher.allowRetry(dispatchRequest, context.attempts));
+  for (;;) {
+    const dispatch = yield* services.dispatcher.acquire(dispatchRequest);
+    const {target} = dispatch;
+    context.targetId = toId<TargetId>(target.targetId);
+    const firstAttempt = context.attempts++ === 0;
+    const headTimeoutMs = services.progressTimeoutMs * HEAD_TIMEOUT_FACTOR;
+    const attempt: OutgoingCall = {
+      ...outgoing,
+      clock: services.clock,
+      attemptId: toId<AttemptId>(services.random.nextHex(ATTEMPT_ID_BYTES)),
+      connectTimeoutMs: services.progressTimeoutMs,
+      // Only the first attempt is cut short, so that a call that is merely slow succeeds at last.
+      headTimeoutMs: route.idempotent && firstAttempt ? headTimeoutMs : undefined,
+      store,
+    };
+    let outcome: AttemptOutcome = 'cancelled';
+    try {
+      const response = yield* call(() =>
+        route.idempotent
+          ? sendCall(services.http, context, target.url, attempt)
+          : sendOnce(context, target.url, attempt),
+      );
+      outcome = 'succeeded';
+      return response;
+    } catch (error) {
+      if (!(error instanceof ServiceError)) throw error;
+      outcome = 'failed';
+      excluded.add(target.targetId);
+      services.log.write('attemptFailed', {
+        requestId: context.requestId,
+        targetId: target.targetId,
+        detail: error.message,
+      });
+      if (context.response.headersSent || !mayTryAgain(error)) {
+        const name = error.mayHaveRun ? 'outcomeUnknown' : 'targetFailed';
+        throw new Refusal(name, `target failed: ${error.message}`);
+      }
+    } finally {
+      dispatch.release(outcome);
+    }
+  }
+}
