Let teams that are far behind use the calm targets

In mixes with many long prompts, teams with long work fell behind because long prompts have two thirds of the targets.

Change: a team whose start tag is more than 8 s behind the highest one served is owed service, and its long prompts may use all targets. The urgency, routing and retries benches now set the teams' weights, without which tags and leads have no meaning in seconds.

--- a/packages/bench/src/fairness.ts
+++ b/packages/bench/src/fairness.ts
@@ -1,9 +1,10 @@
 import {QueueSettings} from '@radishgw/scheduling';
 import {Bench, BenchRow} from './bench.js';
 import {measureShares} from './fair-shares.js';
+import {measureWeights} from './load.js';
 import {RequestRecord, runServing} from './serving-sim.js';
 import {findMean, findQuantile, formatSpread} from './stats.js';
-import {Arrival, DEPLOYMENTS, generateTrace, RateChange} from './traces.js';
+import {DEPLOYMENTS, generateTrace, RateChange} from './traces.js';
 
 const END_MS = 180_000;
 const RETURN_MS = 90_000;
@@ -15,10 +16,10 @@
 
 const DISCIPLINES: Readonly<Record<string, Partial<QueueSettings>>> = {
   'start-time, classes (chosen)': {},
-  'start-time, classes, no credit': {creditSeconds: 0},
   'start-time, classes, lead 60 s': {
     classLeadSeconds: {urgent: 10, standard: 60, batch: Infinity},
   },
+  'start-time, classes, nothing owed': {owedSeconds: Infinity},
   'start-time, one class': {useClasses: false},
   'virtual clock, one class': {discipline: 'virtualClock', useClasses: false},
   'fifo, one class': {discipline: 'fifo', useClasses: false, overflow: 'newest'},
@@ -51,15 +52,6 @@
   return {maxFactor: factor, factorAt: atMs => (atMs < RETURN_MS ? 0 : factor)};
 }
 
-/** Weights: tokens per second of each team at its agreed rate. */
-function measureWeights(arrivals: readonly Arrival[]): Record<string, number> {
-  const weights: Record<string, number> = {};
-  for (const {team, promptTokens, outputTokens} of arrivals) {
-    weights[team] = (weights[team] ?? 0) + ((promptTokens + outputTokens) * 1000) / END_MS;
-  }
-  return weights;
-}
-
 interface Figures {
   readonly worstShare: number;
   readonly worstTeam: string;
@@ -73,7 +65,7 @@
 
 function measureRun(seed: number, scenario: Scenario, queue: Partial<QueueSettings>): Figures {
   const trace = {seed, durationMs: END_MS, requestsPerSecond: REQUESTS_PER_SECOND};
-  const weights = measureWeights(generateTrace(SHAPE, trace));
+  const weights = measureWeights(generateTrace(SHAPE, trace), END_MS);
   const arrivals = generateTrace(SHAPE, {...trace, rates: scenario.rates});
   const {records} = runServing({seed, arrivals, endMs: END_MS, targets: 13, queue, weights});
   const whole = findWorst(records, weights, WARM_UP_MS);
--- a/packages/bench/src/load.ts
+++ b/packages/bench/src/load.ts
@@ -1,5 +1,5 @@
 import {runServing} from './serving-sim.js';
-import {DeploymentShape, generateTrace} from './traces.js';
+import {Arrival, DeploymentShape, generateTrace} from './traces.js';
 
 /** Offered rate of the calibration run, as a factor on a first guess; well above capacity. */
 const OVERLOAD_REQUESTS_PER_SECOND = 45;
@@ -37,3 +37,15 @@
   const tokensPerSecond = (served * 1000) / (durationMs - WARM_UP_MS);
   return (tokensPerSecond * records.length) / offered;
 }
+
+/** Weights for the queue: tokens per second of each team of the trace. */
+export function measureWeights(
+  arrivals: readonly Arrival[],
+  durationMs: number,
+): Record<string, number> {
+  const weights: Record<string, number> = {};
+  for (const {team, promptTokens, outputTokens} of arrivals) {
+    weights[team] = (weights[team] ?? 0) + ((promptTokens + outputTokens) * 1000) / durationMs;
+  }
+  return weights;
+}
--- a/packages/bench/src/retries.ts
+++ b/packages/bench/src/retries.ts
@@ -1,6 +1,6 @@
 import {Bench, BenchRow} from './bench.js';
 import {BrownOut} from './fake-engine.js';
-import {measureCapacity} from './load.js';
+import {measureCapacity, measureWeights} from './load.js';
 import {isGood, runServing, ServingOptions} from './serving-sim.js';
 import {findQuantile, formatSpread} from './stats.js';
 import {DEPLOYMENTS, generateTrace} from './traces.js';
@@ -57,6 +57,7 @@
   const {records} = runServing({
     seed,
     arrivals,
+    weights: measureWeights(arrivals, END_MS),
     endMs: END_MS,
     targets: SHAPE.targets,
     hosts: 3,
--- a/packages/bench/src/routing.ts
+++ b/packages/bench/src/routing.ts
@@ -1,7 +1,7 @@
 import {RoutingPolicyName, ROUTING_POLICIES} from '@radishgw/scheduling';
 import {Bench, BenchRow} from './bench.js';
 import {FakeEngineOptions} from './fake-engine.js';
-import {measureCapacity} from './load.js';
+import {measureCapacity, measureWeights} from './load.js';
 import {isGood, runServing, ServingOptions} from './serving-sim.js';
 import {findMean, findQuantile, formatSpread} from './stats.js';
 import {DEPLOYMENTS, generateTrace} from './traces.js';
@@ -56,6 +56,7 @@
   const options: ServingOptions = {
     seed,
     arrivals,
+    weights: measureWeights(arrivals, END_MS),
     endMs: END_MS,
     targets: SHAPE.targets,
     hosts: HOSTS,
--- a/packages/bench/src/urgency.ts
+++ b/packages/bench/src/urgency.ts
@@ -1,6 +1,6 @@
 import {PoolSettings, QueueSettings} from '@radishgw/scheduling';
 import {Bench, BenchRow} from './bench.js';
-import {measureCapacity} from './load.js';
+import {measureCapacity, measureWeights} from './load.js';
 import {isGood, RequestRecord, runServing, ServingOptions} from './serving-sim.js';
 import {findMean, findQuantile, formatSpread} from './stats.js';
 import {Arrival, DEPLOYMENTS, DeploymentShape, generateTrace} from './traces.js';
@@ -55,6 +55,7 @@
   'chosen, no calm targets': {pool: {calmShare: 0}},
   'chosen, calm share 1/4': {pool: {calmShare: 0.25}},
   'chosen, 3 hosts, long cap 2': {hosts: 3, pool: {maxLongPrefills: 2}},
+  'chosen, nothing owed': {queue: {owedSeconds: Infinity}},
   'chosen, long cap 2': {pool: {maxLongPrefills: 2}},
   'chosen, 8 choices for urgent work': {pool: {choices: {urgent: 8, standard: 2, batch: 2}}},
   'chosen, 2 choices for urgent work': {pool: {choices: {urgent: 2, standard: 2, batch: 2}}},
@@ -84,6 +85,7 @@
     arrivals: variant.withoutLong ? trace.filter(isShort) : trace,
     endMs: END_MS,
     targets: SHAPE.targets,
+    weights: measureWeights(trace, END_MS),
     queue,
     pool,
     hosts,
--- a/packages/scheduling/src/choose-head.ts
+++ b/packages/scheduling/src/choose-head.ts
@@ -8,6 +8,7 @@
   readonly level: number;
   readonly key: number;
   readonly isDemoted: boolean;
+  readonly isOwed: boolean;
   readonly competingTeams: number;
   /** Lowest start tag of any waiting item. */
   readonly lowestStart: number;
@@ -31,8 +32,10 @@
       if (!entry) continue;
       const start = startTag(entry, state.tag);
       if (start < lowestStart) lowestStart = start;
-      openLanes[lane] ??= gate(entry.item.workClass, entry.isLong);
-      if (!openLanes[lane]) continue;
+      const isOwed = queue.highestStart - start > settings.owedSeconds;
+      const gateIndex = lane * 2 + (isOwed ? 1 : 0);
+      openLanes[gateIndex] ??= gate(entry.item.workClass, entry.isLong, isOwed);
+      if (!openLanes[gateIndex]) continue;
       competes = true;
       const isDemoted = start - virtualTime > settings.classLeadSeconds[entry.item.workClass];
       const level = settings.useClasses ? (lane >> 1) + (isDemoted ? 1 : 0) : 0;
@@ -43,7 +46,7 @@
         (level === best.level &&
           (key < best.key || (key === best.key && entry.order < best.entry.order)))
       ) {
-        best = {entry, state, start, level, key, isDemoted};
+        best = {entry, state, start, level, key, isDemoted, isOwed};
       }
     }
     if (competes) competingTeams++;
--- a/packages/scheduling/src/eligibility.ts
+++ b/packages/scheduling/src/eligibility.ts
@@ -36,6 +36,8 @@
   readonly promptTokens: number;
   readonly isLong: boolean;
   readonly blocks: readonly string[];
+  /** Work of a team that is behind may use the calm targets; false by default. */
+  readonly isOwed?: boolean;
   /** Targets that this request has already been sent to. */
   readonly tried?: ReadonlySet<TargetId>;
   /** Work that may run twice is preferred for probes of failed targets; false by default. */
@@ -43,7 +45,7 @@
 }
 
 /** What decides whether a target can take a request. */
-export type Placement = Pick<RouteRequest, 'workClass' | 'isLong' | 'tried'>;
+export type Placement = Pick<RouteRequest, 'workClass' | 'isLong' | 'isOwed' | 'tried'>;
 
 /** Checks one target for a kind of work. With `probe`, only targets whose probe is due pass. */
 export function findExclusion(
@@ -64,7 +66,7 @@
   if (!request.isLong) return undefined;
   const isFull =
     target.ownLongPrefills >= settings.maxLongPrefills ||
-    (!probe && !findLongTargets(pool).has(target));
+    (!probe && !request.isOwed && !findLongTargets(pool).has(target));
   return isFull || load.pendingTokens > settings.maxPendingForLong ? 'longPrefill' : undefined;
 }
 
--- a/packages/scheduling/src/queue-state.ts
+++ b/packages/scheduling/src/queue-state.ts
@@ -28,6 +28,11 @@
    * within its rate queue behind a team that always has work waiting.
    */
   readonly creditSeconds: number;
+  /**
+   * A team is owed service when its start tag is this far behind the highest one served, in
+   * seconds. Lower values cost urgent work, higher ones cost teams with many long prompts.
+   */
+  readonly owedSeconds: number;
   /** Whether classes count at all; false only for comparison. */
   readonly useClasses: boolean;
 }
@@ -39,6 +44,7 @@
   longPromptTokens: 8000,
   classLeadSeconds: {urgent: 10, standard: 10, batch: Infinity},
   creditSeconds: 5,
+  owedSeconds: 8,
   useClasses: true,
 };
 
@@ -80,14 +86,19 @@
   /** Moving mean of output tokens by team and class; missing until the first response. */
   readonly meanOutputs: Map<TeamId, Partial<Record<WorkClass, number>>>;
   virtualTime: number;
+  /** Highest start tag of any item dispatched. */
+  highestStart: number;
   nextOrder: number;
 }
 
 /** Weight of teams that have none, in tokens per second. */
 const DEFAULT_WEIGHT = 1000;
 
-/** Tells whether work of a kind can be placed on some target at present. */
-export type Gate = (workClass: WorkClass, isLong: boolean) => boolean;
+/**
+ * Tells whether work of a kind can be placed on some target at present. `isOwed` tells that the
+ * work's team is behind, so that rules which only serve other teams' comfort give way.
+ */
+export type Gate = (workClass: WorkClass, isLong: boolean, isOwed: boolean) => boolean;
 
 export function findTeam(queue: RequestQueue, team: TeamId): TeamState {
   let state = queue.teams.get(team);
--- a/packages/scheduling/src/queue.ts
+++ b/packages/scheduling/src/queue.ts
@@ -40,6 +40,8 @@
 export interface TakenItem {
   readonly item: QueueItem;
   readonly isLong: boolean;
+  /** Whether the team was behind, see {@link Gate}. */
+  readonly isOwed: boolean;
   readonly reason: QueueReason;
 }
 
@@ -63,6 +65,7 @@
     weights: new Map(),
     meanOutputs: new Map(),
     virtualTime: 0,
+    highestStart: 0,
     nextOrder: 0,
   };
 }
@@ -131,6 +134,7 @@
   const leadSeconds = start - queue.virtualTime;
   removeEntry(queue, entry);
   queue.virtualTime = Math.max(queue.virtualTime, choice.lowestStart);
+  queue.highestStart = Math.max(queue.highestStart, start);
   const chargedTokens = entry.item.promptTokens + entry.expectedOutputTokens;
   state.tag = start + chargedTokens / state.weight;
   state.inFlight++;
@@ -138,6 +142,7 @@
   return {
     item: entry.item,
     isLong: entry.isLong,
+    isOwed: choice.isOwed,
     reason: {
       rule: choice.competingTeams === 1 ? 'onlyTeam' : choice.isDemoted ? 'classDemoted' : 'class',
       team: entry.item.team,
--- a/packages/scheduling/src/scheduler.ts
+++ b/packages/scheduling/src/scheduler.ts
@@ -35,13 +35,13 @@
   random: RandomSource,
   policy?: RoutingPolicyName,
 ): Dispatch | undefined {
-  const taken = takeNext(queue, nowMs, (workClass, isLong) =>
-    hasRoom(pool, {workClass, isLong}, nowMs),
+  const taken = takeNext(queue, nowMs, (workClass, isLong, isOwed) =>
+    hasRoom(pool, {workClass, isLong, isOwed}, nowMs),
   );
   if (!taken) return undefined;
-  const {item, isLong} = taken;
+  const {item, isLong, isOwed} = taken;
   const {workClass, promptTokens} = item;
-  const request = {workClass, promptTokens, isLong, ...factsOf(item)};
+  const request = {workClass, promptTokens, isLong, isOwed, ...factsOf(item)};
   const decision = routeRequest(pool, request, nowMs, random, policy);
   if (decision.type === 'none') {
     returnItem(queue, item.id);
--- a/packages/scheduling/test/queue.test.ts
+++ b/packages/scheduling/test/queue.test.ts
@@ -224,6 +224,24 @@
     expect(countOf(teams.slice(50), 'steady')).to.be.within(73, 77);
   });
 
+  it('says when a team is far behind because its work had no room', () => {
+    // Guards against a team with long prompts that falls behind for as long as others are busy.
+    const queue = createQueue({owedSeconds: 8, creditSeconds: 0});
+    fill(queue, 'long', 1, {promptTokens: 50_000});
+    fill(queue, 'short', 200);
+    const asked: boolean[] = [];
+    const gate: Gate = (_class, isLong, isOwed) => {
+      if (isLong) asked.push(isOwed);
+      return !isLong || isOwed;
+    };
+    const taken = Array.from({length: 100}, () => takeNext(queue, 0, gate)!);
+    const position = taken.findIndex(({item}) => item.promptTokens === 50_000);
+    // 8 s at the default weight of 1,000 tokens per second are 80 items of 100 tokens.
+    expect(position).to.be.within(81, 83);
+    expect(taken[position].isOwed).to.equal(true);
+    expect(asked.slice(0, 50)).to.not.include(true);
+  });
+
   it('lets short prompts pass long ones that have no room', () => {
     // Guards against a long prompt at the head that keeps the slots of all targets empty.
     const queue = createQueue();
--- a/packages/scheduling/test/routing.test.ts
+++ b/packages/scheduling/test/routing.test.ts
@@ -194,6 +194,8 @@
     for (let i = 0; i < 5; i++) long.push(dispatch(pool, 0, {isLong: true})?.target);
     expect(new Set(long.slice(0, 4)).size).to.equal(4);
     expect(long[4]).to.equal(undefined);
+    const owed = {workClass: 'standard', isLong: true, isOwed: true} as const;
+    expect(hasRoom(pool, owed, 0)).to.equal(true);
     for (const id of long.slice(0, 3)) setTargetStatus(pool, id!, 'draining');
     // Three are left, of which two may take long prompts; one of these has one in flight.
     expect(dispatch(pool, 0, {isLong: true})).not.to.equal(undefined);
