--- a/packages/bench/src/urgency.ts
+++ b/packages/bench/src/urgency.ts
@@ -11,7 +11,7 @@
 const FIRST_TOKEN_TARGET = 1.25;
 const GOODPUT_TARGET = 0.95;
 
-/** Half of the batch work of each team is spread over all teams: overnight summaries everywhere. */
+/** Each team sends much urgent work and, as overnight summaries, many long prompts. */
 const SHAPE: DeploymentShape = {
   ...DEPLOYMENTS.cuentatras,
   teams: DEPLOYMENTS.cuentatras.teams.map(team => ({
--- a/packages/scheduling/src/eligibility.ts
+++ b/packages/scheduling/src/eligibility.ts
@@ -3,6 +3,9 @@
 import {Pool, TargetState} from './pool.js';
 import {WorkClass} from './work.js';
 
+/** Time after which others' prompts that were pending at a report count as computed. */
+const OTHERS_PREFILL_MS = 1000;
+
 /** Load of a target: others' load at the last report, and the host's own work at present. */
 export interface EstimatedLoad {
   readonly outstanding: number;
@@ -11,12 +14,11 @@
   readonly reportAgeMs: number | undefined;
 }
 
+/** Estimates a target's load at `nowMs`; own work is counted exactly, others' work by report. */
 export function estimateLoad(pool: Pool, target: TargetState, nowMs: number): EstimatedLoad {
   const ageMs = target.report && nowMs - target.report.sampledAtMs;
   const weight = ageMs === undefined ? 0 : Math.max(0, 1 - ageMs / pool.settings.reportFadeMs);
   const meanOfOthers = pool.othersTotal / pool.order.length;
-  // Others' prompts that were pending at the report are computed as time passes; at the speed of
-  // an engine they are gone after about a second.
   const pendingWeight = ageMs === undefined ? 0 : Math.max(0, 1 - ageMs / OTHERS_PREFILL_MS);
   return {
     outstanding: target.own.size + weight * target.othersOutstanding + (1 - weight) * meanOfOthers,
@@ -25,8 +27,6 @@
   };
 }
 
-const OTHERS_PREFILL_MS = 1000;
-
 /** Why a target can't take an attempt; undefined if it can. */
 export type Exclusion = 'status' | 'health' | 'slots' | 'longPrefill' | 'tried';
 
--- a/packages/scheduling/src/pool.ts
+++ b/packages/scheduling/src/pool.ts
@@ -136,6 +136,7 @@
 /** Changes kept between reports; older ones are dropped, which only blurs the others' load. */
 const MAX_HISTORY = 1024;
 
+/** A pool without targets; settings that are left out have the default values. */
 export function createPool(settings: Partial<PoolSettings> = {}): Pool {
   const merged = {...DEFAULT_POOL_SETTINGS, ...settings};
   return {
--- a/packages/scheduling/src/queue.ts
+++ b/packages/scheduling/src/queue.ts
@@ -54,6 +54,7 @@
 /** Weight of the newest response in the mean output of a team. */
 const OUTPUT_SMOOTHING = 0.1;
 
+/** An empty queue; settings that are left out have the values of `DEFAULT_QUEUE_SETTINGS`. */
 export function createQueue(settings: Partial<QueueSettings> = {}): RequestQueue {
   const merged = {...DEFAULT_QUEUE_SETTINGS, ...settings};
   return {
