--- a/packages/bench/src/fairness.ts
+++ b/packages/bench/src/fairness.ts
@@ -1,24 +1,25 @@
 import {QueueSettings} from '@radishgw/scheduling';
 import {Bench, BenchRow} from './bench.js';
 import {measureShares} from './fair-shares.js';
+import {measureCapacity, measureWeights} from './load.js';
 import {RequestRecord, runServing} from './serving-sim.js';
 import {findMean, findQuantile, formatSpread} from './stats.js';
-import {Arrival, DEPLOYMENTS, generateTrace, RateChange} from './traces.js';
+import {DEPLOYMENTS, generateTrace, RateChange} from './traces.js';
 
 const END_MS = 180_000;
 const RETURN_MS = 90_000;
 const WARM_UP_MS = 10_000;
-/** About 90% of what 13 engines can do; see the capacity run in docs/measurements/fairness.md. */
-const REQUESTS_PER_SECOND = 27;
+/** Load of all teams at their agreed rates, as a share of the measured capacity. */
+const LOAD = 0.9;
 const SHAPE = DEPLOYMENTS.huon;
 const SHARE_TARGET = 0.95;
 
 const DISCIPLINES: Readonly<Record<string, Partial<QueueSettings>>> = {
   'start-time, classes (chosen)': {},
-  'start-time, classes, no credit': {creditSeconds: 0},
   'start-time, classes, lead 60 s': {
     classLeadSeconds: {urgent: 10, standard: 60, batch: Infinity},
   },
+  'start-time, classes, nothing owed': {owedSeconds: Infinity},
   'start-time, one class': {useClasses: false},
   'virtual clock, one class': {discipline: 'virtualClock', useClasses: false},
   'fifo, one class': {discipline: 'fifo', useClasses: false, overflow: 'newest'},
@@ -51,15 +52,6 @@
   return {maxFactor: factor, factorAt: atMs => (atMs < RETURN_MS ? 0 : factor)};
 }
 
-/** Weights: tokens per second of each team at its agreed rate. */
-function measureWeights(arrivals: readonly Arrival[]): Record<string, number> {
-  const weights: Record<string, number> = {};
-  for (const {team, promptTokens, outputTokens} of arrivals) {
-    weights[team] = (weights[team] ?? 0) + ((promptTokens + outputTokens) * 1000) / END_MS;
-  }
-  return weights;
-}
-
 interface Figures {
   readonly worstShare: number;
   readonly worstTeam: string;
@@ -71,9 +63,14 @@
   readonly wrongfulRefusals: number;
 }
 
-function measureRun(seed: number, scenario: Scenario, queue: Partial<QueueSettings>): Figures {
-  const trace = {seed, durationMs: END_MS, requestsPerSecond: REQUESTS_PER_SECOND};
-  const weights = measureWeights(generateTrace(SHAPE, trace));
+function measureRun(
+  seed: number,
+  requestsPerSecond: number,
+  scenario: Scenario,
+  queue: Partial<QueueSettings>,
+): Figures {
+  const trace = {seed, durationMs: END_MS, requestsPerSecond};
+  const weights = measureWeights(generateTrace(SHAPE, trace), END_MS);
   const arrivals = generateTrace(SHAPE, {...trace, rates: scenario.rates});
   const {records} = runServing({seed, arrivals, endMs: END_MS, targets: 13, queue, weights});
   const whole = findWorst(records, weights, WARM_UP_MS);
@@ -125,11 +122,12 @@
 export const FAIRNESS: Bench = {
   description: 'queue disciplines with a team at five times its rate and one returning from idle',
   run: ({seeds}) => {
+    const rates = seeds.map(seed => LOAD * measureCapacity(SHAPE, seed, END_MS));
     const rows: BenchRow[] = [];
     const notes: string[] = [];
     for (const [scenarioName, scenario] of Object.entries(SCENARIOS)) {
       for (const [name, queue] of Object.entries(DISCIPLINES)) {
-        const runs = seeds.map(seed => measureRun(seed, scenario, queue));
+        const runs = seeds.map((seed, i) => measureRun(seed, rates[i], scenario, queue));
         const refusals = runs.map(run => run.wrongfulRefusals);
         rows.push({
           scenario: scenarioName,
@@ -168,7 +166,7 @@
       settings: {
         endMs: END_MS,
         returnMs: RETURN_MS,
-        requestsPerSecond: REQUESTS_PER_SECOND,
+        requestsPerSecond: rates,
         targets: 13,
       },
       rows,
--- a/packages/bench/src/urgency.ts
+++ b/packages/bench/src/urgency.ts
@@ -1,6 +1,6 @@
 import {PoolSettings, QueueSettings} from '@radishgw/scheduling';
 import {Bench, BenchRow} from './bench.js';
-import {measureCapacity} from './load.js';
+import {measureCapacity, measureWeights} from './load.js';
 import {isGood, RequestRecord, runServing, ServingOptions} from './serving-sim.js';
 import {findMean, findQuantile, formatSpread} from './stats.js';
 import {Arrival, DEPLOYMENTS, DeploymentShape, generateTrace} from './traces.js';
@@ -11,7 +11,7 @@
 const FIRST_TOKEN_TARGET = 1.25;
 const GOODPUT_TARGET = 0.95;
 
-/** Half of the batch work of each team is spread over all teams: overnight summaries everywhere. */
+/** Each team sends much urgent work and, as overnight summaries, many long prompts. */
 const SHAPE: DeploymentShape = {
   ...DEPLOYMENTS.cuentatras,
   teams: DEPLOYMENTS.cuentatras.teams.map(team => ({
@@ -55,6 +55,7 @@
   'chosen, no calm targets': {pool: {calmShare: 0}},
   'chosen, calm share 1/4': {pool: {calmShare: 0.25}},
   'chosen, 3 hosts, long cap 2': {hosts: 3, pool: {maxLongPrefills: 2}},
+  'chosen, nothing owed': {queue: {owedSeconds: Infinity}},
   'chosen, long cap 2': {pool: {maxLongPrefills: 2}},
   'chosen, 8 choices for urgent work': {pool: {choices: {urgent: 8, standard: 2, batch: 2}}},
   'chosen, 2 choices for urgent work': {pool: {choices: {urgent: 2, standard: 2, batch: 2}}},
@@ -84,6 +85,7 @@
     arrivals: variant.withoutLong ? trace.filter(isShort) : trace,
     endMs: END_MS,
     targets: SHAPE.targets,
+    weights: measureWeights(trace, END_MS),
     queue,
     pool,
     hosts,
--- a/packages/scheduling/src/eligibility.ts
+++ b/packages/scheduling/src/eligibility.ts
@@ -3,6 +3,9 @@
 import {Pool, TargetState} from './pool.js';
 import {WorkClass} from './work.js';
 
+/** Time after which others' prompts that were pending at a report count as computed. */
+const OTHERS_PREFILL_MS = 1000;
+
 /** Load of a target: others' load at the last report, and the host's own work at present. */
 export interface EstimatedLoad {
   readonly outstanding: number;
@@ -11,12 +14,11 @@
   readonly reportAgeMs: number | undefined;
 }
 
+/** Estimates a target's load at `nowMs`; own work is counted exactly, others' work by report. */
 export function estimateLoad(pool: Pool, target: TargetState, nowMs: number): EstimatedLoad {
   const ageMs = target.report && nowMs - target.report.sampledAtMs;
   const weight = ageMs === undefined ? 0 : Math.max(0, 1 - ageMs / pool.settings.reportFadeMs);
   const meanOfOthers = pool.othersTotal / pool.order.length;
-  // Others' prompts that were pending at the report are computed as time passes; at the speed of
-  // an engine they are gone after about a second.
   const pendingWeight = ageMs === undefined ? 0 : Math.max(0, 1 - ageMs / OTHERS_PREFILL_MS);
   return {
     outstanding: target.own.size + weight * target.othersOutstanding + (1 - weight) * meanOfOthers,
@@ -25,8 +27,6 @@
   };
 }
 
-const OTHERS_PREFILL_MS = 1000;
-
 /** Why a target can't take an attempt; undefined if it can. */
 export type Exclusion = 'status' | 'health' | 'slots' | 'longPrefill' | 'tried';
 
@@ -36,6 +36,8 @@
   readonly promptTokens: number;
   readonly isLong: boolean;
   readonly blocks: readonly string[];
+  /** Work of a team that is behind may use the calm targets; false by default. */
+  readonly isOwed?: boolean;
   /** Targets that this request has already been sent to. */
   readonly tried?: ReadonlySet<TargetId>;
   /** Work that may run twice is preferred for probes of failed targets; false by default. */
@@ -43,7 +45,7 @@
 }
 
 /** What decides whether a target can take a request. */
-export type Placement = Pick<RouteRequest, 'workClass' | 'isLong' | 'tried'>;
+export type Placement = Pick<RouteRequest, 'workClass' | 'isLong' | 'isOwed' | 'tried'>;
 
 /** Checks one target for a kind of work. With `probe`, only targets whose probe is due pass. */
 export function findExclusion(
@@ -64,7 +66,7 @@
   if (!request.isLong) return undefined;
   const isFull =
     target.ownLongPrefills >= settings.maxLongPrefills ||
-    (!probe && !findLongTargets(pool).has(target));
+    (!probe && !request.isOwed && !findLongTargets(pool).has(target));
   return isFull || load.pendingTokens > settings.maxPendingForLong ? 'longPrefill' : undefined;
 }
 
