Spare timers, aborts and a write for each finished request

Cause: at 64 streams the request path did 548 requests on one core where the bare pass-through did 1160. A CPU profile showed the time spread over the path, with 13 to 15 % in writev and 4 to 8 % in the garbage collector.

Each finished request was aborted once more by the close of its response, started a one-second timer for that, and a two-second timer held the ended stream in memory. The last events were written apart from the end of the stream. All of that is gone.

73 tests of the package that were run pass.

--- a/packages/gateway/src/caller/caller-server.ts
+++ b/packages/gateway/src/caller/caller-server.ts
@@ -155,6 +155,7 @@
       return;
     }
     const {clock, handlers} = this.services;
+    let finished = false;
     const abort = (reason: AbortReason) => {
       if (controller.signal.aborted) return;
       controller.abort(reason);
@@ -167,15 +168,19 @@
     const deadline = clock.setTimer(context.deadlineMs - clock.nowMs(), () => abort('deadline'));
     const closed = new Promise<void>(resolve => {
       response.once('close', () => {
-        if (!context.outlivesCaller) abort('closed');
+        if (!finished && !context.outlivesCaller) abort('closed');
         resolve();
       });
     });
     const run = refusal ? createRefusingEndpoint(() => refusal) : endpoint;
     const task = startTask(run(this.services, this.inFlight, context), handlers);
+    const finish = (error: unknown) => {
+      finished = true;
+      this.finish(context, error);
+    };
     const done = task.done.then(
-      () => this.finish(context, controller.signal.aborted ? controller.signal : undefined),
-      error => this.finish(context, error),
+      () => finish(controller.signal.aborted ? controller.signal : undefined),
+      finish,
     );
     // The response is only over when its last byte has left, which may be later than the work.
     void Promise.all([done, closed]).finally(() => {
--- a/packages/gateway/src/engine/engine-stream.ts
+++ b/packages/gateway/src/engine/engine-stream.ts
@@ -179,8 +179,10 @@
       this.resume((error as Error).message, true);
       return;
     }
+    // The last events are sent together with the end of the answer.
+    if (this.finished) return;
     const ready = this.call.onBatch();
-    if (ready && !this.finished) this.pauseUntil(ready, controller);
+    if (ready) this.pauseUntil(ready, controller);
   }
 
   private pauseUntil(ready: Promise<unknown>, controller: HttpDispatcher.DispatchController): void {
@@ -210,6 +212,7 @@
 
   private takeEnd(connection: Connection): void {
     connection.ended = true;
+    if (this.finished) this.release(connection);
     if (!this.isCurrent(connection)) return;
     if (connection.statusCode === 200) {
       this.resume('connection ended before the answer was whole', true);
@@ -299,11 +302,21 @@
     this.timer?.cancel();
     this.call.signal.removeEventListener('abort', this.onAbort);
     const {current} = this;
+    if (current.ended) {
+      this.release(current);
+      return;
+    }
     // A pooled connection is left to end by itself, so that it can be used again.
-    this.call.clock.setTimer(this.call.progressTimeoutMs, () => {
+    this.timer = this.call.clock.setTimer(this.call.progressTimeoutMs, () => {
       closeConnection(current, 'answer is whole but the connection stays open');
     });
   }
+
+  /** Lets go of what an ended stream still holds; a timer would keep it in memory. */
+  private release(connection: Connection): void {
+    this.timer?.cancel();
+    connection.client?.destroy().catch(() => undefined);
+  }
 }
 
 type Headers = Readonly<Record<string, string | string[] | undefined>>;
