Keep urgent and non-idempotent work off cheap targets, and look past blocked requests

Cause: the rule for cheap targets was not in the program, and a request that only some targets may take stopped the queue: the queue offered it again and again while room was left elsewhere. A target with one or two slots never got other than urgent work, because the reserve took all its slots.

Ruled out: a gate by class in the queue, which can't know what a single request may use.

Change: cheap targets are excluded for work that must not be lost with them; a request without a usable target is set aside for one step, at most 32 of them; the urgent reserve leaves one slot. A host whose place was taken by a later process stops.

Seen before: with MAX_PARKED at 0 the test of the blocked queue fails (a batch request behind a waiting urgent one is never sent); with the old reserve the test of a target with one slot fails.

--- a/packages/gateway/src/dispatch/pool-dispatcher.ts
+++ b/packages/gateway/src/dispatch/pool-dispatcher.ts
@@ -11,6 +11,7 @@
   Timer,
   toId,
 } from '@radishgw/core';
+import {mayRunOnCheap} from '@radishgw/fleet';
 import {
   AttemptOutcome as HealthOutcome,
   cancelItem,
@@ -72,6 +73,7 @@
   readonly budget: RetryBudget;
   readonly waiters: Map<RequestId, Waiter>;
   readonly targets: Map<TargetId, TargetConfig>;
+  readonly cheapTargets: Set<TargetId>;
   timer: Timer | undefined;
 }
 
@@ -79,6 +81,8 @@
 const INITIAL_RETRIES = 5;
 /** Waiting work is looked at again at least this often, for exclusions that end with time. */
 const RECHECK_MS = 250;
+/** Requests that are looked past in one step; bounds the work when many wait for one target. */
+const MAX_PARKED = 32;
 const OPEN_TEAM = toId<TeamId>('open');
 
 const HEALTH_OUTCOMES: Readonly<Record<FailureKind, HealthOutcome>> = {
@@ -175,6 +179,7 @@
         budget: createRetryBudget(),
         waiters: new Map(),
         targets: new Map(),
+        cheapTargets: new Set(),
         timer: undefined,
       };
       state.budget.saved = INITIAL_RETRIES;
@@ -193,8 +198,10 @@
       if (!wanted.has(targetId)) removeTarget(state.pool, targetId);
     }
     state.targets.clear();
+    state.cheapTargets.clear();
     for (const [targetId, target] of wanted) {
       state.targets.set(targetId, target);
+      if (target.cheap) state.cheapTargets.add(targetId);
       setTarget(state.pool, targetId, target.slots);
       const leaving = this.services.isLeaving(targetId);
       const status = target.state === 'draining' ? 'draining' : leaving ? 'leaving' : 'serving';
@@ -233,9 +240,18 @@
     this.pump(state);
   }
 
+  /** Targets that failed the request, and cheap ones if it must not be lost with its target. */
+  private listForbidden(state: PoolState, request: DispatchRequest): ReadonlySet<TargetId> {
+    const excluded = request.excluded as ReadonlySet<TargetId>;
+    const {workClass, repeatable} = request;
+    if (state.cheapTargets.size === 0 || mayRunOnCheap({workClass, repeatable})) return excluded;
+    return new Set([...excluded, ...state.cheapTargets]);
+  }
+
   private hasCandidate(state: PoolState, request: DispatchRequest): boolean {
+    const forbidden = this.listForbidden(state, request);
     for (const [targetId, target] of state.pool.targets) {
-      if (target.status === 'serving' && !request.excluded.has(targetId)) return true;
+      if (target.status === 'serving' && !forbidden.has(targetId)) return true;
     }
     return false;
   }
@@ -247,17 +263,24 @@
     for (const item of expireItems(state.queue, nowMs)) {
       this.refuseWaiter(state, item.id, 'deadlineExceeded', 'no target had room in time');
     }
+    const parked: QueueItem[] = [];
     for (;;) {
-      const scheduled = scheduleNext(
-        state.queue,
-        state.pool,
-        item => this.describeFacts(state, item),
-        nowMs,
-        random,
-      );
-      if (!scheduled) break;
-      this.grant(state, scheduled);
+      let taken: QueueItem | undefined;
+      const describe = (item: QueueItem) => {
+        taken = item;
+        return this.describeFacts(state, item);
+      };
+      const scheduled = scheduleNext(state.queue, state.pool, describe, nowMs, random);
+      if (scheduled) {
+        this.grant(state, scheduled);
+        continue;
+      }
+      if (!taken || parked.length >= MAX_PARKED) break;
+      // There is room, but not where this request may go: it must not block those behind it.
+      cancelItem(state.queue, taken.id);
+      parked.push(taken);
     }
+    for (const item of parked) enqueue(state.queue, item, nowMs);
     state.timer?.cancel();
     state.timer = undefined;
     if (state.waiters.size > 0) {
@@ -271,7 +294,7 @@
     return {
       blocks: request?.blocks ?? [],
       mayRunTwice: request?.repeatable ?? false,
-      tried: request?.excluded as ReadonlySet<TargetId> | undefined,
+      tried: request && this.listForbidden(state, request),
     };
   }
 
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -290,7 +290,7 @@
       process.kill(process.pid, 'SIGTERM');
     });
   };
-  start(session.run());
+  start(runSession());
   start(membership.run());
   start(configSync.run());
   start(peers.run());
@@ -309,6 +309,12 @@
   );
   log.write('hostStarted', {hostId, failureDomain});
 
+  function* runSession(): Procedure<void> {
+    const outcome = yield* session.run();
+    // A later process has the name of this host; two of them must not serve under it.
+    if (outcome === 'replaced') process.kill(process.pid, 'SIGTERM');
+  }
+
   async function stopGracefully(): Promise<void> {
     log.write('hostStopping', {inFlight: callers.getInFlight()});
     session.beginLeave();
--- a/packages/scheduling/src/eligibility.ts
+++ b/packages/scheduling/src/eligibility.ts
@@ -61,7 +61,9 @@
   if (describeHealth(target.health, nowMs) !== wanted) return 'health';
   const {settings} = pool;
   const load = estimateLoad(pool, target, nowMs);
-  const reserve = request.workClass === 'urgent' ? 0 : settings.urgentReserve;
+  // A target with few slots still takes other work when it is idle.
+  const reserve =
+    request.workClass === 'urgent' ? 0 : Math.min(settings.urgentReserve, target.slots - 1);
   if (load.outstanding >= target.slots - reserve) return 'slots';
   if (!request.isLong) return undefined;
   const isFull =
