Prove planned changes, leaving targets and the platform contract over HTTP

The contract test, run against the HTTP adapter and the stand-in for the first time, failed in two of eleven cases: the stand-in accepted the removal of an absent object and values above a megabyte. A long stream goes on while its target is drained and its key withdrawn. The list of hosts in the stand-in named only hosts with a session, so a leaving target never appeared.

--- a/packages/ctl/test/rollout.test.ts
+++ b/packages/ctl/test/rollout.test.ts
@@ -110,6 +110,66 @@
     await until(async () => (await callWith(isolated, deployment.key)).status === 200);
   });
 
+  it('lets a long stream finish while its key, rate and target are changed', async () => {
+    // Guards against planned changes that cut off requests in flight.
+    const {keyId, key} = await issueKey();
+    const [host] = deployment.hosts;
+    const response = await request(`${host.entryUrl}/v1/chat/completions`, {
+      method: 'POST',
+      headers: {authorization: `Bearer ${key}`, 'content-type': 'application/json'},
+      body: JSON.stringify({
+        model: deployment.model,
+        stream: true,
+        max_tokens: 4000,
+        messages: [{role: 'user', content: 'Summarise the catalogue.'}],
+      }),
+    });
+    expect(response.statusCode).to.equal(200);
+    const whole = response.body.text();
+    for (const args of [
+      ['drain', 'target', 'engine-1', '--wait'],
+      ['key', 'withdraw', deployment.teamId, keyId, '--wait'],
+      ['drain', 'target', 'engine-1', '--undo', '--wait'],
+    ]) {
+      const outcome = await radishctl(...args);
+      expect(outcome.code, outcome.stderr).to.equal(0);
+    }
+    expect((await callWith(host, key)).status).to.equal(401);
+    const text = await whole;
+    expect(text.trimEnd().endsWith('data: [DONE]')).to.equal(true);
+    expect(text.match(/"content":"w\d+ "/g)).to.have.length(4000);
+  });
+
+  it('gives a target that the platform lists as leaving no new work', async () => {
+    // Guards against work that is sent to a target which is about to go.
+    const ask = () =>
+      request(`${deployment.hosts[0].entryUrl}/v1/chat/completions`, {
+        method: 'POST',
+        headers: {
+          authorization: `Bearer ${deployment.key}`,
+          'content-type': 'application/json',
+        },
+        body: JSON.stringify({
+          model: deployment.model,
+          max_tokens: 1,
+          messages: [{role: 'user', content: 'x'}],
+        }),
+      }).then(async response => {
+        await response.body.dump();
+        return response.statusCode;
+      });
+    const setLeaving = (hostIds: string[]) =>
+      request(`${deployment.platformUrl}/leaving-hosts`, {
+        method: 'POST',
+        body: JSON.stringify({hostIds}),
+      }).then(response => response.body.dump());
+    expect(await ask()).to.equal(200);
+    await setLeaving(['engine-1']);
+    await until(async () => (await ask()) === 503);
+    await setLeaving([]);
+    await until(async () => (await ask()) === 200);
+  });
+
   it('serves on through an outage of the platform that all hosts see', async () => {
     // Guards against an outage of the platform that stops all service.
     await setFaults({outage: true});
--- a/packages/testkit/src/platform/platform-server.ts
+++ b/packages/testkit/src/platform/platform-server.ts
@@ -42,6 +42,7 @@
 }
 
 const WATCH_STOP_MS = 100;
+const MAX_VALUE_BYTES = 1_000_000;
 const WEIGHT_STORE_BYTES_PER_SECOND = 1_000_000_000;
 
 function readCondition(url: URL): number | undefined {
@@ -89,19 +90,29 @@
   },
   'PUT /objects': async ({store}, request, response, url) => {
     const body = JSON.parse(await readText(request)) as {value: string};
+    if (Buffer.byteLength(body.value) > MAX_VALUE_BYTES) {
+      sendJson(response, 400, {message: `value exceeds ${MAX_VALUE_BYTES} bytes`});
+      return;
+    }
     const outcome = store.put(readKey(url), body.value, readCondition(url));
     sendJson(response, outcome.ok ? 200 : 409, {revision: outcome.revision});
   },
   'DELETE /objects': ({store}, _request, response, url) => {
+    if (!store.get(readKey(url))) {
+      sendJson(response, 404, {});
+      return;
+    }
     const outcome = store.remove(readKey(url), readCondition(url));
     sendJson(response, outcome.ok ? 200 : 409, {revision: outcome.revision});
   },
   'GET /watch': (context, _request, response, url) => watch(context, response, url),
   'GET /hosts': ({store, leavingHosts}, _request, response) => {
-    const hosts = store.list('hosts/').map(object => {
-      const hostId = object.key.slice('hosts/'.length);
-      return {hostId, state: leavingHosts.has(hostId) ? 'leaving' : 'live'};
-    });
+    const known = store.list('hosts/').map(object => object.key.slice('hosts/'.length));
+    // The list also names targets, which have no objects in the store.
+    const hosts = [...new Set([...known, ...leavingHosts])].map(hostId => ({
+      hostId,
+      state: leavingHosts.has(hostId) ? 'leaving' : 'live',
+    }));
     sendJson(response, 200, {hosts});
   },
   'POST /target-orders': async ({record}, request, response) => {
--- /dev/null
+++ b/packages/testkit/test/platform-contract.test.ts
@@ -0,0 +1,20 @@
+import {HttpPlatform} from '@radishgw/platform';
+import {describePlatformContract} from '@radishgw/platform/contract';
+import {startPlatformServer} from '../src/index.js';
+
+const CALL_TIMEOUT_MS = 10_000;
+
+// Guards against an adapter or a stand-in that behaves otherwise than the in-memory platform, with
+// which the long randomised runs are made.
+describePlatformContract('HTTP adapter and platform stand-in', async () => {
+  const server = await startPlatformServer();
+  const platform = new HttpPlatform({baseUrl: server.url, callTimeoutMs: CALL_TIMEOUT_MS});
+  return {
+    platform,
+    close: async () => {
+      await platform.close();
+      server.server.closeAllConnections();
+      server.server.close();
+    },
+  };
+});
