--- a/packages/gateway/test/bounds.test.ts
+++ b/packages/gateway/test/bounds.test.ts
@@ -10,6 +10,7 @@
   let deployment: Deployment;
   let host: HostHandle;
   let auth: string;
+  let secret: string;
 
   before(async () => {
     deployment = await startDeployment({
@@ -29,6 +30,7 @@
       ],
     });
     host = deployment.hosts[0];
+    secret = deployment.key.split('_').at(-1)!;
     auth = `authorization: Bearer ${deployment.key}`;
   });
 
@@ -228,4 +230,59 @@
     await setFaults(deployment.services[0].url, {delayMs: 0});
     expect(answer).to.equal('');
   });
+
+  it('show no key to the target, wherever the caller put it', async () => {
+    // Guards against G4: a target that learns a key.
+    const encoded = [...secret].map(c => `%${c.charCodeAt(0).toString(16)}`).join('');
+    const twice = encoded.replaceAll('%', '%25');
+    const path =
+      `/orders?api_key=${deployment.key}&a=1&b=x${secret}y&c=${encoded}` +
+      `&d=${twice}&${secret}=e&f=2`;
+    const headers = {
+      host: 'gateway',
+      authorization: `Bearer ${deployment.key}`,
+      'x-api-key': deployment.key,
+      cookie: `key=${deployment.key}`,
+      'x-plain': 'kept',
+      'x-part': `before ${deployment.key} after`,
+      'x-encoded': `v=${encoded}`,
+      'x-upper': secret.toUpperCase(),
+      'x-twice': twice,
+      [`x-${secret}`]: 'name',
+      connection: 'close, x-hop',
+      'x-hop': 'dropped',
+      'content-length': '8',
+    };
+    const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}`);
+    const answer = await sendRaw(host.entryUrl, [
+      [`POST ${path} HTTP/1.1`, ...lines, '', 'key hunt'].join('\r\n'),
+    ]);
+    expect(answer).to.match(/^HTTP\/1.1 200 /);
+    const [execution] = await findExecutions(deployment, 'key hunt');
+    expect(execution.url).to.equal('/orders?a=1&f=2');
+    expect(execution.headers).to.include({'x-plain': 'kept'});
+    const seen = decodeURIComponent(decodeURIComponent(JSON.stringify(execution))).toLowerCase();
+    expect(seen).not.to.include(secret);
+    expect(Object.keys(execution.headers).join()).not.to.match(/x-(part|encoded|upper|twice|hop)/);
+  });
+
+  it('refuse a body that holds the key, and pass on no path that does', async () => {
+    // Guards against G4 where removing the key would change what the caller asked for.
+    const escaped = `\\u${secret.charCodeAt(0).toString(16).padStart(4, '0')}${secret.slice(1)}`;
+    for (const text of [deployment.key, encodeURIComponent(`"${secret}"`), escaped]) {
+      const response = await fetch(`${host.entryUrl}/orders`, {
+        method: 'POST',
+        headers: {authorization: `Bearer ${deployment.key}`},
+        body: `key in body ${text}`,
+      });
+      expect(response.status).to.equal(400);
+      const {error} = (await response.json()) as {error: CallerError};
+      expect(error).to.include({code: 'malformed_request', execution: 'not_run'});
+      expect(error.message).not.to.include(secret);
+    }
+    for (const path of [`/orders/${secret}`, `/orders/${encodeURIComponent(deployment.key)}`]) {
+      await expectRaw([post(path, [auth])], 404, 'route_not_found');
+    }
+    expect(await findExecutions(deployment, 'key in body')).to.have.length(0);
+  });
 });
--- a/packages/gateway/test/services.test.ts
+++ b/packages/gateway/test/services.test.ts
@@ -2,7 +2,7 @@
 import {BASE_KEY, BaseConfig} from '@radishgw/config';
 import {createSeededRandom} from '@radishgw/core';
 import {Deployment, findFreePorts, HostHandle, startDeployment, waitUntil} from '@radishgw/testkit';
-import {CallerError, createProxies, findExecutions, sendRaw, setFaults} from './support.js';
+import {CallerError, createProxies, findExecutions, setFaults} from './support.js';
 
 const NO_SERVICE_FAULTS = {
   delayMs: 0,
@@ -25,7 +25,6 @@
   const proxied = createProxies(23);
   let deployment: Deployment;
   let host: HostHandle;
-  let secret: string;
 
   before(async () => {
     deployment = await startDeployment({
@@ -38,7 +37,6 @@
       mapUrl: proxied.mapUrl,
     });
     host = deployment.hosts[0];
-    secret = deployment.key.split('_').at(-1)!;
     await addUnreachableRoute();
   });
 
@@ -363,56 +361,4 @@
       expect((await lookUp('large')).body.filler).to.have.length(fillerBytes);
     });
   });
-
-  it('show no key to the target, wherever the caller put it', async () => {
-    // Guards against G4: a target that learns a key.
-    const encoded = [...secret].map(c => `%${c.charCodeAt(0).toString(16)}`).join('');
-    const twice = encoded.replaceAll('%', '%25');
-    const path =
-      `/orders?api_key=${deployment.key}&a=1&b=x${secret}y&c=${encoded}` +
-      `&d=${twice}&${secret}=e&f=2`;
-    const headers = {
-      host: 'gateway',
-      authorization: `Bearer ${deployment.key}`,
-      'x-api-key': deployment.key,
-      cookie: `key=${deployment.key}`,
-      'x-plain': 'kept',
-      'x-part': `before ${deployment.key} after`,
-      'x-encoded': `v=${encoded}`,
-      'x-upper': secret.toUpperCase(),
-      'x-twice': twice,
-      [`x-${secret}`]: 'name',
-      connection: 'close, x-hop',
-      'x-hop': 'dropped',
-      'content-length': '8',
-    };
-    const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}`);
-    const answer = await sendRaw(host.entryUrl, [
-      [`POST ${path} HTTP/1.1`, ...lines, '', 'key hunt'].join('\r\n'),
-    ]);
-    expect(answer).to.match(/^HTTP\/1.1 200 /);
-    const [execution] = await findExecutions(deployment, 'key hunt');
-    expect(execution.url).to.equal('/orders?a=1&f=2');
-    expect(execution.headers).to.include({'x-plain': 'kept'});
-    const seen = decodeURIComponent(decodeURIComponent(JSON.stringify(execution))).toLowerCase();
-    expect(seen).not.to.include(secret);
-    expect(Object.keys(execution.headers).join()).not.to.match(/x-(part|encoded|upper|twice|hop)/);
-  });
-
-  it('are refused when their body or path holds the key', async () => {
-    // Guards against G4 where removing the key would change what the caller asked for.
-    const escaped = `\\u${secret.charCodeAt(0).toString(16).padStart(4, '0')}${secret.slice(1)}`;
-    for (const text of [deployment.key, encodeURIComponent(`"${secret}"`), escaped]) {
-      const response = await fetch(`${host.entryUrl}/orders`, {
-        method: 'POST',
-        headers: {authorization: `Bearer ${deployment.key}`},
-        body: `key in body ${text}`,
-      });
-      expect(response.status).to.equal(400);
-      const {error} = (await response.json()) as {error: CallerError};
-      expect(error).to.include({code: 'malformed_request', execution: 'not_run'});
-      expect(error.message).not.to.include(secret);
-    }
-    expect(await findExecutions(deployment, 'key in body')).to.have.length(0);
-  });
 });
