--- a/packages/limits/src/host-reserve.ts
+++ b/packages/limits/src/host-reserve.ts
@@ -8,9 +8,9 @@
   recordReserve,
   refreshReserve,
   ShardLink,
-  stampParts,
   TeamHolding,
 } from './host-state.js';
+import {stampParts} from './host-refunds.js';
 import {serveTeam} from './host.js';
 import {ConfirmReserveResponse, Refund, ReserveReport} from './messages.js';
 
--- a/packages/limits/src/owner-grants.ts
+++ b/packages/limits/src/owner-grants.ts
@@ -3,6 +3,7 @@
 import {ConfirmReply, recallReserves} from './owner-reserve.js';
 import {
   applyRefund,
+  assumedTokens,
   hasAuthority,
   heldBy,
   openTeam,
@@ -46,22 +47,23 @@
     for (const refund of request.refunds) applyRefund(team, refund);
   }
   const stamp = settleLevel(state, request.teamId, team, nowMs);
-  const room = outstandingRoom(state, team, nowMs);
-  const available = Math.min(team.levelTokens, room);
-  if (request.neededTokens > available) {
+  const {levelTokens, limit, outstandingTokens} = team;
+  const assumed = assumedTokens(state, team, nowMs);
+  const room = Math.max(0, limit.burstTokens - outstandingTokens - assumed);
+  if (request.neededTokens > Math.min(levelTokens, room)) {
     return refuseGrant(state, request, team, stamp, nowMs);
   }
+  const most = limit.burstTokens * state.settings.outstandingFraction;
+  const ordinaryRoom = Math.max(0, most - outstandingTokens - assumed);
+  const isLarge = request.neededTokens > ordinaryRoom;
   const ahead = Math.max(0, request.wantedTokens - request.neededTokens);
-  const granted =
-    request.neededTokens + Math.min(ahead, (available - request.neededTokens) * AHEAD_SHARE);
-  issueGrant(state, request, team, granted, nowMs);
-  return {response: answer(state, 'granted', granted, 0, stamp), replies: []};
-}
-
-function outstandingRoom(state: OwnerState, team: TeamAccount, nowMs: number): number {
-  const assumed = nowMs < state.assumedUntilMs ? team.assumedTokens : 0;
-  const most = team.limit.burstTokens * state.settings.outstandingFraction;
-  return Math.max(0, most - team.outstandingTokens - assumed);
+  const share = (levelTokens - request.neededTokens) * AHEAD_SHARE;
+  const extra = isLarge ? 0 : Math.min(ahead, share, ordinaryRoom - request.neededTokens);
+  const granted = request.neededTokens + extra;
+  const {grantTtlMs, largeGrantTtlMs} = state.settings;
+  const timeToLiveMs = isLarge ? largeGrantTtlMs : grantTtlMs;
+  issueGrant(state, request, team, granted, timeToLiveMs, nowMs);
+  return {response: {...answer(state, 'granted', granted, 0, stamp), timeToLiveMs}, replies: []};
 }
 
 function issueGrant(
@@ -69,10 +71,11 @@
   request: AcquireGrantRequest,
   team: TeamAccount,
   tokens: number,
+  timeToLiveMs: number,
   nowMs: number,
 ): void {
   if (tokens <= 0) return;
-  const {grantTtlMs, clockDriftFraction} = state.settings;
+  const {clockDriftFraction} = state.settings;
   team.levelTokens -= tokens;
   team.outstandingTokens += tokens;
   assertInvariant(
@@ -85,7 +88,7 @@
     openTokens: tokens,
     spentTokens: 0,
     returnedTokens: 0,
-    endsMs: nowMs + grantTtlMs * (1 + clockDriftFraction),
+    endsMs: nowMs + timeToLiveMs * (1 + clockDriftFraction),
   });
   settleLevel(state, request.teamId, team, nowMs);
 }
--- a/packages/limits/src/owner.ts
+++ b/packages/limits/src/owner.ts
@@ -1,7 +1,9 @@
 import {assertInvariant, HostId, TeamId} from '@radishgw/core';
 import {HandOverShardsRequest} from './messages.js';
 import {
+  advanceAllTeams,
   advanceTeam,
+  assumedTokens,
   createHolder,
   hasAuthority,
   levelCap,
@@ -51,6 +53,9 @@
     findLimit: start.findLimit,
     authorityUntilMs: start.authorityUntilMs,
     startedMs: handOver ? nowMs - handOver.ageMs - handOver.runningMs : nowMs - start.silentMs,
+    assumedLargeUntilMs: handOver
+      ? -Infinity
+      : nowMs + (settings.largeGrantTtlMs - start.silentMs) * (1 + settings.clockDriftFraction),
     assumedUntilMs: nowMs + grantLeftMs * (1 + settings.clockDriftFraction),
     assumeGrants: !handOver,
     placement: new Set(start.placement),
@@ -104,6 +109,18 @@
   state.placement = new Set(placement);
 }
 
+/**
+ * Stops counting the reserves of a host that can't use them any more although they are still valid.
+ * The caller has to know three things: the shard record names the host no longer as a placement host;
+ * since at least the freshness time plus the age limit of outage evidence, more than half of all
+ * hosts have applied that record; and a host that isn't fresh serves nothing and drops its reserves.
+ */
+export function fenceHolder(state: OwnerState, hostId: HostId, nowMs: number): void {
+  if (state.placement.has(hostId) || !state.holders.has(hostId)) return;
+  advanceAllTeams(state, nowMs);
+  state.holders.delete(hostId);
+}
+
 /** Ends the ownership on a planned stop; the result goes to the next owner. */
 export function handOverOwner(
   state: OwnerState,
@@ -111,12 +128,11 @@
   nowMs: number,
 ): HandOverShardsRequest | undefined {
   if (!hasAuthority(state, nowMs)) return undefined;
-  const assumed = nowMs < state.assumedUntilMs;
   const buckets = [];
   for (const teamId of state.teams.keys()) {
     const team = openTeam(state, teamId, nowMs);
     if (!team) continue;
-    const outstandingTokens = team.outstandingTokens + (assumed ? team.assumedTokens : 0);
+    const outstandingTokens = team.outstandingTokens + assumedTokens(state, team, nowMs);
     const reserves = listReserves(state, teamId);
     buckets.push({teamId, levelTokens: team.levelTokens, outstandingTokens, reserves});
   }
