--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -3,10 +3,12 @@
 import {MEMBERSHIP_COST} from './control/membership-cost.js';
 import {RECOVERY_ROLES} from './control/recovery-roles.js';
 import {USAGE_SUITE} from './control/usage-soak.js';
+import {CONFIGURATION_BENCH} from './configuration.js';
 import {COST_BENCH} from './cost.js';
 import {DECISIONS} from './decisions.js';
 import {FAIRNESS} from './fairness.js';
 import {FLEET_DECISIONS_BENCH} from './fleet-decisions.js';
+import {IDLE_COST_BENCH} from './idle-cost.js';
 import {LIMITS_BENCH} from './limits-bench.js';
 import {LIMITS_SOAK} from './limits-soak.js';
 import {ORDERING_BENCH} from './ordering.js';
@@ -32,6 +34,8 @@
   overhead: OVERHEAD_BENCH,
   'recovery-roles': RECOVERY_ROLES,
   'membership-cost': MEMBERSHIP_COST,
+  configuration: CONFIGURATION_BENCH,
+  idle: IDLE_COST_BENCH,
   limits: LIMITS_BENCH,
   recovery: RECOVERY_BENCH,
 };
