Draw random bytes in blocks

Cause: a profile of the host under 2-token requests shows 3.3% of its time in single calls for random ids (16 streams, 0.75 ms of CPU for a request). Ruled out as larger causes: the profile is otherwise flat, 15% in socket writes and 4% in the garbage collector. Change: ids are cut from blocks of 4,096 bytes.

--- a/packages/core/src/random.ts
+++ b/packages/core/src/random.ts
@@ -28,12 +28,25 @@
   };
 }
 
-/** Source for production: ids come from the system's cryptographic generator. */
+/** Random bytes are drawn in blocks: a call to the system for each id took 3% of a host's time. */
+const BLOCK_BYTES = 4096;
+
+/** Source for production: ids and keys come from the system's cryptographic generator. */
 export function createSystemRandom(): RandomSource {
-  const next = () => randomBytes(6).readUIntBE(0, 6) / 2 ** 48;
+  let block = Buffer.alloc(0);
+  let offset = 0;
+  const take = (bytes: number): Buffer => {
+    if (offset + bytes > block.length) {
+      block = randomBytes(Math.max(BLOCK_BYTES, bytes));
+      offset = 0;
+    }
+    offset += bytes;
+    return block.subarray(offset - bytes, offset);
+  };
+  const next = () => take(6).readUIntBE(0, 6) / 2 ** 48;
   return {
     next,
     nextInt: bound => Math.floor(next() * bound),
-    nextHex: bytes => randomBytes(bytes).toString('hex'),
+    nextHex: bytes => take(bytes).toString('hex'),
   };
 }
