Carry the confirmations of reserves on one stream between two hosts

Each of 64 shards was confirmed by three hosts about once a second in a gRPC call of its own, so the cost fell with the number of hosts that share the shards. Ruled out: confirming less often, since a host refills its reserve by itself 1.5 s after the owner's last answer. Change: one bidirectional stream for each pair of hosts; answers name shard and sequence. Requests that are never answered no longer pile up, on either side.

--- a/packages/gateway/src/inner/inner-server.ts
+++ b/packages/gateway/src/inner/inner-server.ts
@@ -1,5 +1,6 @@
 import {
   sendUnaryData,
+  ServerDuplexStream,
   Server,
   ServerCredentials,
   ServerUnaryCall,
@@ -15,7 +16,9 @@
     stream: ServerWritableStream<protocol.SubscribeConfigRequest, protocol.ConfigUpdate>,
   ): void;
   acquireGrant(request: protocol.AcquireGrantRequest): Promise<protocol.AcquireGrantResponse>;
-  confirmReserve(request: protocol.ConfirmReserveRequest): Promise<protocol.ConfirmReserveResponse>;
+  confirmReserves(
+    stream: ServerDuplexStream<protocol.ConfirmReserveRequest, protocol.ConfirmReserveReply>,
+  ): void;
   handOverShards(request: protocol.HandOverShardsRequest): protocol.HandOverShardsResponse;
   pushUsage(request: protocol.PushUsageRequest): protocol.PushUsageResponse;
 }
@@ -42,7 +45,9 @@
   server.addService(protocol.INNER_SERVICE, {
     heartbeat: toUnary(handlers.heartbeat),
     acquireGrant: toUnary(handlers.acquireGrant),
-    confirmReserve: toUnary(handlers.confirmReserve),
+    confirmReserves: (
+      stream: ServerDuplexStream<protocol.ConfirmReserveRequest, protocol.ConfirmReserveReply>,
+    ) => handlers.confirmReserves(stream),
     handOverShards: toUnary(handlers.handOverShards),
     pushUsage: toUnary(handlers.pushUsage),
     subscribeConfig: (
--- a/packages/gateway/src/inner/peer-clients.ts
+++ b/packages/gateway/src/inner/peer-clients.ts
@@ -1,7 +1,13 @@
-import {ChannelCredentials, Client, ClientReadableStream, MethodDefinition} from '@grpc/grpc-js';
+import {
+  ChannelCredentials,
+  Client,
+  ClientDuplexStream,
+  ClientReadableStream,
+  MethodDefinition,
+} from '@grpc/grpc-js';
 import {Err, HostId, Ok, Result} from '@radishgw/core';
 import {Member} from '@radishgw/platform';
-import {INNER_SERVICE} from '@radishgw/protocol';
+import {ConfirmReserveReply, ConfirmReserveRequest, INNER_SERVICE} from '@radishgw/protocol';
 
 /** Why a call to a peer failed; it may have been carried out. */
 export interface PeerError {
@@ -74,6 +80,18 @@
     );
   }
 
+  /** Opens a stream of confirmations to a peer; undefined if the peer isn't a member. */
+  confirmReserves(
+    hostId: HostId,
+  ): ClientDuplexStream<ConfirmReserveRequest, ConfirmReserveReply> | undefined {
+    const method = INNER_SERVICE.confirmReserves;
+    return this.open(hostId)?.makeBidiStreamRequest(
+      method.path,
+      method.requestSerialize,
+      method.responseDeserialize,
+    );
+  }
+
   /** Closes connections to addresses that no member has any more. */
   forgetAllBut(members: readonly Member[]): void {
     const addresses = new Set(members.map(member => member.innerAddress));
--- a/packages/gateway/src/limits/limit-service.ts
+++ b/packages/gateway/src/limits/limit-service.ts
@@ -37,7 +37,8 @@
 import {DecisionLog} from '../operator/decision-log.js';
 import {Charge, RequestLimiter} from '../request/ports.js';
 import {Refusal} from '../request/refusal.js';
-import {decodeAcquired, decodeConfirmed, encodeAcquire, encodeConfirm} from './limit-messages.js';
+import {ConfirmStreams} from './confirm-streams.js';
+import {decodeAcquired, encodeAcquire} from './limit-messages.js';
 import {OwnedShards} from './owned-shards.js';
 
 /** What a host sees of the owner and placement of a shard. */
@@ -67,7 +68,6 @@
 }
 
 const SHARD_REFRESH_MS = 200;
-const CONFIRM_MARGIN_MS = 500;
 /** Time for the owners to take the reserves back. */
 const RELEASE_WAIT_MS = 100;
 const ID_BYTES = 8;
@@ -92,10 +92,12 @@
 export class LimitService implements RequestLimiter {
   private readonly host: HostState;
   private readonly waiting = new Map<RequestId, WaitingCaller>();
+  private readonly confirmations: ConfirmStreams;
   private timer: Timer | undefined;
 
   constructor(private readonly services: LimitServices) {
     const {hostId, settings, config, random} = services;
+    this.confirmations = new ConfirmStreams(services.clients);
     this.host = createHost({
       hostId,
       // Reserves outlive the host's session in the platform, so they have an id of their own.
@@ -236,19 +238,16 @@
   }
 
   private async sendConfirm(request: ConfirmReserveRequest): Promise<void> {
-    const {owned, clients, hostId, settings, viewShard} = this.services;
+    const {owned, hostId, viewShard} = this.services;
     const {ownerId} = viewShard(request.shard);
-    const timeoutMs = settings.confirmHoldMs + settings.callTimeoutMs + CONFIRM_MARGIN_MS;
     const response =
       ownerId === hostId
         ? await owned.confirmReserve(request)
-        : ownerId
-          ? await clients
-              .call(ownerId, INNER_SERVICE.confirmReserve, encodeConfirm(request), timeoutMs)
-              .then(answer => (answer.ok ? decodeConfirmed(answer.val) : undefined))
-          : undefined;
+        : ownerId && (await this.confirmations.send(ownerId, request));
     const {shard, sequence} = request;
-    this.perform(onConfirmResponse(this.host, shard, sequence, response, this.nowMs()));
+    this.perform(
+      onConfirmResponse(this.host, shard, sequence, response || undefined, this.nowMs()),
+    );
   }
 
   private scheduleWake(): void {
--- a/packages/gateway/src/limits/owned-shards.ts
+++ b/packages/gateway/src/limits/owned-shards.ts
@@ -29,6 +29,11 @@
   authorityUntilMs(shard: number): number | undefined;
 }
 
+interface HeldConfirmation {
+  readonly request: ConfirmReserveRequest;
+  answer(response: ConfirmReserveResponse): void;
+}
+
 interface PendingHandOver {
   readonly request: HandOverShardsRequest;
   readonly receivedMs: number;
@@ -52,8 +57,8 @@
   private readonly owners = new Map<number, OwnerState>();
   private timer: Timer | undefined;
   private readonly handOvers = new Map<number, PendingHandOver>();
-  /** Confirmations that are held open, by shard, host and sequence. */
-  private readonly held = new Map<string, (response: ConfirmReserveResponse) => void>();
+  /** The latest confirmation of each host for each shard, until it is answered. */
+  private readonly held = new Map<number, Map<HostId, HeldConfirmation>>();
 
   constructor(private readonly services: OwnedShardsServices) {}
 
@@ -85,6 +90,10 @@
 
   lose(shard: number): void {
     this.owners.delete(shard);
+    for (const {request, answer} of this.held.get(shard)?.values() ?? []) {
+      answer(describeNoOwner(request));
+    }
+    this.held.delete(shard);
   }
 
   changePlacement(shard: number, placement: readonly HostId[]): void {
@@ -121,8 +130,11 @@
     const owner = this.findOwner(request.shard);
     if (!owner) return Promise.resolve(describeNoOwner(request));
     return new Promise(resolve => {
-      const key = describeConfirm(request.shard, request.hostId, request.sequence);
-      this.held.set(key, resolve);
+      const held = this.held.get(request.shard) ?? new Map<HostId, HeldConfirmation>();
+      this.held.set(request.shard, held);
+      const earlier = held.get(request.hostId);
+      earlier?.answer(describeNoOwner(earlier.request));
+      held.set(request.hostId, {request, answer: resolve});
       this.reply(request.shard, handleConfirm(owner, request, this.services.clock.nowMs()));
       this.scheduleWake();
     });
@@ -164,9 +176,10 @@
 
   private reply(shard: number, replies: readonly ConfirmReply[]): void {
     for (const {hostId, requestSequence, response} of replies) {
-      const key = describeConfirm(shard, hostId, requestSequence);
-      this.held.get(key)?.(response);
-      this.held.delete(key);
+      const confirmation = this.held.get(shard)?.get(hostId);
+      if (confirmation?.request.sequence !== requestSequence) continue;
+      this.held.get(shard)?.delete(hostId);
+      confirmation.answer(response);
     }
   }
 }
@@ -191,10 +204,6 @@
   };
 }
 
-function describeConfirm(shard: number, hostId: HostId, sequence: number): string {
-  return `${shard}/${hostId}/${sequence}`;
-}
-
 /** A shard that never had an owner has admitted nothing, so its buckets are full. */
 function describeFullShard(shard: number, epoch: Epoch): HandOverShardsRequest {
   return {
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -37,6 +37,7 @@
 import {Peers} from './inner/peers.js';
 import {findLimit, LimitService} from './limits/limit-service.js';
 import {OwnedShards} from './limits/owned-shards.js';
+import {serveConfirmations} from './limits/confirm-streams.js';
 import {sendHandOver} from './limits/hand-over.js';
 import * as messages from './limits/limit-messages.js';
 import {DecisionLog} from './operator/decision-log.js';
@@ -268,8 +269,7 @@
     subscribeConfig: stream => feed.subscribe(stream),
     acquireGrant: async request =>
       messages.encodeAcquired(owned.acquireGrant(messages.decodeAcquire(request))),
-    confirmReserve: async request =>
-      messages.encodeConfirmed(await owned.confirmReserve(messages.decodeConfirm(request))),
+    confirmReserves: stream => serveConfirmations(owned, stream),
     handOverShards: request => {
       owned.keepHandOver(messages.decodeHandOver(request));
       return create(HandOverShardsResponseSchema, {accepted: true});
--- a/packages/protocol/src/service.ts
+++ b/packages/protocol/src/service.ts
@@ -7,11 +7,11 @@
   name: string,
   request: Req,
   response: Res,
-  responseStream = false,
+  {requestStream = false, responseStream = false} = {},
 ): MethodDefinition<MessageShape<Req>, MessageShape<Res>> {
   return {
     path: `/radishgw.inner.v1.Inner/${name}`,
-    requestStream: false,
+    requestStream,
     responseStream,
     requestSerialize: message => Buffer.from(toBinary(request, message)),
     requestDeserialize: bytes => fromBinary(request, bytes),
@@ -27,17 +27,18 @@
     'SubscribeConfig',
     pb.SubscribeConfigRequestSchema,
     pb.ConfigUpdateSchema,
-    true,
+    {responseStream: true},
   ),
   acquireGrant: defineMethod(
     'AcquireGrant',
     pb.AcquireGrantRequestSchema,
     pb.AcquireGrantResponseSchema,
   ),
-  confirmReserve: defineMethod(
-    'ConfirmReserve',
+  confirmReserves: defineMethod(
+    'ConfirmReserves',
     pb.ConfirmReserveRequestSchema,
-    pb.ConfirmReserveResponseSchema,
+    pb.ConfirmReserveReplySchema,
+    {requestStream: true, responseStream: true},
   ),
   handOverShards: defineMethod(
     'HandOverShards',
