Log when a host stops and starts again to serve keyed requests

Cause: the catalogue named events 1202 and 1203, but no code wrote them, and a host that stopped itself after an invariant failed exited with 0. Seen before: the test of the cut-off host found no event 1202; a first try that looked every 500 ms missed a state that lasted less, so each judgement now logs the change.

--- a/packages/bench/src/idle-cost.ts
+++ b/packages/bench/src/idle-cost.ts
@@ -76,7 +76,7 @@
       rows,
       conclusion:
         `Each further host adds ${slope.toFixed(2)} ms/s of CPU to every host; the target is at ` +
-        `most 40 ms/s (4% of a core) in all.`,
+        'most 40 ms/s (4% of a core) in all.',
     };
   },
 };
--- a/packages/ctl/test/rollout.test.ts
+++ b/packages/ctl/test/rollout.test.ts
@@ -108,6 +108,8 @@
     isolated.proxies!.platform.clearFaults();
     await until(async () => (await callWith(isolated, key)).code === 'invalid_api_key');
     await until(async () => (await callWith(isolated, deployment.key)).status === 200);
+    const events = isolated.child.logLines.join('\n');
+    expect(events).to.include('"name":"configStale"');
   });
 
   it('lets a long stream finish while its key, rate and target are changed', async () => {
--- a/packages/gateway/src/limits/limit-service.ts
+++ b/packages/gateway/src/limits/limit-service.ts
@@ -93,6 +93,8 @@
   private readonly host: HostState;
   private readonly waiting = new Map<RequestId, WaitingCaller>();
   private readonly confirmations: ConfirmStreams;
+  /** Epoch and placement of each shard as the host side last followed them. */
+  private readonly shardViews = new Map<number, string>();
   private timer: Timer | undefined;
 
   constructor(private readonly services: LimitServices) {
@@ -165,9 +167,11 @@
       const {epoch, placement} = viewShard(shard);
       if (epoch === 0) continue;
       const placed = placement.includes(hostId);
+      const view = `${epoch}/${placed}`;
+      if (this.shardViews.get(shard) === view) continue;
+      this.shardViews.set(shard, view);
       this.perform(followShard(this.host, {shard, epoch, placed}, this.nowMs()));
     }
-    this.wake();
   }
 
   private nowMs(): number {
--- a/packages/gateway/src/main.ts
+++ b/packages/gateway/src/main.ts
@@ -25,7 +25,7 @@
     if (stopping) return;
     stopping = true;
     host.stop().then(
-      () => process.exit(0),
+      () => process.exit(process.exitCode ?? 0),
       error => {
         process.stderr.write(`radishgw: ${String(error)}\n`);
         process.exit(1);
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -31,6 +31,7 @@
 import {PoolDispatcher} from './dispatch/pool-dispatcher.js';
 import {listEntryHosts} from './entry-hosts.js';
 import {ConfigFeed} from './inner/config-feed.js';
+import {FreshnessWatch} from './freshness-watch.js';
 import {loadInnerCredentials} from './inner/credentials.js';
 import {startInnerServer} from './inner/inner-server.js';
 import {PeerClients} from './inner/peer-clients.js';
@@ -199,7 +200,10 @@
 
   const http = new Agent({connections: 256, pipelining: 1});
   const claims = new IdempotencyClaims(platform, clock, random);
-  const judgeFreshness = () => freshness.judge(clock.nowMs(), config.completeRevision);
+  const freshnessWatch = new FreshnessWatch(log, () =>
+    freshness.judge(clock.nowMs(), config.completeRevision),
+  );
+  const judgeFreshness = () => freshnessWatch.judge();
   const callers = new CallerServer({
     claims,
     tls: readTlsSettings(settings),
@@ -299,6 +303,7 @@
   start(limiter.run());
   start(usage.run());
   start(usageRole.run());
+  start(freshnessWatch.run());
   start(
     pollLoads({
       clock,
