Count answers that are sent at once as served

Cause: a response that fits one write closes before the end of its procedure is seen, because Node.js runs next-tick callbacks before promise callbacks; GET /v1/models and GET /v1/entry then counted as broken off by the caller. Ruled out: a caller that really disconnects, by five calls with curl that all got the whole answer and all counted as outcome_unknown. Seen before: the new test failed on code="outcome_unknown" in the metrics.

--- a/packages/gateway/src/caller/caller-server.ts
+++ b/packages/gateway/src/caller/caller-server.ts
@@ -168,7 +168,9 @@
     const deadline = clock.setTimer(context.deadlineMs - clock.nowMs(), () => abort('deadline'));
     const closed = new Promise<void>(resolve => {
       response.once('close', () => {
-        if (!finished && !context.outlivesCaller) abort('closed');
+        // A whole response closes before the end of its procedure is seen, in a later microtask.
+        const isOver = finished || response.writableFinished;
+        if (!isOver && !context.outlivesCaller) abort('closed');
         resolve();
       });
     });
--- a/packages/gateway/test/openai.test.ts
+++ b/packages/gateway/test/openai.test.ts
@@ -64,6 +64,19 @@
     expect(models.data.map(model => model.id)).to.deep.equal([deployment.model]);
   });
 
+  it('are counted as served when the answer is sent at once', async () => {
+    // Guards against answers without a target that count as broken off by the caller.
+    const {entryUrl, operatorUrl} = deployment.hosts[0];
+    for (const path of ['/v1/models', '/v1/entry']) {
+      const headers = {authorization: `Bearer ${deployment.key}`};
+      expect((await fetch(entryUrl + path, {headers})).status).to.equal(200);
+    }
+    const metrics = await (await fetch(`${operatorUrl}/metrics`)).text();
+    expect(metrics).not.to.include('code="outcome_unknown"');
+    const labels = `team="${deployment.teamId}",class="standard",resource="none"`;
+    expect(metrics).to.match(new RegExp(`radishgw_requests_total{${labels}} [2-9]`));
+  });
+
   it('get 401 for a wrong key and 404 for an unknown model, both not run', async () => {
     // Guards against refusals that the client library can't classify.
     const request = {messages: [{role: 'user' as const, content: 'x'}]};
