--- a/packages/ctl/test/rollout.test.ts
+++ b/packages/ctl/test/rollout.test.ts
@@ -1,7 +1,10 @@
 import {execFile} from 'node:child_process';
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {teamKey} from '@radishgw/config';
-import {Deployment, HostHandle, startDeployment} from '@radishgw/testkit';
+import {DEMO_ROUTE, Deployment, HostHandle, startDeployment} from '@radishgw/testkit';
 import {expect} from 'chai';
 import {Agent, request} from 'undici';
 
@@ -86,6 +89,49 @@
     }
   });
 
+  it('changes a rate on every host under traffic with apply --wait', async () => {
+    // Guards against hosts that go on with the old rate after the change is said to be in force.
+    const folder = await mkdtemp(join(tmpdir(), 'radishgw-apply-'));
+    const applyBurst = async (burstTokens: number) => {
+      const {base, team} = deployment;
+      const teams = [
+        {
+          teamId: team.teamId,
+          template: team.template,
+          parameters: {...team.parameters, burstTokens},
+        },
+      ];
+      // JSON is YAML too.
+      const file = join(folder, 'deployment.yaml');
+      await writeFile(file, JSON.stringify({...base, teams}));
+      const outcome = await radishctl('apply', file, '--wait');
+      expect(outcome.code, outcome.stderr).to.equal(0);
+    };
+    const order = async (host: HostHandle) => {
+      const response = await request(host.entryUrl + DEMO_ROUTE, {
+        method: 'POST',
+        headers: {authorization: `Bearer ${deployment.key}`},
+        body: '{}',
+      });
+      await response.body.dump();
+      return response.statusCode;
+    };
+    let isOver = false;
+    const seen = new Set<number>();
+    const traffic = deployment.hosts.map(async host => {
+      while (!isOver) seen.add(await order(host));
+    });
+    // A call of the route costs 10 tokens, more than this burst.
+    await applyBurst(5);
+    for (const host of deployment.hosts) expect(await order(host), host.hostId).to.equal(429);
+    await applyBurst(500_000);
+    for (const host of deployment.hosts) await until(async () => (await order(host)) === 200);
+    isOver = true;
+    await Promise.all(traffic);
+    expect([...seen].filter(status => status !== 200 && status !== 429)).to.deep.equal([]);
+    await rm(folder, {recursive: true});
+  });
+
   it('stops keyed requests on a host that is cut off from platform and peers', async () => {
     // Guards against an isolated host that goes on accepting withdrawn keys.
     const {keyId, key} = await issueKey();
