--- a/packages/ctl/src/commands/configuration.ts
+++ b/packages/ctl/src/commands/configuration.ts
@@ -8,7 +8,7 @@
   planChanges,
   teamKey,
 } from '@radishgw/config';
-import {applyChanges, HISTORY_PREFIX, waitUntilInForce} from '../changes.js';
+import {AppliedChange, applyChanges, HISTORY_PREFIX, waitUntilInForce} from '../changes.js';
 import {Command, CommandArgs, CommandContext} from '../command.js';
 import {CommandError} from '../errors.js';
 import {expectAnswer} from '../platform-errors.js';
@@ -32,16 +32,24 @@
   throw new CommandError('failed', parsed.val.map(formatIssue).join('\n'));
 }
 
-/** Shows what was changed and, with `--wait`, waits until it is in force. */
+/** With `--wait`, waits until a change is in force on all hosts. */
+export async function waitIfAsked(
+  context: CommandContext,
+  args: CommandArgs,
+  applied: readonly AppliedChange[],
+): Promise<void> {
+  if (!args.wait || applied.length === 0) return;
+  const states = await waitUntilInForce(context, applied, Number(args['wait-timeout-ms']));
+  process.stderr.write(`in force on ${states.length} hosts\n`);
+}
+
+/** Waits if asked, then shows what was changed. */
 export async function finishChange(
   context: CommandContext,
   args: CommandArgs,
-  applied: Awaited<ReturnType<typeof applyChanges>>,
+  applied: readonly AppliedChange[],
 ): Promise<void> {
-  if (args.wait && applied.length > 0) {
-    const states = await waitUntilInForce(context, applied, Number(args['wait-timeout-ms']));
-    process.stderr.write(`in force on ${states.length} hosts\n`);
-  }
+  await waitIfAsked(context, args, applied);
   context.output.writeRows(applied, ['key', 'kind', 'revision']);
 }
 
--- a/packages/ctl/src/commands/keys.ts
+++ b/packages/ctl/src/commands/keys.ts
@@ -5,7 +5,7 @@
 import {CommandError} from '../errors.js';
 import {callHost, listHosts} from '../hosts.js';
 import {expectAnswer} from '../platform-errors.js';
-import {finishChange, WAIT_OPTIONS} from './configuration.js';
+import {finishChange, WAIT_OPTIONS, waitIfAsked} from './configuration.js';
 
 const KEY_ID_BYTES = 6;
 
@@ -31,7 +31,7 @@
     const key = issueKey(toId<KeyId>(random.nextHex(KEY_ID_BYTES)), random);
     const applied = await changeKeys(context, String(args.teamId), keys => [...keys, key.record]);
     context.output.writeObject({keyId: key.record.keyId, key: key.text});
-    if (args.wait) await finishChange(context, args, applied);
+    await waitIfAsked(context, args, applied);
   },
 };
 
--- a/packages/ctl/src/commands/operations.ts
+++ b/packages/ctl/src/commands/operations.ts
@@ -6,6 +6,19 @@
 import {expectAnswer} from '../platform-errors.js';
 import {finishChange, WAIT_OPTIONS} from './configuration.js';
 
+const STATUS_COLUMNS = [
+  'host',
+  'failureDomain',
+  'session',
+  'ready',
+  'freshness',
+  'completeRevision',
+  'inFlight',
+  'queued',
+  'shards',
+  'roles',
+];
+
 const status: Command = {
   usage: 'status',
   description: 'Shows hosts, their versions and load, and the holders of roles',
@@ -19,24 +32,15 @@
         ...((await readStatus(host)) ?? {reachable: false}),
       })),
     );
-    context.output.writeRows(rows, [
-      'host',
-      'failureDomain',
-      'session',
-      'ready',
-      'freshness',
-      'completeRevision',
-      'inFlight',
-      'queued',
-      'shards',
-      'roles',
-    ]);
     const roles = expectAnswer(await context.platform.list('roles/'), 'list roles');
     const holders = roles.objects.map(object => {
       const value = JSON.parse(object.value) as Record<string, unknown>;
       return {role: object.key, holder: value.hostId, epoch: value.epoch};
     });
-    context.output.writeRows(holders, ['role', 'holder', 'epoch']);
+    context.output.writeSections({
+      hosts: {rows, columns: STATUS_COLUMNS},
+      roles: {rows: holders, columns: ['role', 'holder', 'epoch']},
+    });
     if (rows.some(row => 'reachable' in row)) {
       throw new CommandError('failed', 'not all hosts can be reached');
     }
--- a/packages/ctl/src/output.ts
+++ b/packages/ctl/src/output.ts
@@ -18,6 +18,18 @@
     else this.stream.write(formatTable(rows as readonly Row[], columns));
   }
 
+  /** Writes several tables, or one JSON object with a list for each. */
+  writeSections(
+    sections: Readonly<Record<string, {rows: readonly object[]; columns: readonly string[]}>>,
+  ): void {
+    if (this.format === 'json') {
+      const entries = Object.entries(sections).map(([name, {rows}]) => [name, rows]);
+      this.writeJson(Object.fromEntries(entries));
+      return;
+    }
+    for (const {rows, columns} of Object.values(sections)) this.writeRows(rows, columns);
+  }
+
   /** Writes one object: as JSON, or field by field. */
   writeObject(value: Row): void {
     if (this.format === 'json') {
--- a/packages/ctl/test/rollout.test.ts
+++ b/packages/ctl/test/rollout.test.ts
@@ -72,8 +72,7 @@
   async function issueKey(): Promise<{keyId: string; key: string}> {
     const issued = await radishctl('key', 'issue', deployment.teamId, '--wait', '--output', 'json');
     expect(issued.code, issued.stderr).to.equal(0);
-    const end = issued.stdout.indexOf('}\n') + 1;
-    return JSON.parse(issued.stdout.slice(0, end)) as {keyId: string; key: string};
+    return JSON.parse(issued.stdout) as {keyId: string; key: string};
   }
 
   it('has an issued key in force on every host after --wait, and withdraws it everywhere', async () => {
@@ -89,6 +88,27 @@
     }
   });
 
+  it('shows hosts and roles as one JSON document, and the reason of a decision', async () => {
+    // Guards against output that scripts can't parse, and against decisions without a reason.
+    const status = await radishctl('status', '--output', 'json');
+    expect(status.code, status.stderr).to.equal(0);
+    const {hosts} = JSON.parse(status.stdout) as {hosts: {host: string; ready: boolean}[]};
+    expect(hosts.map(row => row.host).sort()).to.deep.equal(['host-1', 'host-2', 'host-3']);
+    expect(hosts.every(row => row.ready)).to.equal(true);
+    const response = await request(deployment.hosts[1].entryUrl + DEMO_ROUTE, {
+      method: 'POST',
+      headers: {authorization: `Bearer ${deployment.key}`},
+      body: '{}',
+    });
+    await response.body.dump();
+    const requestId = String(response.headers['x-request-id']);
+    const explained = await radishctl('explain', requestId, '--output', 'json');
+    const [record] = JSON.parse(explained.stdout) as {decision: string; reason: object}[];
+    expect(record.decision).to.equal('send to service-1');
+    expect(record.reason).to.have.keys('queue', 'route');
+    expect((await radishctl('explain', 'no-such-id')).code).to.equal(1);
+  });
+
   it('changes a rate on every host under traffic with apply --wait', async () => {
     // Guards against hosts that go on with the old rate after the change is said to be in force.
     const folder = await mkdtemp(join(tmpdir(), 'radishgw-apply-'));
