--- a/packages/bench/src/control/membership-cost.ts
+++ b/packages/bench/src/control/membership-cost.ts
@@ -1,10 +1,10 @@
-import {Ok} from '@radishgw/core';
 import {
   createHandlers,
   createSeededRandom,
   FailureDomain,
   hash32,
   HostId,
+  Ok,
   SILENT_LOG,
   startTask,
   SystemClock,
--- a/packages/bench/src/control/recording-engine.ts
+++ b/packages/bench/src/control/recording-engine.ts
@@ -1,5 +1,4 @@
-import {Err, Ok, Result} from '@radishgw/core';
-import {OrderId, RandomSource, TargetId, VirtualClock} from '@radishgw/core';
+import {Err, Ok, OrderId, RandomSource, Result, TargetId, VirtualClock} from '@radishgw/core';
 import {EngineControl, EngineOrder, EngineState, SendError} from '@radishgw/fleet';
 import {SimulatedProcess} from './simulated-process.js';
 
--- a/packages/bench/src/control/usage-host.ts
+++ b/packages/bench/src/control/usage-host.ts
@@ -1,13 +1,14 @@
-import {Err, Result} from '@radishgw/core';
 import {
   createHandlers,
   createSeededRandom,
   EffectHandlers,
+  Err,
   FailureDomain,
   hash32,
   HostId,
   Procedure,
   RandomSource,
+  Result,
   SILENT_LOG,
   sleep,
   startTask,
--- a/packages/fleet/src/engine-control.ts
+++ b/packages/fleet/src/engine-control.ts
@@ -1,5 +1,4 @@
-import {Result} from '@radishgw/core';
-import {OrderId, TargetId} from '@radishgw/core';
+import {OrderId, Result, TargetId} from '@radishgw/core';
 
 /** What an engine works on. */
 export type EngineRole = 'prefill' | 'decode' | 'both';
--- a/packages/fleet/src/engine-orders.ts
+++ b/packages/fleet/src/engine-orders.ts
@@ -1,6 +1,5 @@
-import {Err, Ok, Result} from '@radishgw/core';
+import {call, Err, Ok, OrderId, Procedure, Result, sleep, TargetId, toId} from '@radishgw/core';
 import {z} from 'zod';
-import {call, OrderId, Procedure, sleep, TargetId, toId} from '@radishgw/core';
 import {Authority} from '@radishgw/platform';
 import {EngineControl, EngineSpec, matchesSpec, SendError} from './engine-control.js';
 import {JournalledOrders, OrderChannel, OrderError, OrderTimes} from './journalled-orders.js';
--- a/packages/fleet/src/http-engine-control.ts
+++ b/packages/fleet/src/http-engine-control.ts
@@ -1,7 +1,6 @@
-import {Err, Ok, Result} from '@radishgw/core';
+import {Err, Ok, OrderId, Result, TargetId} from '@radishgw/core';
 import {buildConnector, Client} from 'undici';
 import {z} from 'zod';
-import {OrderId, TargetId} from '@radishgw/core';
 import {EngineControl, EngineOrder, EngineState, SendError} from './engine-control.js';
 
 /** Settings of the HTTP adapter. */
--- a/packages/fleet/src/journalled-orders.ts
+++ b/packages/fleet/src/journalled-orders.ts
@@ -1,6 +1,5 @@
-import {Err, Ok, Result} from '@radishgw/core';
+import {assertInvariant, call, Err, Ok, OrderId, Procedure, Result, sleep} from '@radishgw/core';
 import {z} from 'zod';
-import {assertInvariant, call, OrderId, Procedure, sleep} from '@radishgw/core';
 import {Authority} from '@radishgw/platform';
 import {SendError} from './engine-control.js';
 import {FleetDependencies, JournalEntry, OrderJournal} from './order-journal.js';
--- a/packages/fleet/src/order-journal.ts
+++ b/packages/fleet/src/order-journal.ts
@@ -1,15 +1,17 @@
-import {Err, Ok, Result} from '@radishgw/core';
-import {z} from 'zod';
 import {
   assertInvariant,
   call,
   Clock,
+  Err,
   EventLog,
+  Ok,
   OrderId,
   Procedure,
   RandomSource,
+  Result,
   toId,
 } from '@radishgw/core';
+import {z} from 'zod';
 import {Authority, Platform, putSettled, Revision} from '@radishgw/platform';
 
 /** What control procedures of this package need from the outside. */
--- a/packages/fleet/src/target-orders.ts
+++ b/packages/fleet/src/target-orders.ts
@@ -1,6 +1,5 @@
-import {Err, Ok, Result} from '@radishgw/core';
+import {Err, FailureDomain, Ok, OrderId, PoolId, Procedure, Result} from '@radishgw/core';
 import {z} from 'zod';
-import {FailureDomain, OrderId, PoolId, Procedure} from '@radishgw/core';
 import {Authority, Platform, PlatformError} from '@radishgw/platform';
 import {SendError} from './engine-control.js';
 import {JournalledOrders, OrderChannel, OrderError, OrderTimes} from './journalled-orders.js';
--- a/packages/fleet/test/order-rig.ts
+++ b/packages/fleet/test/order-rig.ts
@@ -1,9 +1,11 @@
-import {Err, Ok, Result} from '@radishgw/core';
 import {
   createHandlers,
   createSeededRandom,
+  Err,
   HostId,
+  Ok,
   Procedure,
+  Result,
   SessionId,
   SILENT_LOG,
   startTask,
--- a/packages/fleet/test/orders.test.ts
+++ b/packages/fleet/test/orders.test.ts
@@ -1,6 +1,5 @@
 import {expect} from 'chai';
-import {Err} from '@radishgw/core';
-import {FailureDomain, PoolId, toId} from '@radishgw/core';
+import {Err, FailureDomain, PoolId, toId} from '@radishgw/core';
 import {runVirtually} from '@radishgw/platform/testing';
 import {DECODE, ENGINE, OrderRig, PREFILL} from './order-rig.js';
 
--- a/packages/gateway/src/inner/peers.ts
+++ b/packages/gateway/src/inner/peers.ts
@@ -1,8 +1,13 @@
 import {ConfigStore, Freshness} from '@radishgw/config';
 import {call, Clock, EventLog, HostId, Procedure, sleep} from '@radishgw/core';
 import {HostSession, Member, Membership} from '@radishgw/platform';
-import {create, HeartbeatRequestSchema, HostReport, HostReportSchema} from '@radishgw/protocol';
-import {INNER_SERVICE} from '@radishgw/protocol';
+import {
+  create,
+  HeartbeatRequestSchema,
+  HostReport,
+  HostReportSchema,
+  INNER_SERVICE,
+} from '@radishgw/protocol';
 import {PeerClients} from './peer-clients.js';
 
 const HEARTBEAT_MS = 1000;
--- a/packages/platform/src/authority.ts
+++ b/packages/platform/src/authority.ts
@@ -1,5 +1,4 @@
-import {Result} from '@radishgw/core';
-import {HostId, SessionId} from '@radishgw/core';
+import {HostId, Result, SessionId} from '@radishgw/core';
 
 /** Number of a holder of a role or shard; rises by one with each claim and fences its orders. */
 export type Epoch = number;
--- a/packages/platform/src/holder.ts
+++ b/packages/platform/src/holder.ts
@@ -1,5 +1,4 @@
-import {Err, Ok, Result} from '@radishgw/core';
-import {assertInvariant, call, HostId, Procedure, SessionId} from '@radishgw/core';
+import {assertInvariant, call, Err, HostId, Ok, Procedure, Result, SessionId} from '@radishgw/core';
 import {Authority, AuthorityError, Epoch} from './authority.js';
 import {Membership} from './membership.js';
 import {PlatformObject, Revision} from './platform.js';
--- a/packages/platform/src/role-lease.ts
+++ b/packages/platform/src/role-lease.ts
@@ -1,5 +1,4 @@
-import {Err, Result} from '@radishgw/core';
-import {EffectHandlers, Procedure, sleep, startTask, Task} from '@radishgw/core';
+import {EffectHandlers, Err, Procedure, Result, sleep, startTask, Task} from '@radishgw/core';
 import {Authority, AuthorityError, Epoch} from './authority.js';
 import {claim, HeldAuthority, readHeld, release, settleHolder} from './holder.js';
 import {Membership} from './membership.js';
--- a/packages/platform/src/session.ts
+++ b/packages/platform/src/session.ts
@@ -1,13 +1,15 @@
-import {Err, Ok, Result} from '@radishgw/core';
 import {
   assertInvariant,
   call,
   Clock,
+  Err,
   EventLog,
   FailureDomain,
   HostId,
+  Ok,
   Procedure,
   RandomSource,
+  Result,
   SessionId,
   sleep,
   toId,
--- a/packages/platform/src/settled-put.ts
+++ b/packages/platform/src/settled-put.ts
@@ -1,5 +1,4 @@
-import {Err, Ok, Result} from '@radishgw/core';
-import {call, Clock, Procedure, sleep} from '@radishgw/core';
+import {call, Clock, Err, Ok, Procedure, Result, sleep} from '@radishgw/core';
 import {Platform, PlatformObject, Revision} from './platform.js';
 
 /** A conditional update whose writer recognises its own work by `attemptId`. */
--- a/packages/platform/src/shard-assignment.ts
+++ b/packages/platform/src/shard-assignment.ts
@@ -1,5 +1,4 @@
-import {Err, Result} from '@radishgw/core';
-import {call, HostId, Procedure, sleep} from '@radishgw/core';
+import {call, Err, HostId, Procedure, Result, sleep} from '@radishgw/core';
 import {Authority, AuthorityError, Epoch} from './authority.js';
 import {
   claim,
--- a/packages/platform/src/testing/memory-platform.ts
+++ b/packages/platform/src/testing/memory-platform.ts
@@ -1,5 +1,4 @@
-import {Err, Ok, Result} from '@radishgw/core';
-import {Clock, RandomSource} from '@radishgw/core';
+import {Clock, Err, Ok, RandomSource, Result} from '@radishgw/core';
 import {
   ListedHost,
   ObjectList,
--- a/packages/platform/src/testing/memory-store.ts
+++ b/packages/platform/src/testing/memory-store.ts
@@ -1,5 +1,4 @@
-import {Err, Ok, Result} from '@radishgw/core';
-import {Clock, HostId} from '@radishgw/core';
+import {Clock, Err, HostId, Ok, Result} from '@radishgw/core';
 import {
   ListedHost,
   ObjectList,
--- a/packages/usage/src/copy-store.ts
+++ b/packages/usage/src/copy-store.ts
@@ -1,5 +1,4 @@
-import {Err, Ok, Result} from '@radishgw/core';
-import {HostId, SessionId} from '@radishgw/core';
+import {Err, HostId, Ok, Result, SessionId} from '@radishgw/core';
 import {UsagePush, UsagePushAnswer, UsagePushError} from './types.js';
 import {UsageStream} from './usage-stream.js';
 
--- a/packages/usage/src/frozen-window.ts
+++ b/packages/usage/src/frozen-window.ts
@@ -1,5 +1,4 @@
-import {Err, Ok, Result} from '@radishgw/core';
-import {call, Procedure} from '@radishgw/core';
+import {call, Err, Ok, Procedure, Result} from '@radishgw/core';
 import {Platform, PlatformObject, putSettled} from '@radishgw/platform';
 import {FrozenMarks, UsageFigure} from './shard-ledger.js';
 import {UsageDependencies, WINDOW_MS} from './types.js';
--- a/packages/usage/src/types.ts
+++ b/packages/usage/src/types.ts
@@ -1,5 +1,4 @@
-import {Result} from '@radishgw/core';
-import {Clock, EventLog, HostId, RandomSource, SessionId, TeamId} from '@radishgw/core';
+import {Clock, EventLog, HostId, RandomSource, Result, SessionId, TeamId} from '@radishgw/core';
 import {Platform} from '@radishgw/platform';
 
 /** Length of an accounting window; windows start at multiples of it in wall time. */
--- a/packages/usage/src/usage-freezer.ts
+++ b/packages/usage/src/usage-freezer.ts
@@ -1,5 +1,4 @@
-import {Err, Ok, Result} from '@radishgw/core';
-import {Procedure, sleep} from '@radishgw/core';
+import {Err, Ok, Procedure, Result, sleep} from '@radishgw/core';
 import {Authority, putSettled} from '@radishgw/platform';
 import {
   FrozenWindow,
--- a/packages/usage/test/usage.test.ts
+++ b/packages/usage/test/usage.test.ts
@@ -1,10 +1,11 @@
 import {expect} from 'chai';
-import {Ok, Result} from '@radishgw/core';
 import {
   createHandlers,
   createSeededRandom,
   HostId,
+  Ok,
   Procedure,
+  Result,
   SessionId,
   SILENT_LOG,
   startTask,
