Split the wiring of the entry host into one function for each part

startEntryHost had grown to 300 lines that built everything. Base, place among the hosts, shards, request path and inner handlers are now built by a function each; what they build and how they are joined has not changed.

--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -13,27 +13,26 @@
   Task,
   toId,
 } from '@radishgw/core';
+import {DEFAULT_LIMIT_SETTINGS, placeShards} from '@radishgw/limits';
 import {
   DEFAULT_LEASE_TIMES,
   HostSession,
   HttpPlatform,
-  Member,
   Membership,
   RoleLease,
   ShardAssignment,
 } from '@radishgw/platform';
-import {DEFAULT_LIMIT_SETTINGS, placeShards} from '@radishgw/limits';
 import {create, HandOverShardsResponseSchema, HeartbeatResponseSchema} from '@radishgw/protocol';
 import {Agent} from 'undici';
 import {CallerServer} from './caller/caller-server.js';
 import {ConfigSync} from './config-sync.js';
-import {pollLoads} from './dispatch/load-poller.js';
+import {LoadPollerServices, pollLoads} from './dispatch/load-poller.js';
 import {PoolDispatcher} from './dispatch/pool-dispatcher.js';
 import {listEntryHosts} from './entry-hosts.js';
 import {ConfigFeed} from './inner/config-feed.js';
 import {FreshnessWatch} from './freshness-watch.js';
 import {loadInnerCredentials} from './inner/credentials.js';
-import {startInnerServer} from './inner/inner-server.js';
+import {InnerHandlers, startInnerServer} from './inner/inner-server.js';
 import {PeerClients} from './inner/peer-clients.js';
 import {Peers} from './inner/peers.js';
 import {findLimit, LimitService} from './limits/limit-service.js';
@@ -58,21 +57,13 @@
   reload(): void;
 }
 
-/** Builds the parts of an entry host and starts them. `onDrained` runs after an operator's drain. */
-export async function startEntryHost(
-  settings: Settings,
-  onDrained: () => void = () => undefined,
-): Promise<EntryHost> {
+/** What every other part needs. */
+function createBase(settings: Settings) {
   const clock = new SystemClock();
-  const handlers = createHandlers(clock);
   const log = createEventLog({format: settings.logFormat, minLevel: settings.logLevel});
   const random = createSystemRandom();
-  const metrics = new Metrics();
-  const decisions = new DecisionLog(clock);
   const hostId = toId<HostId>(settings.hostId);
   const failureDomain = toId<FailureDomain>(settings.failureDomain);
-  const callerScheme = settings.tlsCertificateFile ? 'https' : 'http';
-
   const config = new ConfigStore();
   const freshness = new Freshness(
     {hostId, failureDomain},
@@ -83,7 +74,35 @@
     callTimeoutMs: settings.platformTimeoutMs,
   });
   const platform = new PlatformMonitor(httpPlatform, clock, freshness, log);
-  const dependencies = {platform, clock, random, log};
+  return {
+    settings,
+    clock,
+    handlers: createHandlers(clock),
+    log,
+    random,
+    metrics: new Metrics(),
+    decisions: new DecisionLog(clock),
+    hostId,
+    failureDomain,
+    config,
+    freshness,
+    freshnessWatch: new FreshnessWatch(log, () =>
+      freshness.judge(clock.nowMs(), config.completeRevision),
+    ),
+    httpPlatform,
+    platform,
+    /** Shared by all control procedures. */
+    dependencies: {platform, clock, random, log},
+    credentials: loadInnerCredentials(readInnerTlsSettings(settings)),
+  };
+}
+
+type Base = ReturnType<typeof createBase>;
+
+/** The host's place among the others, and the configuration that they pass on. */
+function createMembership(base: Base, onConfigChanged: () => void) {
+  const {settings, hostId, failureDomain, dependencies} = base;
+  const callerScheme = settings.tlsCertificateFile ? 'https' : 'http';
   const session = new HostSession(dependencies, {
     hostId,
     failureDomain,
@@ -92,54 +111,40 @@
     operatorAddress: settings.operatorAddress,
   });
   const membership = new Membership(dependencies, {times: DEFAULT_LEASE_TIMES});
-
-  const credentials = loadInnerCredentials(readInnerTlsSettings(settings));
-  const findMember = (id: HostId): Member | undefined =>
-    membership.members().find(member => member.hostId === id);
-  const clients = new PeerClients(credentials.client, findMember);
-  const feed = new ConfigFeed(config);
+  const clients = new PeerClients(base.credentials.client, id =>
+    membership.members().find(member => member.hostId === id),
+  );
+  const feed = new ConfigFeed(base.config);
   const peers = new Peers({
-    clock,
-    log,
+    ...base,
     session,
     membership,
     clients,
-    config,
-    freshness,
-    failureDomain,
     onHigherRevision: (id, revision) => configSync.catchUpFrom(id, revision),
   });
-  const dispatcher = new PoolDispatcher({
-    clock,
-    random,
-    config,
-    decisions,
-    isLeaving: targetId => membership.isListedLeaving(targetId),
-  });
   const configSync = new ConfigSync({
-    platform,
-    clock,
-    handlers,
-    log,
+    ...base,
     session,
     membership,
-    config,
-    freshness,
     feed,
     clients,
-    failureDomain,
     isReachable: id => peers.isReachable(id),
-    onChanged: () => {
-      dispatcher.applyConfig();
-      limiter.applyConfig();
-    },
+    onChanged: onConfigChanged,
   });
+  return {session, membership, clients, feed, peers, configSync};
+}
+
+type Cluster = ReturnType<typeof createMembership>;
 
-  const limitSettings = {...DEFAULT_LIMIT_SETTINGS, shardCount: settings.shardCount};
+/** What a host does as the owner of shards: limits and usage. */
+function createShards(base: Base, {session, membership, clients}: Cluster) {
+  const {settings, hostId, dependencies, handlers} = base;
+  const {shardCount} = settings;
+  const limitSettings = {...DEFAULT_LIMIT_SETTINGS, shardCount};
   const owned: OwnedShards = new OwnedShards({
-    clock,
+    clock: base.clock,
     settings: limitSettings,
-    findLimit: teamId => findLimit(config, teamId),
+    findLimit: teamId => findLimit(base.config, teamId),
     authorityUntilMs: shard => {
       const renewal = session.lastRenewal;
       const mayAct = assignment.check(shard).ok && renewal !== undefined;
@@ -147,12 +152,8 @@
     },
   });
   const limiter: LimitService = new LimitService({
-    clock,
-    random,
-    hostId,
-    config,
+    ...base,
     clients,
-    decisions,
     settings: limitSettings,
     owned,
     viewShard: shard => {
@@ -162,9 +163,8 @@
     },
   });
   const assignment: ShardAssignment = new ShardAssignment(dependencies, session, membership, {
-    shardCount: settings.shardCount,
-    placement: (members, shardCount) =>
-      placeShards(members, shardCount, limitSettings.placementSize),
+    shardCount,
+    placement: (members, count) => placeShards(members, count, limitSettings.placementSize),
     describeData: (shard, previous, placement) => owned.describeData(shard, previous, placement),
     onAcquired: (shard, authority, claim) => {
       owned.acquire(shard, authority.epoch, claim);
@@ -182,14 +182,13 @@
         assignment.placementOf(shard).filter(id => id !== hostId),
       ),
   });
-
   const usage: UsageService = new UsageService({
     ...dependencies,
     handlers,
     session,
     membership,
     clients,
-    shardCount: settings.shardCount,
+    shardCount,
     shardOf: teamId => limiter.shardOf(teamId),
     ownerOf: shard => assignment.owner(shard),
   });
@@ -197,32 +196,31 @@
     role: 'usage',
     work: authority => usage.report(authority),
   });
+  return {owned, limiter, assignment, usage, usageRole};
+}
+
+type Shards = ReturnType<typeof createShards>;
 
+/** The callers' API and what requests go through. */
+function createRequestPath(
+  base: Base,
+  {membership, peers}: Cluster,
+  {limiter, assignment, usage}: Shards,
+  dispatcher: PoolDispatcher,
+) {
+  const {settings, platform, clock, random, freshnessWatch} = base;
   const http = new Agent({connections: 256, pipelining: 1});
   const claims = new IdempotencyClaims(platform, clock, random);
-  const freshnessWatch = new FreshnessWatch(log, () =>
-    freshness.judge(clock.nowMs(), config.completeRevision),
-  );
-  const judgeFreshness = () => freshnessWatch.judge();
   const callers = new CallerServer({
+    ...base,
+    ...settings,
     claims,
     tls: readTlsSettings(settings),
-    requestTimeoutMs: settings.requestTimeoutMs,
-    clock,
-    handlers,
-    config,
-    log,
-    random,
-    metrics,
     http,
     limiter,
     dispatcher,
-    maxBodyBytes: settings.maxBodyBytes,
-    maxInFlight: settings.maxInFlight,
-    defaultDeadlineMs: settings.defaultDeadlineMs,
-    progressTimeoutMs: settings.progressTimeoutMs,
     checkFreshness: () => {
-      const verdict = judgeFreshness();
+      const verdict = freshnessWatch.judge();
       if (verdict.kind !== 'stale') return;
       throw new Refusal('configNotFresh', `keys can't be confirmed: ${verdict.reason}`);
     },
@@ -239,14 +237,55 @@
       if (team) usage.record(team.teamId, resource, {promptTokens: 0, outputTokens: 0, calls: 1});
     },
   });
+  return {http, claims, callers};
+}
+
+/** Answers of this host to the others. */
+function createInnerHandlers({peers, feed}: Cluster, {owned, usage}: Shards): InnerHandlers {
+  return {
+    heartbeat: () => create(HeartbeatResponseSchema, {report: peers.buildReport()}),
+    subscribeConfig: stream => feed.subscribe(stream),
+    acquireGrant: async request =>
+      messages.encodeAcquired(owned.acquireGrant(messages.decodeAcquire(request))),
+    confirmReserves: stream => serveConfirmations(owned, stream),
+    handOverShards: request => {
+      owned.keepHandOver(messages.decodeHandOver(request));
+      return create(HandOverShardsResponseSchema, {accepted: true});
+    },
+    pushUsage: request => answerPush(usage, request),
+  };
+}
+
+/** Builds the parts of an entry host and starts them. `onDrained` runs after an operator's drain. */
+export async function startEntryHost(
+  settings: Settings,
+  onDrained: () => void = () => undefined,
+): Promise<EntryHost> {
+  const base = createBase(settings);
+  const {clock, handlers, log, random, config, freshnessWatch, hostId, failureDomain} = base;
+  const cluster = createMembership(base, () => {
+    dispatcher.applyConfig();
+    shards.limiter.applyConfig();
+  });
+  const {session, membership, clients, feed, peers, configSync} = cluster;
+  const shards = createShards(base, cluster);
+  const {limiter, assignment, usage, usageRole} = shards;
+  const dispatcher = new PoolDispatcher({
+    clock,
+    random,
+    config,
+    decisions: base.decisions,
+    isLeaving: targetId => membership.isListedLeaving(targetId),
+  });
+  const {http, claims, callers} = createRequestPath(base, cluster, shards, dispatcher);
 
   let stopping: Promise<void> | undefined;
-  const isReady = () =>
-    stopping === undefined && configSync.isComplete() && judgeFreshness().kind !== 'stale';
   const stop = () => (stopping ??= stopGracefully());
+  const isReady = () =>
+    stopping === undefined && configSync.isComplete() && freshnessWatch.judge().kind !== 'stale';
   const operators = createOperatorServer({
-    metrics,
-    decisions,
+    metrics: base.metrics,
+    decisions: base.decisions,
     isReady,
     withdrawKey: (keyId, digestHex) => config.withdrawKey(toId<KeyId>(keyId), digestHex),
     drain: () => void stop().then(onDrained),
@@ -255,7 +294,7 @@
       failureDomain,
       ready: isReady(),
       stopping: stopping !== undefined,
-      freshness: judgeFreshness(),
+      freshness: freshnessWatch.judge(),
       completeRevision: config.completeRevision,
       rejected: config.listRejected(),
       inFlight: callers.getInFlight(),
@@ -266,60 +305,31 @@
       subscribers: feed.countSubscribers(),
     }),
   });
-
-  const innerListenAddress = settings.innerListenAddress ?? settings.innerAddress;
-  const innerServer = await startInnerServer(innerListenAddress, credentials.server, {
-    heartbeat: () => create(HeartbeatResponseSchema, {report: peers.buildReport()}),
-    subscribeConfig: stream => feed.subscribe(stream),
-    acquireGrant: async request =>
-      messages.encodeAcquired(owned.acquireGrant(messages.decodeAcquire(request))),
-    confirmReserves: stream => serveConfirmations(owned, stream),
-    handOverShards: request => {
-      owned.keepHandOver(messages.decodeHandOver(request));
-      return create(HandOverShardsResponseSchema, {accepted: true});
-    },
-    pushUsage: request => answerPush(usage, request),
-  });
+  const innerServer = await startInnerServer(
+    settings.innerListenAddress ?? settings.innerAddress,
+    base.credentials.server,
+    createInnerHandlers(cluster, shards),
+  );
   await listenAt(callers.server, settings.callerAddress);
   await listenAt(operators, settings.operatorAddress);
 
-  const tasks: Task<unknown>[] = [];
-  const start = (procedure: Procedure<unknown>) => {
-    const task = startTask(procedure, handlers);
-    tasks.push(task);
-    // A control procedure that fails would leave the host half alive; the process must not go on.
-    task.done.catch(error => {
-      log.write('invariantViolated', {error: String(error)});
-      process.exitCode = 1;
-      process.kill(process.pid, 'SIGTERM');
-    });
-  };
-  start(runSession());
-  start(membership.run());
-  start(configSync.run());
-  start(peers.run());
-  start(assignment.watch());
-  start(assignment.run());
-  start(limiter.run());
-  start(usage.run());
-  start(usageRole.run());
-  start(freshnessWatch.run());
-  start(
-    pollLoads({
-      clock,
-      config,
-      http,
-      takeReport: (pool, targetId, report) => dispatcher.takeReport(pool, targetId, report),
-    }),
-  );
+  const takeReport: LoadPollerServices['takeReport'] = (pool, targetId, report) =>
+    dispatcher.takeReport(pool, targetId, report);
+  const tasks = startControlTasks(base, [
+    runSession(session),
+    membership.run(),
+    configSync.run(),
+    peers.run(),
+    assignment.watch(),
+    assignment.run(),
+    limiter.run(),
+    usage.run(),
+    usageRole.run(),
+    freshnessWatch.run(),
+    pollLoads({clock, config, http, takeReport}),
+  ]);
   log.write('hostStarted', {hostId, failureDomain});
 
-  function* runSession(): Procedure<void> {
-    const outcome = yield* session.run();
-    // A later process has the name of this host; two of them must not serve under it.
-    if (outcome === 'replaced') process.kill(process.pid, 'SIGTERM');
-  }
-
   async function stopGracefully(): Promise<void> {
     log.write('hostStopping', {inFlight: callers.getInFlight()});
     session.beginLeave();
@@ -337,7 +347,7 @@
     operators.close();
     operators.closeAllConnections();
     await http.destroy();
-    await httpPlatform.close();
+    await base.httpPlatform.close();
     log.write('hostStopped');
   }
 
@@ -353,6 +363,28 @@
   };
 }
 
+/** A control procedure that fails would leave the host half alive, so the process then stops. */
+function startControlTasks(
+  {handlers, log}: Base,
+  procedures: readonly Procedure<unknown>[],
+): Task<unknown>[] {
+  return procedures.map(procedure => {
+    const task = startTask(procedure, handlers);
+    task.done.catch(error => {
+      log.write('invariantViolated', {error: String(error)});
+      process.exitCode = 1;
+      process.kill(process.pid, 'SIGTERM');
+    });
+    return task;
+  });
+}
+
+/** Keeps the session; two processes must not serve under one name, so a replaced one stops. */
+function* runSession(session: HostSession): Procedure<void> {
+  const outcome = yield* session.run();
+  if (outcome === 'replaced') process.kill(process.pid, 'SIGTERM');
+}
+
 function listenAt(server: NetServer, address: string): Promise<void> {
   const separator = address.lastIndexOf(':');
   const host = address.slice(0, separator).replace(/^\[|\]$/g, '');
