Record refusals for explain

Cause: radishctl explain REQUEST_ID found nothing for a refused request, because only dispatches and limits were recorded. Result: the test of explain asks for a refused request too; 21 tests of the touched parts pass.

--- a/packages/ctl/test/rollout.test.ts
+++ b/packages/ctl/test/rollout.test.ts
@@ -107,6 +107,18 @@
     expect(record.decision).to.equal('send to service-1');
     expect(record.reason).to.have.keys('queue', 'route');
     expect((await radishctl('explain', 'no-such-id')).code).to.equal(1);
+    const refused = await request(`${deployment.hosts[2].entryUrl}/v1/chat/completions`, {
+      method: 'POST',
+      headers: {authorization: `Bearer ${deployment.key}`, 'content-type': 'application/json'},
+      body: JSON.stringify({model: 'none', messages: [{role: 'user', content: 'x'}]}),
+    });
+    await refused.body.dump();
+    const refusedId = String(refused.headers['x-request-id']);
+    const reason = await radishctl('explain', refusedId, '--output', 'json');
+    expect(JSON.parse(reason.stdout)[0]).to.include({
+      kind: 'refusal',
+      decision: 'model_not_found',
+    });
   });
 
   it('changes a rate on every host under traffic with apply --wait', async () => {
--- a/packages/gateway/src/caller/caller-server.ts
+++ b/packages/gateway/src/caller/caller-server.ts
@@ -5,6 +5,7 @@
 import {RouteConfig} from '@radishgw/config';
 import {EffectHandlers, RequestId, startTask, toId} from '@radishgw/core';
 import findMyWay from 'find-my-way';
+import {DecisionLog} from '../operator/decision-log.js';
 import {Metrics} from '../operator/metrics.js';
 import {parseDeadlineMs} from '../request/caller-headers.js';
 import {AbortReason, RequestContext} from '../request/context.js';
@@ -25,6 +26,7 @@
 export interface CallerServices extends EndpointServices {
   readonly handlers: EffectHandlers;
   readonly metrics: Metrics;
+  readonly decisions: DecisionLog;
   readonly maxInFlight: number;
   readonly defaultDeadlineMs: number;
   /** Bound on the time in which a whole request must arrive, in milliseconds. */
@@ -244,6 +246,12 @@
       this.boundRestOfBody(context.request);
       metrics.count('radishgw_refusals_total', {team: labels.team, code: refusal.kind.code});
       const {execution, message} = refusal;
+      this.services.decisions.add({
+        kind: 'refusal',
+        subject: [context.requestId, labels.team],
+        decision: refusal.kind.code,
+        reason: {message, execution, attempts: context.attempts},
+      });
       log.write('requestRefused', {...fields, code: refusal.kind.code, execution, detail: message});
       return;
     }
