--- /dev/null
+++ b/packages/ctl/test/relays.test.ts
@@ -0,0 +1,71 @@
+import {teamKey} from '@radishgw/config';
+import {Deployment, HostHandle, startDeployment} from '@radishgw/testkit';
+import {expect} from 'chai';
+import {request} from 'undici';
+
+const POLL_MS = 50;
+
+interface Status {
+  readonly subscribers: number;
+  readonly completeRevision: number;
+  readonly freshness: {readonly kind: string};
+}
+
+describe('configuration relays', () => {
+  let deployment: Deployment;
+
+  before(async () => {
+    deployment = await startDeployment({
+      hosts: 5,
+      engines: 0,
+      services: 1,
+      failureDomains: ['norte-oviedo'],
+      decodeMsPerToken: 1,
+    });
+  });
+
+  after(() => deployment.stop());
+
+  async function readStatus(host: HostHandle): Promise<Status> {
+    const response = await request(`${host.operatorUrl}/status`);
+    return (await response.body.json()) as Status;
+  }
+
+  async function waitUntil(hosts: readonly HostHandle[], holds: (status: Status) => boolean) {
+    for (;;) {
+      const statuses = await Promise.all(hosts.map(readStatus));
+      if (statuses.every(holds)) return;
+      await new Promise(resolve => setTimeout(resolve, POLL_MS));
+    }
+  }
+
+  async function changeBurst(burstTokens: number): Promise<number> {
+    const {platform, teamId} = deployment;
+    const object = (await platform.get(teamKey(teamId))).unwrap();
+    const team = JSON.parse(object.value) as {parameters: object};
+    const value = JSON.stringify({...team, parameters: {...team.parameters, burstTokens}});
+    return (await platform.put(object.key, value, {ifRevision: object.revision})).unwrap();
+  }
+
+  async function findRelay(hosts: readonly HostHandle[]): Promise<HostHandle> {
+    for (;;) {
+      for (const host of hosts) {
+        if ((await readStatus(host)).subscribers > 0) return host;
+      }
+      await new Promise(resolve => setTimeout(resolve, POLL_MS));
+    }
+  }
+
+  it('pass changes on to the other hosts, also after a relay was killed', async () => {
+    // Guards against hosts that keep to a dead relay and never hear of a change again.
+    const relay = await findRelay(deployment.hosts);
+    const first = await changeBurst(1111);
+    await waitUntil(deployment.hosts, status => status.completeRevision >= first);
+    await relay.child.stop('SIGKILL');
+    const left = deployment.hosts.filter(host => host !== relay);
+    const second = await changeBurst(2222);
+    await waitUntil(left, status => status.completeRevision >= second);
+    await waitUntil(left, status => status.freshness.kind === 'fresh');
+    expect(await findRelay(left)).not.to.equal(relay);
+  });
+});
