--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,11 +1,11 @@
 import gts from 'gts';
 
 export default [
-  {ignores: ['**/dist/**', '**/gen/**', 'node_modules/**', 'bench-results/**']},
+  {ignores: ['**/dist/**', '**/gen/**', 'target/**', 'node_modules/**', 'bench-results/**']},
   ...gts,
   {
     files: ['**/*.ts'],
-    languageOptions: {parserOptions: {project: ['./packages/*/tsconfig.json']}},
+    languageOptions: {parserOptions: {project: ['./packages/*/tsconfig.json', './platform/tsconfig.json']}},
     rules: {'n/no-extraneous-import': 'off', 'n/no-unpublished-import': 'off', 'n/hashbang': 'off'},
   },
   {
--- a/packages/bench/src/configuration.ts
+++ b/packages/bench/src/configuration.ts
@@ -8,7 +8,7 @@
   teamKey,
 } from '@radishgw/config';
 import {createSeededRandom, FailureDomain, HostId, KeyId, toId} from '@radishgw/core';
-import {PlatformEvent} from '@radishgw/platform';
+import {PlatformEvent} from '@radishgw/coordination';
 import {Bench, BenchRow} from './bench.js';
 
 const TEAM_COUNTS = [5, 1000, 10_000, 39_000];
--- a/packages/bench/src/control/authority-checks.ts
+++ b/packages/bench/src/control/authority-checks.ts
@@ -1,6 +1,6 @@
 import {assertInvariant, OrderId, TargetId} from '@radishgw/core';
-import {MemoryStore, Received} from '@radishgw/platform/testing';
-import {TargetOrder} from '@radishgw/platform';
+import {MemoryStore, Received} from '@radishgw/coordination/testing';
+import {TargetOrder} from '@radishgw/coordination';
 import {ArrivedOrder, RecordingEngine} from './recording-engine.js';
 
 /** What a checker may ask of a host. */
--- a/packages/bench/src/control/authority-host.ts
+++ b/packages/bench/src/control/authority-host.ts
@@ -24,8 +24,8 @@
   PlatformAnswer,
   RoleLease,
   TargetOrder,
-} from '@radishgw/platform';
-import {MemoryPlatform, MemoryStore} from '@radishgw/platform/testing';
+} from '@radishgw/coordination';
+import {MemoryPlatform, MemoryStore} from '@radishgw/coordination/testing';
 import {CheckedHost} from './authority-checks.js';
 import {forgetWrites, hideAttempts, Mechanism} from './mutations.js';
 import {EnginePathFaults, RecordingEngine, SimulatedEngineControl} from './recording-engine.js';
--- a/packages/bench/src/control/authority-soak.ts
+++ b/packages/bench/src/control/authority-soak.ts
@@ -1,5 +1,5 @@
 import {createSeededRandom, RandomSource, TargetId, toId, VirtualClock} from '@radishgw/core';
-import {MemoryStore, drainPromises} from '@radishgw/platform/testing';
+import {MemoryStore, drainPromises} from '@radishgw/coordination/testing';
 import {SoakOutcome, SoakSuite} from '../soak-suite.js';
 import {AuthorityChecks} from './authority-checks.js';
 import {AuthorityHost, AuthorityWorld, SEND_TIMEOUT_MS, WIRE_MARGIN_MS} from './authority-host.js';
--- a/packages/bench/src/control/membership-cost.ts
+++ b/packages/bench/src/control/membership-cost.ts
@@ -20,8 +20,8 @@
   Platform,
   RoleLease,
   ShardAssignment,
-} from '@radishgw/platform';
-import {drainPromises, MemoryPlatform, MemoryStore} from '@radishgw/platform/testing';
+} from '@radishgw/coordination';
+import {drainPromises, MemoryPlatform, MemoryStore} from '@radishgw/coordination/testing';
 import {Bench, BenchRow} from '../bench.js';
 
 const SHARD_COUNT = 64;
--- a/packages/bench/src/control/mutations.ts
+++ b/packages/bench/src/control/mutations.ts
@@ -1,5 +1,5 @@
 import {Ok} from '@radishgw/core';
-import {Platform} from '@radishgw/platform';
+import {Platform} from '@radishgw/coordination';
 
 /** Mechanisms that a soak can run without, to show that it finds what they prevent. */
 export const MECHANISMS = [
--- a/packages/bench/src/control/recovery-roles.ts
+++ b/packages/bench/src/control/recovery-roles.ts
@@ -1,5 +1,5 @@
 import {createSeededRandom, HostId, TargetId, toId, VirtualClock} from '@radishgw/core';
-import {drainPromises, MemoryStore} from '@radishgw/platform/testing';
+import {drainPromises, MemoryStore} from '@radishgw/coordination/testing';
 import {Bench, BenchRow} from '../bench.js';
 import {AuthorityHost, AuthorityWorld} from './authority-host.js';
 import {RecordingEngine} from './recording-engine.js';
--- a/packages/bench/src/control/simulated-process.ts
+++ b/packages/bench/src/control/simulated-process.ts
@@ -1,5 +1,5 @@
 import {Clock, Timer, VirtualClock} from '@radishgw/core';
-import {Platform} from '@radishgw/platform';
+import {Platform} from '@radishgw/coordination';
 
 /** Faults of a process: pauses, a kill and a clock that runs at its own rate. */
 export class SimulatedProcess implements Clock {
--- a/packages/bench/src/control/usage-checks.ts
+++ b/packages/bench/src/control/usage-checks.ts
@@ -1,6 +1,6 @@
 import {assertInvariant, TeamId} from '@radishgw/core';
-import {UsageReport} from '@radishgw/platform';
-import {Received} from '@radishgw/platform/testing';
+import {UsageReport} from '@radishgw/coordination';
+import {Received} from '@radishgw/coordination/testing';
 import {UsageReportBody} from '@radishgw/usage';
 
 /** What the checks know of a process that serves requests. */
--- a/packages/bench/src/control/usage-host.ts
+++ b/packages/bench/src/control/usage-host.ts
@@ -27,8 +27,8 @@
   RoleLease,
   ShardAssignment,
   UsageReport,
-} from '@radishgw/platform';
-import {MemoryPlatform, MemoryStore} from '@radishgw/platform/testing';
+} from '@radishgw/coordination';
+import {MemoryPlatform, MemoryStore} from '@radishgw/coordination/testing';
 import {
   CopyStore,
   FrozenWindow,
--- a/packages/bench/src/control/usage-soak.ts
+++ b/packages/bench/src/control/usage-soak.ts
@@ -1,5 +1,5 @@
 import {createSeededRandom, HostId, RandomSource, toId, VirtualClock} from '@radishgw/core';
-import {drainPromises, MemoryStore} from '@radishgw/platform/testing';
+import {drainPromises, MemoryStore} from '@radishgw/coordination/testing';
 import {WINDOW_MS} from '@radishgw/usage';
 import {SoakOutcome, SoakSuite} from '../soak-suite.js';
 import {Mechanism} from './mutations.js';
--- a/packages/config/src/freshness.ts
+++ b/packages/config/src/freshness.ts
@@ -1,5 +1,5 @@
 import {FailureDomain, HostId} from '@radishgw/core';
-import {Revision} from '@radishgw/platform';
+import {Revision} from '@radishgw/coordination';
 
 /** Times of the freshness rule, in milliseconds. */
 export interface FreshnessSettings {
--- a/packages/config/src/plan.ts
+++ b/packages/config/src/plan.ts
@@ -1,6 +1,6 @@
 import {isDeepStrictEqual} from 'node:util';
 import {Ok, Result} from '@radishgw/core';
-import {Platform, PlatformError, Revision} from '@radishgw/platform';
+import {Platform, PlatformError, Revision} from '@radishgw/coordination';
 import {DeploymentFile, toBaseConfig} from './deployment-file.js';
 import {SCHEMA_VERSION, TeamConfig} from './schema.js';
 import {BASE_KEY, CONFIG_PREFIX, TEAM_PREFIX, teamKey} from './store.js';
--- a/packages/config/src/store.ts
+++ b/packages/config/src/store.ts
@@ -1,5 +1,5 @@
 import {assertInvariant, Err, KeyId, Ok, Result, TargetId, TeamId, toId} from '@radishgw/core';
-import {ObjectList, PlatformEvent, Revision} from '@radishgw/platform';
+import {ObjectList, PlatformEvent, Revision} from '@radishgw/coordination';
 import {z} from 'zod';
 import {
   BaseConfig,
--- a/packages/platform/src/platform.ts
+++ b/packages/coordination/src/platform.ts
@@ -87,14 +87,18 @@
   readonly ifRevision: Revision;
 }
 
-/** The users' platform. Implementations never throw; each passes the contract test. */
-export interface Platform {
+/** A versioned object store with conditional updates. Implementations never throw. */
+export interface ObjectStore {
   get(key: string): PlatformAnswer<PlatformObject>;
   list(prefix: string): PlatformAnswer<ObjectList>;
   put(key: string, value: string, condition?: UpdateCondition): PlatformAnswer<Revision>;
   remove(key: string, condition?: UpdateCondition): PlatformAnswer<Revision>;
   /** Waits up to `waitMs` for changes under `prefix` after `afterRevision`. */
   watch(prefix: string, afterRevision: Revision, waitMs: number): PlatformAnswer<WatchResult>;
+}
+
+/** The users' platform. Implementations never throw; each passes the contract test. */
+export interface Platform extends ObjectStore {
   listHosts(): PlatformAnswer<readonly ListedHost[]>;
   /** Places an order; a repeated order id has no further effect. */
   orderTargets(order: TargetOrder): PlatformAnswer<void>;
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -34,6 +34,16 @@
   orderFailed: {number: 1602, level: 'warn', text: 'order failed'},
   usageFrozen: {number: 1700, level: 'info', text: 'usage window frozen'},
   usageReported: {number: 1701, level: 'info', text: 'usage window reported'},
+  dependencyLost: {number: 1800, level: 'warn', text: 'calls to a dependency fail'},
+  dependencyRegained: {number: 1801, level: 'info', text: 'calls to a dependency succeed again'},
+  settingsReloaded: {number: 1802, level: 'info', text: 'settings file read again'},
+  targetsChanged: {number: 1810, level: 'info', text: 'list of targets changed'},
+  entryRejected: {number: 1811, level: 'warn', text: 'entry of a target can not be used'},
+  hostsChanged: {number: 1812, level: 'info', text: 'list of ready hosts changed'},
+  quotaFallback: {number: 1820, level: 'warn', text: 'quota decided without its owner'},
+  leaseAcquired: {number: 1830, level: 'info', text: 'fleet lease acquired'},
+  leaseLost: {number: 1831, level: 'warn', text: 'fleet lease lost'},
+  linesDropped: {number: 1840, level: 'warn', text: 'log lines left out'},
   usageReportFailed: {number: 1702, level: 'warn', text: 'usage report failed'},
 } as const satisfies Record<string, {number: number; level: EventLevel; text: string}>;
 
@@ -51,20 +61,60 @@
 export interface EventLogOptions {
   readonly format: 'json' | 'pretty';
   readonly minLevel: EventLevel;
+  /** Takes each line; by default it goes to standard error. */
+  readonly writeLine?: (line: string) => void;
+}
+
+/** Options of {@link createBoundedWriter}. */
+export interface BoundedWriterOptions {
+  /** Lines written in a second at most; further ones are counted and left out. */
+  readonly maxLinesPerSecond: number;
+  readonly nowMs: () => number;
+  readonly write: (line: string) => void;
+  /** Whether the destination still holds lines that it hasn't written. */
+  readonly isBlocked: () => boolean;
+}
+
+const SECOND_MS = 1000;
+
+/** A line writer whose volume is bounded and that never waits for its destination. */
+export function createBoundedWriter(options: BoundedWriterOptions): (line: string) => void {
+  let secondStartMs = -Infinity;
+  let written = 0;
+  let dropped = 0;
+  return line => {
+    const nowMs = options.nowMs();
+    if (nowMs - secondStartMs >= SECOND_MS) {
+      secondStartMs = nowMs;
+      written = 0;
+    }
+    if (written >= options.maxLinesPerSecond || options.isBlocked()) {
+      dropped++;
+      return;
+    }
+    if (dropped > 0) {
+      const {number, text} = LOG_EVENTS.linesDropped;
+      options.write(JSON.stringify({event: number, name: 'linesDropped', text, dropped}) + '\n');
+      dropped = 0;
+    }
+    written++;
+    options.write(line);
+  };
 }
 
 const TSLOG_LEVELS: Record<EventLevel, number> = {debug: 2, info: 3, warn: 4, error: 5};
 
 /** Event log on standard error, so that standard output stays free for results. */
 export function createEventLog(options: EventLogOptions): EventLog {
+  const writeLine = options.writeLine ?? (line => process.stderr.write(line));
   const logger = new Logger({
     type: options.format,
     minLevel: TSLOG_LEVELS[options.minLevel],
     hideLogPositionForProduction: true,
     overwrite: {
-      transportJSON: json => process.stderr.write(JSON.stringify(json) + '\n'),
+      transportJSON: json => writeLine(JSON.stringify(json) + '\n'),
       transportFormatted: (meta, args) => {
-        process.stderr.write(meta + args.map(arg => JSON.stringify(arg)).join(' ') + '\n');
+        writeLine(meta + args.map(arg => JSON.stringify(arg)).join(' ') + '\n');
       },
     },
   });
--- a/packages/ctl/src/changes.ts
+++ b/packages/ctl/src/changes.ts
@@ -1,6 +1,6 @@
 import {randomBytes} from 'node:crypto';
 import {PlannedChange} from '@radishgw/config';
-import {Platform, Revision} from '@radishgw/platform';
+import {Platform, Revision} from '@radishgw/coordination';
 import {CommandContext} from './command.js';
 import {CommandError} from './errors.js';
 import {listHosts, readStatus} from './hosts.js';
--- a/packages/ctl/src/command.ts
+++ b/packages/ctl/src/command.ts
@@ -1,4 +1,4 @@
-import {Platform} from '@radishgw/platform';
+import {Platform} from '@radishgw/coordination';
 import {Output} from './output.js';
 
 /** What every command gets. */
--- a/packages/ctl/src/hosts.ts
+++ b/packages/ctl/src/hosts.ts
@@ -1,4 +1,4 @@
-import {Platform} from '@radishgw/platform';
+import {Platform} from '@radishgw/coordination';
 import {request} from 'undici';
 import {z} from 'zod';
 import {expectAnswer} from './platform-errors.js';
--- a/packages/ctl/src/platform-errors.ts
+++ b/packages/ctl/src/platform-errors.ts
@@ -1,5 +1,5 @@
 import {Result} from '@radishgw/core';
-import {PlatformError} from '@radishgw/platform';
+import {PlatformError} from '@radishgw/coordination';
 import {CommandError, ExitName} from './errors.js';
 
 const EXITS: Readonly<Record<PlatformError['kind'], ExitName>> = {
--- a/packages/ctl/src/program.ts
+++ b/packages/ctl/src/program.ts
@@ -1,5 +1,5 @@
 import {userInfo} from 'node:os';
-import {HttpPlatform} from '@radishgw/platform';
+import {HttpPlatform} from '@radishgw/coordination';
 import yargs, {Argv} from 'yargs';
 import {Command, CommandArgs} from './command.js';
 import {CONFIGURATION_COMMANDS} from './commands/configuration.js';
--- a/packages/fleet/src/engine-orders.ts
+++ b/packages/fleet/src/engine-orders.ts
@@ -1,6 +1,6 @@
 import {call, Err, Ok, OrderId, Procedure, Result, sleep, TargetId, toId} from '@radishgw/core';
 import {z} from 'zod';
-import {Authority} from '@radishgw/platform';
+import {Authority} from '@radishgw/coordination';
 import {EngineControl, EngineSpec, matchesSpec, SendError} from './engine-control.js';
 import {JournalledOrders, OrderChannel, OrderError, OrderTimes} from './journalled-orders.js';
 import {FleetDependencies} from './order-journal.js';
--- a/packages/fleet/src/journalled-orders.ts
+++ b/packages/fleet/src/journalled-orders.ts
@@ -1,6 +1,6 @@
 import {assertInvariant, call, Err, Ok, OrderId, Procedure, Result, sleep} from '@radishgw/core';
 import {z} from 'zod';
-import {Authority} from '@radishgw/platform';
+import {Authority} from '@radishgw/coordination';
 import {SendError} from './engine-control.js';
 import {FleetDependencies, JournalEntry, OrderJournal} from './order-journal.js';
 
--- a/packages/fleet/src/order-journal.ts
+++ b/packages/fleet/src/order-journal.ts
@@ -12,7 +12,7 @@
   toId,
 } from '@radishgw/core';
 import {z} from 'zod';
-import {Authority, Platform, putSettled, Revision} from '@radishgw/platform';
+import {Authority, Platform, putSettled, Revision} from '@radishgw/coordination';
 
 /** What control procedures of this package need from the outside. */
 export interface FleetDependencies {
--- a/packages/fleet/src/policies/ordering-types.ts
+++ b/packages/fleet/src/policies/ordering-types.ts
@@ -1,5 +1,5 @@
 import {FailureDomain, PoolId} from '@radishgw/core';
-import {TargetOrder} from '@radishgw/platform';
+import {TargetOrder} from '@radishgw/coordination';
 import {DecisionReason} from './reason.js';
 import {TrendEstimate} from './smoothing.js';
 
--- a/packages/fleet/src/target-orders.ts
+++ b/packages/fleet/src/target-orders.ts
@@ -1,6 +1,6 @@
 import {Err, FailureDomain, Ok, OrderId, PoolId, Procedure, Result} from '@radishgw/core';
 import {z} from 'zod';
-import {Authority, Platform, PlatformError} from '@radishgw/platform';
+import {Authority, Platform, PlatformError} from '@radishgw/coordination';
 import {SendError} from './engine-control.js';
 import {JournalledOrders, OrderChannel, OrderError, OrderTimes} from './journalled-orders.js';
 import {FleetDependencies} from './order-journal.js';
--- a/packages/fleet/test/orders.test.ts
+++ b/packages/fleet/test/orders.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {Err, FailureDomain, PoolId, toId} from '@radishgw/core';
-import {runVirtually} from '@radishgw/platform/testing';
+import {runVirtually} from '@radishgw/coordination/testing';
 import {DECODE, ENGINE, OrderRig, PREFILL} from './order-rig.js';
 
 describe('EngineOrders', () => {
--- a/packages/gateway/src/config-sync.ts
+++ b/packages/gateway/src/config-sync.ts
@@ -11,7 +11,7 @@
   sleep,
   startTask,
 } from '@radishgw/core';
-import {HostSession, Member, Membership, Platform, PlatformEvent} from '@radishgw/platform';
+import {HostSession, Member, Membership, Platform, PlatformEvent} from '@radishgw/coordination';
 import {ConfigUpdate, create, SubscribeConfigRequestSchema} from '@radishgw/protocol';
 import {ConfigFeed} from './inner/config-feed.js';
 import {PeerClients} from './inner/peer-clients.js';
--- a/packages/gateway/src/entry-hosts.ts
+++ b/packages/gateway/src/entry-hosts.ts
@@ -1,5 +1,5 @@
 import {HostId} from '@radishgw/core';
-import {Member} from '@radishgw/platform';
+import {Member} from '@radishgw/coordination';
 
 /** Answer of `GET /v1/entry`. */
 export interface EntryHosts {
--- a/packages/gateway/src/inner/config-feed.ts
+++ b/packages/gateway/src/inner/config-feed.ts
@@ -1,6 +1,6 @@
 import {ServerWritableStream} from '@grpc/grpc-js';
 import {ConfigStore} from '@radishgw/config';
-import {PlatformEvent} from '@radishgw/platform';
+import {PlatformEvent} from '@radishgw/coordination';
 import {ConfigUpdate, ConfigUpdateSchema, create, SubscribeConfigRequest} from '@radishgw/protocol';
 
 /** Objects of one update at most, which keeps messages well below a megabyte for usual teams. */
--- a/packages/gateway/src/inner/peer-clients.ts
+++ b/packages/gateway/src/inner/peer-clients.ts
@@ -6,7 +6,7 @@
   MethodDefinition,
 } from '@grpc/grpc-js';
 import {Err, HostId, Ok, Result} from '@radishgw/core';
-import {Member} from '@radishgw/platform';
+import {Member} from '@radishgw/coordination';
 import {ConfirmReserveReply, ConfirmReserveRequest, INNER_SERVICE} from '@radishgw/protocol';
 
 /** Why a call to a peer failed; it may have been carried out. */
--- a/packages/gateway/src/inner/peers.ts
+++ b/packages/gateway/src/inner/peers.ts
@@ -1,6 +1,6 @@
 import {ConfigStore, Freshness} from '@radishgw/config';
 import {call, Clock, EventLog, HostId, Procedure, sleep} from '@radishgw/core';
-import {HostSession, Member, Membership} from '@radishgw/platform';
+import {HostSession, Member, Membership} from '@radishgw/coordination';
 import {
   create,
   HeartbeatRequestSchema,
--- a/packages/gateway/src/limits/owned-shards.ts
+++ b/packages/gateway/src/limits/owned-shards.ts
@@ -18,7 +18,7 @@
   setPlacement,
   TeamLimit,
 } from '@radishgw/limits';
-import {Epoch, ShardClaim} from '@radishgw/platform';
+import {Epoch, ShardClaim} from '@radishgw/coordination';
 
 /** What owning shards needs. */
 export interface OwnedShardsServices {
--- a/packages/gateway/src/platform-monitor.ts
+++ b/packages/gateway/src/platform-monitor.ts
@@ -7,7 +7,7 @@
   UpdateCondition,
   UsageReport,
   WeightTransferRequest,
-} from '@radishgw/platform';
+} from '@radishgw/coordination';
 
 /**
  * Passes calls on and notes whether the platform answers. Only an accepted write ends an outage: a
--- a/packages/gateway/src/usage/usage-service.ts
+++ b/packages/gateway/src/usage/usage-service.ts
@@ -14,7 +14,7 @@
   startTask,
   TeamId,
 } from '@radishgw/core';
-import {Authority, HostSession, Membership, Platform, ShardAssignment} from '@radishgw/platform';
+import {Authority, HostSession, Membership, Platform, ShardAssignment} from '@radishgw/coordination';
 import {
   create,
   INNER_SERVICE,
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -21,7 +21,7 @@
   Membership,
   RoleLease,
   ShardAssignment,
-} from '@radishgw/platform';
+} from '@radishgw/coordination';
 import {create, HandOverShardsResponseSchema, HeartbeatResponseSchema} from '@radishgw/protocol';
 import {Agent} from 'undici';
 import {CallerServer} from './caller/caller-server.js';
--- /dev/null
+++ b/packages/relay/src/client-server.ts
@@ -0,0 +1,100 @@
+import {createServer, IncomingMessage, Server, ServerResponse} from 'node:http';
+import {createHandlers, startTask} from '@radishgw/core';
+import {ClientExchange} from './client-exchange.js';
+import {ClientLimits} from './model.js';
+import {RelayParts} from './request-context.js';
+import {REFUSALS, writeRefusal} from './refusals.js';
+import {serveRequest} from './serve-request.js';
+
+/** Limits until the first configuration is known. */
+const DEFAULT_LIMITS: ClientLimits = {
+  headerBytes: 16_384,
+  bodyBytes: 4 * 1024 * 1024,
+  headerTimeoutMs: 3000,
+  idleTimeoutMs: 15_000,
+};
+
+/** The parser's bound; the configured one, which may change, is checked on each request. */
+const PARSER_HEADER_BYTES = 128 * 1024;
+
+/** How often slow heads are looked for. */
+const HEAD_CHECK_MS = 500;
+
+/** Server for clients' requests. */
+export class ClientServer {
+  readonly server: Server;
+  private readonly handlers;
+  private inFlightCount = 0;
+
+  constructor(private readonly parts: RelayParts) {
+    this.handlers = createHandlers(parts.clock);
+    this.server = createServer(
+      {
+        maxHeaderSize: PARSER_HEADER_BYTES,
+        connectionsCheckingInterval: HEAD_CHECK_MS,
+        requestTimeout: 0,
+        noDelay: true,
+      },
+      (request, response) => void this.handle(request, response),
+    );
+    this.applyLimits();
+  }
+
+  get inFlight(): number {
+    return this.inFlightCount;
+  }
+
+  private get limits(): ClientLimits {
+    return this.parts.configView.config?.clientLimits ?? DEFAULT_LIMITS;
+  }
+
+  /** Applies the limits of the configuration in force to the server's timers. */
+  applyLimits(): void {
+    this.server.headersTimeout = this.limits.headerTimeoutMs;
+    this.server.keepAliveTimeout = this.limits.idleTimeoutMs;
+  }
+
+  private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    this.inFlightCount++;
+    response.once('close', () => this.inFlightCount--);
+    const isStopping = () => this.parts.isStopping();
+    const exchange = new ClientExchange(request, response, this.parts.clock, isStopping);
+    const {headerBytes, bodyBytes} = this.limits;
+    if (countHeaderBytes(request) > headerBytes) {
+      this.refuseAndClose(response, 'headerTooLarge');
+      return;
+    }
+    const read = await exchange.readBody(bodyBytes);
+    if (read === 'left') return;
+    if (read === 'tooLarge') {
+      this.refuseAndClose(response, 'bodyTooLarge');
+      return;
+    }
+    const task = startTask(serveRequest(this.parts, exchange), this.handlers);
+    exchange.onAbandon(() => task.cancel());
+    task.done.catch(error => {
+      this.parts.log.write('invariantViolated', {detail: String((error as Error).stack ?? error)});
+      exchange.breakOff();
+    });
+  }
+
+  /** Answers a request that wasn't read to its end; its connection can't be used again. */
+  private refuseAndClose(response: ServerResponse, name: keyof typeof REFUSALS): void {
+    const {status, headers, body} = writeRefusal(name, undefined);
+    response.writeHead(status, [
+      ...headers,
+      'Content-Length',
+      String(body.length),
+      'Connection',
+      'close',
+    ]);
+    response.end(body, () => response.destroy());
+  }
+}
+
+function countHeaderBytes(request: IncomingMessage): number {
+  let bytes = 0;
+  // A name and its value are followed by a colon and space or by a line end.
+  for (const text of request.rawHeaders) bytes += text.length + 2;
+  return bytes;
+}
--- /dev/null
+++ b/packages/relay/src/engine-placement.ts
@@ -0,0 +1,195 @@
+import {TargetId} from '@radishgw/core';
+import {EngineStage, PromptPart} from './model.js';
+import {rankByKey} from './rendezvous.js';
+import {
+  canTakeWork,
+  estimateCachedTokens,
+  estimateRequests,
+  loadWeight,
+  TargetState,
+} from './target-state.js';
+
+/** Estimates used to compare engines. Only their ratios matter for the choice. */
+export interface EngineEstimates {
+  /** Prompt tokens that a prefill engine reads in a millisecond. */
+  readonly prefillTokensPerMs: number;
+  /** The same for a decode engine, which reads between the tokens of other requests. */
+  readonly decodeTokensPerMs: number;
+  /** Prompt tokens moved between engines in a millisecond. */
+  readonly transferTokensPerMs: number;
+  /** Cost of the additional call and of the transfer's setup. */
+  readonly handoverMs: number;
+  /** Prompt tokens assumed for a request of another host. */
+  readonly othersPromptTokens: number;
+  /** Delay that one more running request causes. */
+  readonly msPerRequest: number;
+  /**
+   * Cost of a shared token at an engine that isn't its holder: the engine keeps a copy that takes
+   * the place of other parts.
+   */
+  readonly msPerCopiedToken: number;
+  /** An engine that has been known for less holds no shared parts yet. */
+  readonly warmUpMs: number;
+}
+
+/** From the engines' published speeds: 61 tokens in a millisecond, half of it beside decoding. */
+export const DEFAULT_ENGINE_ESTIMATES: EngineEstimates = {
+  prefillTokensPerMs: 60,
+  decodeTokensPerMs: 30,
+  transferTokensPerMs: 1200,
+  handoverMs: 8,
+  othersPromptTokens: 3000,
+  msPerRequest: 0.5,
+  msPerCopiedToken: 0.006,
+  warmUpMs: 6000,
+};
+
+/** Requests of other hosts that wait or run have half of their prompts still to be read. */
+const OTHERS_UNREAD_SHARE = 0.5;
+
+/** What is known of the engines of one stage together. */
+interface StageLoad {
+  /** Prompt tokens of other hosts that an engine probably has still to read. */
+  readonly othersTokens: number;
+}
+
+/** A prompt to be placed. */
+export interface PromptWork {
+  readonly parts: readonly PromptPart[];
+  readonly promptTokens: number;
+}
+
+/** Where a prompt is read and where its output is made. */
+export type EnginePlacement =
+  | {readonly type: 'direct'; readonly decode: TargetState; readonly waitMs: number}
+  | {
+      readonly type: 'staged';
+      readonly prefill: TargetState;
+      readonly decode: TargetState;
+      readonly waitMs: number;
+    }
+  | {readonly type: 'none'};
+
+/** Parts that other requests may share: all but the last, which belongs to the request. */
+export function sharedParts(parts: readonly PromptPart[]): readonly PromptPart[] {
+  return parts.slice(0, -1);
+}
+
+function stageOf(target: TargetState): EngineStage {
+  return target.entry.stage ?? 'decode';
+}
+
+/**
+ * Reported loads come with answers, so they are old just when answers are slow. Hosts have like
+ * traffic: what this host has sent to a stage stands for what each of the others has.
+ */
+function estimateStageLoad(targets: readonly TargetState[], hosts: number): StageLoad {
+  const ownTokens = targets.reduce((sum, target) => sum + target.ownPromptTokens, 0);
+  return {othersTokens: ((hosts - 1) * ownTokens) / Math.max(1, targets.length)};
+}
+
+/** Time until an engine has read a prompt of which it holds `cachedTokens`. */
+function estimateReadMs(
+  target: TargetState,
+  work: PromptWork,
+  cachedTokens: number,
+  estimates: EngineEstimates,
+  load: StageLoad,
+  nowMs: number,
+): number {
+  const reported = target.othersRequests * loadWeight(target, nowMs) * OTHERS_UNREAD_SHARE;
+  const othersTokens = Math.max(reported * estimates.othersPromptTokens, load.othersTokens);
+  const tokens = work.promptTokens - cachedTokens + target.ownPromptTokens + othersTokens;
+  const tokensPerMs =
+    stageOf(target) === 'prefill' ? estimates.prefillTokensPerMs : estimates.decodeTokensPerMs;
+  return tokens / tokensPerMs + estimateRequests(target, nowMs) * estimates.msPerRequest;
+}
+
+interface Reader {
+  readonly target: TargetState;
+  /** Until the prompt's memory is at the decode engine. */
+  readonly waitMs: number;
+}
+
+/** The prefill engine that hands over a prompt first. */
+function choosePrefill(
+  targets: readonly TargetState[],
+  work: PromptWork,
+  estimates: EngineEstimates,
+  hosts: number,
+  nowMs: number,
+): Reader | undefined {
+  const shared = sharedParts(work.parts);
+  const load = estimateStageLoad(targets, hosts);
+  const moveMs = estimates.handoverMs + work.promptTokens / estimates.transferTokensPerMs;
+  let best: Reader | undefined;
+  for (const target of targets) {
+    const cached = estimateCachedTokens(target, shared, nowMs);
+    const waitMs = estimateReadMs(target, work, cached, estimates, load, nowMs) + moveMs;
+    if (!best || waitMs < best.waitMs) best = {target, waitMs};
+  }
+  return best;
+}
+
+/**
+ * Places a prompt. The decode engine is the holder of the shared parts, which all hosts rank alike,
+ * unless another one is ready sooner by more than the copy of these parts costs. It reads the prompt
+ * itself if it holds most of it; else a prefill engine reads it and hands it over, after which the
+ * holder keeps the parts. Answers prompts that are mostly shared and more of them than one engine's
+ * memory can keep.
+ */
+export function placePrompt(
+  all: Iterable<TargetState>,
+  work: PromptWork,
+  tried: ReadonlySet<TargetId>,
+  hosts: number,
+  nowMs: number,
+  mayStage = true,
+  estimates: EngineEstimates = DEFAULT_ENGINE_ESTIMATES,
+): EnginePlacement {
+  const byStage: Record<EngineStage, TargetState[]> = {prefill: [], decode: []};
+  for (const target of all) {
+    if (tried.has(target.entry.id) || !canTakeWork(target, nowMs)) continue;
+    byStage[stageOf(target)].push(target);
+  }
+  const shared = sharedParts(work.parts);
+  const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0);
+  const holder = findHolder(byStage.decode, shared);
+  const reader = mayStage
+    ? choosePrefill(byStage.prefill, work, estimates, hosts, nowMs)
+    : undefined;
+  const load = estimateStageLoad(byStage.decode, hosts);
+  let best: EnginePlacement = {type: 'none'};
+  let bestCostMs = Infinity;
+  for (const decode of byStage.decode) {
+    const isHolder = decode.entry.id === holder;
+    const known = estimateCachedTokens(decode, shared, nowMs);
+    // Another host has probably sent the shared parts to their holder before.
+    const isWarm = isHolder && nowMs - decode.knownSinceMs > estimates.warmUpMs;
+    const cached = isWarm ? sharedTokens : known;
+    const copyMs = isHolder ? 0 : (sharedTokens - known) * estimates.msPerCopiedToken;
+    const directMs = estimateReadMs(decode, work, cached, estimates, load, nowMs);
+    const busyMs = estimateRequests(decode, nowMs) * estimates.msPerRequest;
+    const isStaged = reader !== undefined && reader.waitMs + busyMs < directMs;
+    const waitMs = isStaged ? reader.waitMs + busyMs : directMs;
+    if (waitMs + copyMs >= bestCostMs) continue;
+    bestCostMs = waitMs + copyMs;
+    best = isStaged
+      ? {type: 'staged', prefill: reader.target, decode, waitMs}
+      : {type: 'direct', decode, waitMs};
+  }
+  return best;
+}
+
+/** The engine that keeps a prompt's shared parts; undefined if it has none. */
+function findHolder(
+  targets: readonly TargetState[],
+  shared: readonly PromptPart[],
+): TargetId | undefined {
+  if (shared.length === 0) return undefined;
+  const key = shared.map(part => part.id).join(',');
+  return rankByKey(
+    key,
+    targets.map(target => ({id: target.entry.id, weight: 1})),
+  )[0];
+}
--- /dev/null
+++ b/packages/relay/src/lease.ts
@@ -0,0 +1,100 @@
+import {HostId} from '@radishgw/core';
+import {Instant, maxElapsedMs} from './elapsed-clock.js';
+
+/** Times of a lease, in milliseconds. */
+export interface LeaseTimes {
+  /** A holder stops acting this long after it sent its last successful renewal. */
+  readonly holdMs: number;
+  /** Others take over when the record hasn't changed for this long. */
+  readonly takeoverMs: number;
+}
+
+/** The record of a lease in the store. */
+export interface LeaseRecord {
+  readonly holder: HostId;
+  /** Incarnation of the holder's process. */
+  readonly incarnation: string;
+  /** Fencing token; rises with each change of holder. */
+  readonly term: number;
+  /** Rises with each renewal, so that the record changes. */
+  readonly renewal: number;
+}
+
+/** What this host knows of a lease. */
+export interface LeaseView {
+  record: LeaseRecord | undefined;
+  /** Revision of the record; 0 if there is none. */
+  revision: number;
+  /** When this host first saw this revision. */
+  seenAt: Instant | undefined;
+  /** When the renewal that is in force here was sent; undefined if this host isn't the holder. */
+  renewedAt: Instant | undefined;
+}
+
+export function createLeaseView(): LeaseView {
+  return {record: undefined, revision: 0, seenAt: undefined, renewedAt: undefined};
+}
+
+/** Takes in a read of the record. */
+export function observeLease(
+  view: LeaseView,
+  record: LeaseRecord | undefined,
+  revision: number,
+  now: Instant,
+): void {
+  if (view.seenAt && revision === view.revision) return;
+  const isOwn = view.record && record && isSameHolder(view.record, record);
+  if (!isOwn) view.renewedAt = undefined;
+  view.record = record;
+  view.revision = revision;
+  view.seenAt = now;
+}
+
+function isSameHolder(a: LeaseRecord, b: LeaseRecord): boolean {
+  return a.holder === b.holder && a.incarnation === b.incarnation && a.term === b.term;
+}
+
+/** What to do about a lease now. */
+export type LeaseStep =
+  {readonly type: 'wait'} | {readonly type: 'write'; readonly record: LeaseRecord};
+
+/** Decides whether to renew, to take over or to wait. */
+export function decideLease(
+  view: LeaseView,
+  self: {readonly hostId: HostId; readonly incarnation: string},
+  times: LeaseTimes,
+  now: Instant,
+): LeaseStep {
+  const {record} = view;
+  if (!view.seenAt) return {type: 'wait'};
+  if (record && record.holder === self.hostId && record.incarnation === self.incarnation) {
+    return {type: 'write', record: {...record, renewal: record.renewal + 1}};
+  }
+  if (record && now.monotonicMs - view.seenAt.monotonicMs < times.takeoverMs) {
+    return {type: 'wait'};
+  }
+  const term = (record?.term ?? 0) + 1;
+  return {
+    type: 'write',
+    record: {holder: self.hostId, incarnation: self.incarnation, term, renewal: 0},
+  };
+}
+
+/** Takes in that the record written at `sentAt` is in force. */
+export function acceptLease(
+  view: LeaseView,
+  record: LeaseRecord,
+  revision: number,
+  sentAt: Instant,
+): void {
+  view.record = record;
+  view.revision = revision;
+  view.seenAt = sentAt;
+  view.renewedAt = sentAt;
+}
+
+/** The fencing token if this host may act as the holder at `now`, otherwise undefined. */
+export function heldTerm(view: LeaseView, times: LeaseTimes, now: Instant): number | undefined {
+  if (!view.renewedAt || !view.record) return undefined;
+  return maxElapsedMs(view.renewedAt, now) < times.holdMs ? view.record.term : undefined;
+}
--- /dev/null
+++ b/packages/relay/src/relay-host.ts
@@ -0,0 +1,335 @@
+import {
+  Clock,
+  createHandlers,
+  EventLog,
+  Procedure,
+  call,
+  RandomSource,
+  startTask,
+  Task,
+} from '@radishgw/core';
+import {ObjectStore} from '@radishgw/coordination';
+import {ClientServer} from './client-server.js';
+import {configAgeMs, createConfigView} from './config-view.js';
+import {readInstant} from './elapsed-clock.js';
+import {EntryCodec} from './entry-codec.js';
+import {createExtraAttempts, ExtraAttempts} from './extra-attempts.js';
+import {FleetDuties} from './fleet-duties.js';
+import {createHostRegistry, HostRecord, HostRegistry, readyHosts} from './host-registry.js';
+import {RelayMetrics} from './metrics.js';
+import {DutyClient, RelayCodec, RelayConfig, ServiceName} from './model.js';
+import {QuotaClient, QuotaMessage, RETURN_QUOTA_PATH, TAKE_QUOTA_PATH} from './quota-client.js';
+import {RelayParts} from './request-context.js';
+import {
+  createPlainServer,
+  listen,
+  PlainAnswer,
+  PlainRequest,
+  stopListening,
+  waitUntilIdle,
+} from './servers.js';
+import {RelaySettings} from './settings.js';
+import {
+  DependencyMonitor,
+  FleetSource,
+  SharedStore,
+  syncConfig,
+  SyncParts,
+  syncTargets,
+} from './store-sync.js';
+import {TargetPool} from './target-pool.js';
+import {
+  countRequest,
+  createUsageLedger,
+  mergeCounts,
+  UsageLedger,
+  windowIndexAt,
+} from './usage-ledger.js';
+
+/** What a host is built from. */
+export interface RelayHostOptions {
+  readonly settings: RelaySettings;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: EventLog;
+  readonly store: ObjectStore;
+  readonly source: FleetSource;
+  readonly duties: DutyClient;
+  readonly codec: RelayCodec;
+  readonly entryCodec: EntryCodec;
+}
+
+/** Keyed requests are served this much less than the bound on withdrawals allows. */
+const REVOKE_MARGIN_MS = 200;
+
+/** A host whose configuration is older than this part of the bound sends clients elsewhere. */
+const READY_AGE_SHARE = 0.6;
+
+/** Requests that arrive this long before the end of the process are still finished. */
+const LAST_REQUEST_MS = 2500;
+
+/** The process ends this long before it would be ended by force. */
+const EXIT_MARGIN_MS = 300;
+
+/** Clients keep the directory's answer for up to three times this; it must fit in the stop. */
+const DIRECTORY_TTL_MS = 1500;
+
+/** Most addresses that the directory names. */
+const MAX_DIRECTORY_ADDRESSES = 64;
+
+const TEXT = 'text/plain; charset=utf-8';
+const JSON_TYPE = 'application/json';
+
+/** A running entry host. */
+export class RelayHost {
+  readonly metrics = new RelayMetrics();
+  private readonly incarnation: string;
+  private readonly configView = createConfigView();
+  private readonly registry: HostRegistry = createHostRegistry();
+  private readonly usage: UsageLedger = createUsageLedger();
+  private readonly extraAttempts = new Map<ServiceName, ExtraAttempts>();
+  private readonly targets: TargetPool;
+  private readonly quota: QuotaClient;
+  private readonly clientServer: ClientServer;
+  private readonly shared: SharedStore;
+  private readonly duties: FleetDuties;
+  private readonly servers;
+  private readonly tasks: Task<void>[] = [];
+  private readonly monitor: DependencyMonitor;
+  private stopAtMs: number | undefined;
+  private beat = 0;
+  private hasOwnHistory = false;
+  private readyIds = '';
+
+  constructor(private readonly options: RelayHostOptions) {
+    const {settings, clock, random, log} = options;
+    this.incarnation = random.nextHex(8);
+    this.targets = new TargetPool(clock, log);
+    this.quota = new QuotaClient(settings.hostId, this.configView, clock, log);
+    this.clientServer = new ClientServer(this.createParts());
+    this.shared = new SharedStore(options.store, log);
+    this.monitor = new DependencyMonitor('store', clock, log);
+    this.duties = this.createDuties();
+    const onError = (error: unknown) =>
+      log.write('dependencyLost', {
+        dependency: 'caller of a small interface',
+        cause: String(error),
+      });
+    this.servers = {
+      readiness: createPlainServer(request => this.answerReadiness(request), onError),
+      directory: createPlainServer(request => this.answerDirectory(request), onError),
+      peer: createPlainServer(request => this.answerPeer(request), onError),
+    };
+  }
+
+  /** Starts listening and reading; resolves when all addresses are open. */
+  async start(): Promise<void> {
+    const {settings, log} = this.options;
+    const handlers = createHandlers(this.options.clock);
+    const sync = this.createSync();
+    const startLoop = (loop: Procedure<void>) => {
+      const task = startTask(loop, handlers);
+      task.done.catch(error =>
+        log.write('invariantViolated', {detail: String((error as Error).stack ?? error)}),
+      );
+      this.tasks.push(task);
+    };
+    startLoop(syncConfig(sync));
+    startLoop(syncTargets(sync));
+    const {directoryAddress} = settings;
+    await Promise.all([
+      listen(this.clientServer.server, settings.clientAddress),
+      listen(this.servers.readiness, settings.readinessAddress),
+      listen(this.servers.peer, settings.peerAddress),
+      directoryAddress && listen(this.servers.directory, directoryAddress),
+    ]);
+    startLoop(this.duties.run());
+    log.write('hostStarted', {host: settings.hostId, incarnation: this.incarnation});
+  }
+
+  /** Stops gracefully: clients are sent elsewhere, requests in progress are finished. */
+  async stop(): Promise<void> {
+    if (this.stopAtMs !== undefined) return;
+    const {settings, clock, log} = this.options;
+    const startMs = clock.nowMs();
+    this.stopAtMs = startMs + settings.graceMs - EXIT_MARGIN_MS;
+    log.write('hostStopping', {host: settings.hostId, inFlight: this.clientServer.inFlight});
+    const handlers = createHandlers(clock);
+    void startTask(this.writeOwn(), handlers).done;
+    const acceptUntilMs = this.stopAtMs - LAST_REQUEST_MS;
+    await waitUntilIdle(clock, () => false, acceptUntilMs);
+    stopListening(this.clientServer.server);
+    await waitUntilIdle(clock, () => this.clientServer.inFlight === 0, this.stopAtMs);
+    for (const task of this.tasks) task.cancel();
+    log.write('hostStopped', {host: settings.hostId, inFlight: this.clientServer.inFlight});
+  }
+
+  private get isReady(): boolean {
+    if (this.stopAtMs !== undefined || !this.targets.hasRead || !this.configView.config)
+      return false;
+    const ageMs = configAgeMs(this.configView, readInstant(this.options.clock));
+    return ageMs < this.options.settings.revokeMs * READY_AGE_SHARE;
+  }
+
+  private createParts(): RelayParts {
+    const {settings, clock, random, log, codec} = this.options;
+    return {
+      hostId: settings.hostId,
+      clock,
+      random,
+      log,
+      codec,
+      metrics: this.metrics,
+      configView: this.configView,
+      targets: this.targets,
+      quota: this.quota,
+      extraAttempts: this.extraAttempts,
+      extraAttemptSettings: settings.extraAttempts,
+      revokeMs: settings.revokeMs - REVOKE_MARGIN_MS,
+      countHosts: () => Math.max(1, this.listReady().length),
+      isStopping: () => this.stopAtMs !== undefined,
+      isTooLateToServe: () =>
+        this.stopAtMs !== undefined && clock.nowMs() > this.stopAtMs - LAST_REQUEST_MS,
+      countUsage: team => {
+        const index = windowIndexAt(clock.now().getTime(), settings.usageWindowMs);
+        countRequest(this.usage, team, index);
+      },
+    };
+  }
+
+  private createDuties(): FleetDuties {
+    const {settings, clock, log, duties} = this.options;
+    return new FleetDuties({
+      hostId: settings.hostId,
+      incarnation: this.incarnation,
+      clock,
+      log,
+      shared: this.shared,
+      duties,
+      registry: this.registry,
+      monitor: this.monitor,
+      leaseTimes: settings.leaseTimes,
+      usageWindowMs: settings.usageWindowMs,
+      usageDueMs: settings.usageDueMs,
+      writeOwn: () => this.writeOwn(),
+      onHosts: () => this.applyHosts(),
+      isStopping: () => this.stopAtMs !== undefined,
+    });
+  }
+
+  private createSync(): SyncParts {
+    return {
+      clock: this.options.clock,
+      log: this.options.log,
+      source: this.options.source,
+      configView: this.configView,
+      monitor: this.monitor,
+      onConfig: config => this.applyConfig(config),
+      onTargets: entries => this.targets.update(entries),
+    };
+  }
+
+  private applyConfig(config: RelayConfig): void {
+    this.clientServer.applyLimits();
+    for (const name of config.services.keys()) {
+      if (!this.extraAttempts.has(name)) this.extraAttempts.set(name, createExtraAttempts());
+    }
+  }
+
+  private listReady(): HostRecord[] {
+    return readyHosts(this.registry, this.duties.lastReadMs);
+  }
+
+  private applyHosts(): void {
+    const ready = this.listReady();
+    const ids = ready
+      .map(host => `${host.hostId}/${host.incarnation}`)
+      .sort()
+      .join(' ');
+    if (ids === this.readyIds) return;
+    this.readyIds = ids;
+    this.quota.setHosts(ready);
+    this.options.log.write('hostsChanged', {ready: ready.map(host => host.hostId)});
+  }
+
+  /** Writes this host's record, after the counts of its earlier incarnation were read once. */
+  private *writeOwn(): Procedure<void> {
+    const {settings, store} = this.options;
+    if (!this.hasOwnHistory) {
+      const earlier = yield* call(() => store.get(`radishgw/host.${settings.hostId}`));
+      if (earlier.ok) {
+        const record = JSON.parse(earlier.val.value) as HostRecord;
+        mergeCounts(this.usage, record.usage);
+      } else if (earlier.val.kind !== 'notFound') {
+        this.monitor.note(earlier.val);
+        return;
+      }
+      this.hasOwnHistory = true;
+    }
+    this.beat++;
+    const {clientAddress, peerAddress, failureDomain, hostId} = settings;
+    const answer = yield* call(() =>
+      this.shared.writeHost({
+        hostId,
+        incarnation: this.incarnation,
+        failureDomain,
+        address: `${clientAddress.host}:${clientAddress.port}`,
+        peerAddress: `${peerAddress.host}:${peerAddress.port}`,
+        isReady: this.isReady,
+        beat: this.beat,
+        usage: Object.fromEntries(this.usage.windows),
+      }),
+    );
+    if (answer.err) this.monitor.note(answer.val);
+  }
+
+  private answerReadiness({path}: PlainRequest): PlainAnswer {
+    if (!this.options.entryCodec.isReadinessPath(path)) {
+      return {status: 404, contentType: TEXT, body: ''};
+    }
+    return {status: this.isReady ? 200 : 503, contentType: TEXT, body: ''};
+  }
+
+  private answerDirectory({path}: PlainRequest): PlainAnswer {
+    const {entryCodec, settings} = this.options;
+    if (!entryCodec.isDirectoryPath(path)) return {status: 404, contentType: TEXT, body: ''};
+    const addresses = this.listReady()
+      .filter(host => host.hostId !== settings.hostId)
+      .map(host => host.address);
+    const {host, port} = settings.clientAddress;
+    if (this.isReady) addresses.push(`${host}:${port}`);
+    if (addresses.length === 0) return {status: 503, contentType: TEXT, body: ''};
+    const ttlMs = Math.min(DIRECTORY_TTL_MS, settings.directoryTtlMs);
+    const body = entryCodec.writeDirectory(addresses.slice(0, MAX_DIRECTORY_ADDRESSES), ttlMs);
+    return {status: 200, contentType: JSON_TYPE, body};
+  }
+
+  private answerPeer({path, body}: PlainRequest): PlainAnswer {
+    const handler = this.peerHandlers[path as keyof typeof this.peerHandlers];
+    if (!handler) return {status: 404, contentType: TEXT, body: ''};
+    return handler(body);
+  }
+
+  private readonly peerHandlers = {
+    [TAKE_QUOTA_PATH]: (body: string): PlainAnswer => {
+      const answer = this.quota.takeOwned(JSON.parse(body) as QuotaMessage);
+      return {status: 200, contentType: JSON_TYPE, body: JSON.stringify(answer)};
+    },
+    [RETURN_QUOTA_PATH]: (body: string): PlainAnswer => {
+      this.quota.returnOwned(JSON.parse(body) as QuotaMessage);
+      return {status: 200, contentType: JSON_TYPE, body: '{}'};
+    },
+    '/metrics': (): PlainAnswer => ({status: 200, contentType: TEXT, body: this.formatMetrics()}),
+  };
+
+  private formatMetrics(): string {
+    let opened = 0;
+    for (const target of this.targets.all()) opened += target.connections.openedCount;
+    const gauges = [
+      `radishgw_in_flight ${this.clientServer.inFlight}`,
+      `radishgw_connections_opened ${opened}`,
+      `radishgw_ready ${this.isReady ? 1 : 0}`,
+    ];
+    return this.metrics.format() + gauges.join('\n') + '\n';
+  }
+}
--- /dev/null
+++ b/packages/relay/src/route-table.ts
@@ -0,0 +1,29 @@
+import {RandomSource} from '@radishgw/core';
+import {RelayConfig, Route, ServiceName} from './model.js';
+
+/** Finds the route of a host name whose path prefix is the longest that begins the path. */
+export function findRoute(
+  config: RelayConfig,
+  hostHeader: string,
+  target: string,
+): Route | undefined {
+  const host = hostHeader.toLowerCase().replace(/:\d+$/, '');
+  const path = target.split('?', 1)[0];
+  let best: Route | undefined;
+  for (const route of config.routes) {
+    if (route.host !== host || !path.startsWith(route.pathPrefix)) continue;
+    if (!best || route.pathPrefix.length > best.pathPrefix.length) best = route;
+  }
+  return best;
+}
+
+/** Draws the service of a request by the weights of its route. */
+export function chooseService(route: Route, random: RandomSource): ServiceName | undefined {
+  const total = route.shares.reduce((sum, share) => sum + share.weight, 0);
+  let point = random.next() * total;
+  for (const share of route.shares) {
+    point -= share.weight;
+    if (point < 0) return share.service;
+  }
+  return route.shares.at(-1)?.service;
+}
--- /dev/null
+++ b/packages/relay/src/servers.ts
@@ -0,0 +1,92 @@
+import {createServer, IncomingMessage, Server, ServerResponse} from 'node:http';
+import {Clock} from '@radishgw/core';
+import {ListenAddress} from './settings.js';
+
+/** A request to one of the host's small interfaces, with its body. */
+export interface PlainRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly body: string;
+}
+
+export interface PlainAnswer {
+  readonly status: number;
+  readonly contentType: string;
+  readonly body: string;
+}
+
+/** Largest body on the small interfaces. */
+const MAX_PLAIN_BODY_BYTES = 1024 * 1024;
+
+/** Starts listening; rejects if the address can't be used. */
+export function listen(server: Server, address: ListenAddress): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen({host: address.host, port: address.port, backlog: 1024}, () => {
+      server.off('error', reject);
+      resolve();
+    });
+  });
+}
+
+/** Server for short questions with short answers. */
+export function createPlainServer(
+  answer: (request: PlainRequest) => PlainAnswer | Promise<PlainAnswer>,
+  onError: (error: unknown) => void,
+): Server {
+  const server = createServer((request, response) => {
+    void handlePlain(request, response, answer).catch(error => {
+      onError(error);
+      response.destroy();
+    });
+  });
+  server.keepAliveTimeout = PLAIN_KEEP_ALIVE_MS;
+  return server;
+}
+
+/** Longer than the pauses between the questions of one caller. */
+const PLAIN_KEEP_ALIVE_MS = 65_000;
+
+async function handlePlain(
+  request: IncomingMessage,
+  response: ServerResponse,
+  answer: (request: PlainRequest) => PlainAnswer | Promise<PlainAnswer>,
+): Promise<void> {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  for await (const chunk of request as AsyncIterable<Buffer>) {
+    bytes += chunk.length;
+    if (bytes > MAX_PLAIN_BODY_BYTES) throw new Error('body is too large');
+    chunks.push(chunk);
+  }
+  const {status, contentType, body} = await answer({
+    method: request.method ?? 'GET',
+    path: request.url ?? '/',
+    body: Buffer.concat(chunks).toString(),
+  });
+  response.writeHead(status, {
+    'content-type': contentType,
+    'content-length': Buffer.byteLength(body),
+  });
+  response.end(body);
+}
+
+/** Stops a server: no new connections, idle ones are closed. */
+export function stopListening(server: Server): void {
+  server.close();
+  server.closeIdleConnections();
+}
+
+/** Time since which a server has had nothing to do is polled this often. */
+export const IDLE_POLL_MS = 50;
+
+/** Resolves when `isIdle` holds or `untilMs` has come. */
+export function waitUntilIdle(clock: Clock, isIdle: () => boolean, untilMs: number): Promise<void> {
+  return new Promise(resolve => {
+    const check = () => {
+      if (isIdle() || clock.nowMs() >= untilMs) resolve();
+      else clock.setTimer(IDLE_POLL_MS, check);
+    };
+    check();
+  });
+}
--- /dev/null
+++ b/packages/relay/src/target-answer.ts
@@ -0,0 +1,72 @@
+import {call, Procedure} from '@radishgw/core';
+import {AnswerMeta, RawHeaders, RelayCodec} from './model.js';
+import {Attempt, AttemptEvent} from './target-connections.js';
+
+/** Largest answer that is held as a whole. */
+const MAX_WHOLE_ANSWER_BYTES = 16 * 1024 * 1024;
+
+/** A whole answer of a target, or why there is none. */
+export type WholeAnswer =
+  | {
+      readonly type: 'answer';
+      readonly status: number;
+      readonly headers: RawHeaders;
+      readonly meta: AnswerMeta;
+      readonly body: Buffer;
+    }
+  | {readonly type: 'failed'; readonly wasSent: boolean; readonly detail: string}
+  | {readonly type: 'silent'};
+
+const MISDIRECTED = 421;
+
+/** Whether an answer states that the target has not run the request. */
+export function statesNotRun(status: number, meta: AnswerMeta): boolean {
+  return meta.notRun || status === MISDIRECTED;
+}
+
+/**
+ * Why an answer can't be the target's own answer to the request; undefined if it can. Late or
+ * additional answers are found by the request id, and a success is only whole with its seal.
+ */
+export function findAnswerFault(
+  status: number,
+  meta: AnswerMeta,
+  requestId: string,
+): string | undefined {
+  if (meta.requestId !== undefined && meta.requestId !== requestId) {
+    return `answer belongs to request ${meta.requestId}`;
+  }
+  const isSuccess = status >= 200 && status < 300;
+  if (isSuccess && meta.requestId === undefined) return 'success without a request id';
+  if (isSuccess && meta.seal === undefined) return 'success without a seal';
+  return undefined;
+}
+
+/** Waits for a whole answer; `timeoutMs` bounds each silence. */
+export function* readWholeAnswer(
+  attempt: Attempt,
+  codec: RelayCodec,
+  timeoutMs: number,
+  first?: AttemptEvent,
+): Procedure<WholeAnswer> {
+  let event = first ?? (yield* call(() => attempt.next(timeoutMs)));
+  if (event.type === 'silent' || event.type === 'failed') return event;
+  if (event.type !== 'head') return {type: 'failed', wasSent: true, detail: 'no head'};
+  const {status, headers} = event;
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  for (;;) {
+    event = yield* call(() => attempt.next(timeoutMs));
+    if (event.type === 'data') {
+      bytes += event.chunk.length;
+      if (bytes > MAX_WHOLE_ANSWER_BYTES) {
+        return {type: 'failed', wasSent: true, detail: 'answer is too large'};
+      }
+      chunks.push(event.chunk);
+      continue;
+    }
+    if (event.type !== 'end') return event.type === 'head' ? {type: 'silent'} : event;
+    const meta = codec.readAnswer(headers);
+    return {type: 'answer', status, headers, meta, body: Buffer.concat(chunks)};
+  }
+}
--- /dev/null
+++ b/packages/relay/src/target-connections.ts
@@ -0,0 +1,319 @@
+import {connect, Socket} from 'node:net';
+import {Clock} from '@radishgw/core';
+import {Client, Dispatcher} from 'undici';
+import {RawHeaders} from './model.js';
+
+/** Times of connections to targets, in milliseconds. */
+export interface ConnectionTimes {
+  /** A connection that isn't established by then counts as refused; a round trip takes a few ms. */
+  readonly connectMs: number;
+  /** An idle connection is closed after this time, before targets close theirs. */
+  readonly idleMs: number;
+  /**
+   * A request that may run once goes only on a connection that was used this recently: a target may
+   * close an idle one just as the request is sent, and the outcome is then unknown.
+   */
+  readonly freshMs: number;
+}
+
+export const DEFAULT_CONNECTION_TIMES: ConnectionTimes = {
+  connectMs: 400,
+  idleMs: 8000,
+  freshMs: 1500,
+};
+
+/** Undici closes a kept connection this long before the timeout that the target announced. */
+const KEEP_ALIVE_MARGIN_MS = 300;
+
+/** A request as it is sent. */
+export interface OutgoingRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: string[];
+  readonly body: Buffer | undefined;
+}
+
+/** What happens to an attempt, in order; `failed` and `end` are the last. */
+export type AttemptEvent =
+  | {readonly type: 'head'; readonly status: number; readonly headers: RawHeaders}
+  | {readonly type: 'data'; readonly chunk: Buffer}
+  | {readonly type: 'end'}
+  | {readonly type: 'failed'; readonly wasSent: boolean; readonly detail: string}
+  /** Nothing happened within the time given to {@link Attempt.next}; the attempt goes on. */
+  | {readonly type: 'silent'};
+
+/** Bytes of an answer that are held for a slow client before the target is paused. */
+const MAX_BUFFERED_BYTES = 256 * 1024;
+
+/** One request on its way to a target. */
+export class Attempt {
+  private readonly events: AttemptEvent[] = [];
+  private bufferedBytes = 0;
+  private wake: (() => void) | undefined;
+  private abortRequest: ((error?: Error) => void) | undefined;
+  private resume: (() => void) | undefined;
+  private isOver = false;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly onOver: () => void,
+  ) {}
+
+  /** The next event; waits for `timeoutMs` at most. */
+  async next(timeoutMs: number): Promise<AttemptEvent> {
+    if (this.events.length === 0) await this.waitForEvent(timeoutMs);
+    const event = this.events.shift();
+    if (event?.type === 'data') this.bufferedBytes -= event.chunk.length;
+    if (this.bufferedBytes < MAX_BUFFERED_BYTES && this.resume) {
+      const {resume} = this;
+      this.resume = undefined;
+      resume();
+    }
+    return event ?? {type: 'silent'};
+  }
+
+  /** Ends the attempt; the connection is closed, which ends the target's work. */
+  abort(): void {
+    if (this.isOver) return;
+    this.finish();
+    this.abortRequest?.(new Error('attempt aborted'));
+  }
+
+  /** Undici handler of this attempt. */
+  createHandler(connection: TargetConnection): Dispatcher.DispatchHandler {
+    return {
+      onConnect: abort => {
+        this.abortRequest = abort;
+        if (this.isOver) abort();
+      },
+      onHeaders: (status, rawHeaders, resume) => {
+        if (status < 200) return true;
+        this.resumeWith(resume);
+        const headers = rawHeaders.map(value => value.toString('latin1'));
+        connection.noteFraming(headers);
+        return this.push({type: 'head', status, headers});
+      },
+      onData: chunk => this.push({type: 'data', chunk}),
+      onComplete: () => {
+        // A body without a length that ends with a reset isn't whole; undici takes it as such.
+        if (connection.endedByReset) this.fail(connection, 'connection reset within the body');
+        else this.push({type: 'end'});
+        this.finish();
+      },
+      onError: error => this.fail(connection, describeError(error)),
+    };
+  }
+
+  /** Ends the attempt with a failure. */
+  fail(connection: TargetConnection, detail: string): void {
+    if (this.isOver) return;
+    this.push({type: 'failed', wasSent: connection.isConnected, detail});
+    this.finish();
+  }
+
+  private resumeFunction: (() => void) | undefined;
+
+  private resumeWith(resume: () => void): void {
+    this.resumeFunction = resume;
+  }
+
+  private push(event: AttemptEvent): boolean {
+    if (this.isOver) return true;
+    this.events.push(event);
+    if (event.type === 'data') this.bufferedBytes += event.chunk.length;
+    this.wake?.();
+    if (this.bufferedBytes < MAX_BUFFERED_BYTES) return true;
+    this.resume = this.resumeFunction;
+    return false;
+  }
+
+  private finish(): void {
+    if (this.isOver) return;
+    this.isOver = true;
+    this.wake?.();
+    this.onOver();
+  }
+
+  private waitForEvent(timeoutMs: number): Promise<void> {
+    return new Promise(resolve => {
+      const timer = this.clock.setTimer(timeoutMs, () => done());
+      const done = () => {
+        timer.cancel();
+        this.wake = undefined;
+        resolve();
+      };
+      this.wake = done;
+    });
+  }
+}
+
+function describeError(error: Error): string {
+  const {code} = error as NodeJS.ErrnoException;
+  return code ? `${code}: ${error.message}` : error.message;
+}
+
+/** One connection to a target; it carries one request at a time and is never opened again. */
+export class TargetConnection {
+  readonly client: Client;
+  private socket: Socket | undefined;
+  private hasOpened = false;
+  private hasBodyWithoutLength = false;
+  private wasReset = false;
+  /** Whether the connection was established, after which a request may have reached the target. */
+  isConnected = false;
+  isClosed = false;
+  lastUsedMs: number;
+
+  constructor(
+    address: string,
+    times: ConnectionTimes,
+    nowMs: number,
+    onConnected: () => void,
+    onClosed: () => void,
+  ) {
+    const {hostname, port} = new URL(`http://${address}`);
+    this.lastUsedMs = nowMs;
+    this.client = new Client(`http://${address}`, {
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: times.idleMs,
+      keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
+      connect: (_options, callback) => {
+        if (this.hasOpened) {
+          callback(new Error('connection was closed'), null);
+          return;
+        }
+        this.hasOpened = true;
+        const socket = connect({host: hostname, port: Number(port || 80), noDelay: true});
+        this.socket = socket;
+        let isSettled = false;
+        const settle = (error: Error | undefined) => {
+          if (isSettled) return;
+          isSettled = true;
+          clearTimeout(timer);
+          if (error) {
+            socket.destroy();
+            callback(error, null);
+            return;
+          }
+          this.isConnected = true;
+          onConnected();
+          callback(null, socket);
+        };
+        const timer = setTimeout(() => settle(new Error('connect timeout')), times.connectMs);
+        socket.once('connect', () => settle(undefined));
+        socket.on('error', error => {
+          this.wasReset = true;
+          settle(error);
+        });
+        socket.once('close', () => {
+          this.isClosed = true;
+          settle(new Error('closed while connecting'));
+          onClosed();
+        });
+      },
+    });
+  }
+
+  /** Whether the answer's body ended because the connection was reset. */
+  get endedByReset(): boolean {
+    return this.wasReset && this.hasBodyWithoutLength;
+  }
+
+  /** Notes how the end of the answer's body is found. */
+  noteFraming(headers: RawHeaders): void {
+    this.hasBodyWithoutLength = !headers.some(
+      (name, i) => i % 2 === 0 && /^(content-length|transfer-encoding)$/i.test(name),
+    );
+  }
+
+  /** Closes the connection at once. */
+  destroy(): void {
+    this.isClosed = true;
+    this.socket?.destroy();
+    void this.client.destroy().catch(() => undefined); // Rejects only if it is destroyed already.
+  }
+}
+
+/** Connections of this host to one incarnation of a target. */
+export class TargetConnections {
+  private readonly idle: TargetConnection[] = [];
+  private readonly busy = new Set<TargetConnection>();
+  /** Connections opened since the start. */
+  openedCount = 0;
+
+  constructor(
+    private readonly address: string,
+    private readonly clock: Clock,
+    private readonly times: ConnectionTimes = DEFAULT_CONNECTION_TIMES,
+  ) {}
+
+  /** Sends a request. `mayRepeat` allows a connection that has been idle for longer. */
+  send(request: OutgoingRequest, mayRepeat: boolean): Attempt {
+    const connection = this.takeIdle(mayRepeat) ?? this.open();
+    this.busy.add(connection);
+    const attempt = new Attempt(this.clock, () => this.release(connection));
+    connection.client.dispatch(
+      {
+        method: request.method as Dispatcher.HttpMethod,
+        path: request.path,
+        headers: request.headers,
+        body: request.body && request.body.length > 0 ? request.body : null,
+        idempotent: false,
+      },
+      attempt.createHandler(connection),
+    );
+    return attempt;
+  }
+
+  /** Closes idle connections; those in use are closed when their request ends. */
+  close(): void {
+    for (const connection of this.idle.splice(0)) connection.destroy();
+  }
+
+  private takeIdle(mayRepeat: boolean): TargetConnection | undefined {
+    const nowMs = this.clock.nowMs();
+    for (let connection = this.idle.pop(); connection; connection = this.idle.pop()) {
+      const idleMs = nowMs - connection.lastUsedMs;
+      const limitMs = mayRepeat ? this.times.idleMs : this.times.freshMs;
+      if (!connection.isClosed && idleMs < limitMs) return connection;
+      if (mayRepeat || connection.isClosed || idleMs >= this.times.idleMs) {
+        connection.destroy();
+        continue;
+      }
+      this.idle.push(connection);
+      return undefined;
+    }
+    return undefined;
+  }
+
+  private open(): TargetConnection {
+    const connection: TargetConnection = new TargetConnection(
+      this.address,
+      this.times,
+      this.clock.nowMs(),
+      () => this.openedCount++,
+      () => this.remove(connection),
+    );
+    return connection;
+  }
+
+  private remove(connection: TargetConnection): void {
+    const index = this.idle.indexOf(connection);
+    if (index >= 0) this.idle.splice(index, 1);
+  }
+
+  private release(connection: TargetConnection): void {
+    this.busy.delete(connection);
+    connection.lastUsedMs = this.clock.nowMs();
+    // The socket may be closed in the same turn, as after `Connection: close`.
+    setImmediate(() => {
+      if (connection.isClosed || !connection.isConnected || connection.client.destroyed) {
+        connection.destroy();
+        return;
+      }
+      this.idle.push(connection);
+    });
+  }
+}
--- /dev/null
+++ b/packages/relay/src/target-pool.ts
@@ -0,0 +1,125 @@
+import {Clock, EventLog, TargetId} from '@radishgw/core';
+import {
+  AttemptOutcome,
+  DEFAULT_HEALTH_SETTINGS,
+  HealthSettings,
+  recordHealthDispatch,
+  recordHealthOutcome,
+  recordHealthProgress,
+} from '@radishgw/scheduling';
+import {ServiceName, TargetEntry} from './model.js';
+import {Attempt, OutgoingRequest, TargetConnections} from './target-connections.js';
+import {createTargetState, TargetState} from './target-state.js';
+import {createTargetView, isSameIncarnation, updateTargets} from './target-view.js';
+
+/** Exclusions are short: a target that is down for seconds is the usual case. */
+const HEALTH_SETTINGS: HealthSettings = {
+  ...DEFAULT_HEALTH_SETTINGS,
+  minExclusionMs: 500,
+  maxExclusionMs: 4000,
+};
+
+/** A target with its connections. */
+export interface PooledTarget extends TargetState {
+  readonly connections: TargetConnections;
+}
+
+/** The targets that this host knows, by service. */
+export class TargetPool {
+  private readonly view = createTargetView();
+  private readonly targets = new Map<TargetId, PooledTarget>();
+  private readonly byService = new Map<ServiceName, PooledTarget[]>();
+  private attempts = 0;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly log: EventLog,
+  ) {}
+
+  get hasRead(): boolean {
+    return this.view.readAtMs > -Infinity;
+  }
+
+  /** Takes in a complete read of the list of targets. */
+  update(entries: readonly TargetEntry[]): void {
+    const changes = updateTargets(this.view, entries, this.clock.nowMs());
+    for (const entry of changes.gone) {
+      const target = this.targets.get(entry.id);
+      if (!target || !isSameIncarnation(target.entry, entry)) continue;
+      target.entry = {...entry, isDraining: true};
+      target.connections.close();
+      this.targets.delete(entry.id);
+    }
+    this.byService.clear();
+    for (const entry of this.view.targets.values()) {
+      let target = this.targets.get(entry.id);
+      if (target) target.entry = entry;
+      else target = this.add(entry);
+      const others = this.byService.get(entry.service);
+      if (others) others.push(target);
+      else this.byService.set(entry.service, [target]);
+    }
+    const {added, draining, gone} = changes;
+    if (added.length + draining.length + gone.length === 0) return;
+    const ids = (list: readonly TargetEntry[]) => list.map(entry => entry.id);
+    this.log.write('targetsChanged', {
+      added: ids(added),
+      draining: ids(draining),
+      gone: ids(gone),
+      known: this.targets.size,
+    });
+  }
+
+  ofService(service: ServiceName): readonly PooledTarget[] {
+    return this.byService.get(service) ?? [];
+  }
+
+  all(): Iterable<PooledTarget> {
+    return this.targets.values();
+  }
+
+  /** Sends a request to a target and counts it there until {@link finish}. */
+  send(target: PooledTarget, request: OutgoingRequest, mayRepeat: boolean): PooledAttempt {
+    const id = `a${this.attempts++}`;
+    target.ownRequests++;
+    recordHealthDispatch(target.health, id);
+    const attempt = target.connections.send(request, mayRepeat);
+    return new PooledAttempt(target, attempt, id, this.clock);
+  }
+
+  private add(entry: TargetEntry): PooledTarget {
+    const target: PooledTarget = {
+      ...createTargetState(entry, this.clock.nowMs()),
+      connections: new TargetConnections(entry.address, this.clock),
+    };
+    this.targets.set(entry.id, target);
+    return target;
+  }
+}
+
+/** An attempt that is counted at its target until it is finished. */
+export class PooledAttempt {
+  private isFinished = false;
+
+  constructor(
+    readonly target: PooledTarget,
+    readonly attempt: Attempt,
+    private readonly id: string,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Notes that the target works on the request. */
+  recordProgress(): void {
+    recordHealthProgress(this.target.health);
+  }
+
+  /** Ends the attempt, closing its connection if it is still in progress. */
+  finish(outcome: AttemptOutcome): void {
+    if (this.isFinished) return;
+    this.isFinished = true;
+    this.target.ownRequests--;
+    this.attempt.abort();
+    const nowMs = this.clock.nowMs();
+    recordHealthOutcome(this.target.health, this.id, outcome, nowMs, HEALTH_SETTINGS);
+  }
+}
--- /dev/null
+++ b/packages/relay/src/target-request.ts
@@ -0,0 +1,35 @@
+import {AdmittedRequest, RelayParts} from './request-context.js';
+import {CacheSource} from './model.js';
+import {OutgoingRequest} from './target-connections.js';
+import {PooledTarget} from './target-pool.js';
+
+/** Fields that differ between the attempts of one request. */
+export interface AttemptFields {
+  readonly prefillOnly?: boolean;
+  readonly cacheSource?: CacheSource;
+  readonly lastEventId?: string;
+}
+
+/** The request as it is sent to a target. */
+export function writeTargetRequest(
+  parts: RelayParts,
+  request: AdmittedRequest,
+  target: PooledTarget,
+  fields: AttemptFields = {},
+): OutgoingRequest {
+  const {exchange, meta, team} = request;
+  return {
+    method: exchange.method,
+    path: exchange.target,
+    body: exchange.body,
+    headers: parts.codec.writeTargetHeaders(exchange.headers, {
+      expectedTarget: target.entry.id,
+      deadlineMs: Math.max(1, Math.floor(request.endMs - parts.clock.nowMs())),
+      team: team?.id,
+      urgency: request.urgency,
+      prefillOnly: fields.prefillOnly ?? false,
+      cacheSource: fields.cacheSource,
+      lastEventId: fields.lastEventId ?? meta.lastEventId,
+    }),
+  };
+}
--- /dev/null
+++ b/packages/relay/src/team-quota.ts
@@ -0,0 +1,89 @@
+import {TeamId} from '@radishgw/core';
+import {RequestMeta, Team, TeamLimit} from './model.js';
+
+/**
+ * A bucket that admits while its level is above zero and may go below it by one request: a request
+ * can cost more than the burst. The overshoot is one request at most.
+ */
+export interface QuotaBucket {
+  costPerSecond: number;
+  burstCost: number;
+  levelCost: number;
+  updatedMs: number;
+}
+
+/** Answer to a request for quota. */
+export type QuotaAnswer =
+  {readonly granted: true} | {readonly granted: false; readonly retryAfterMs: number};
+
+/** Buckets of the teams that one process decides on. */
+export interface QuotaState {
+  readonly buckets: Map<TeamId, QuotaBucket>;
+  /** Part of the burst with which a new bucket starts: a predecessor may have granted the rest. */
+  readonly startShare: number;
+}
+
+export function createQuotaState(startShare: number): QuotaState {
+  return {buckets: new Map(), startShare};
+}
+
+/** Cost of a request against its team's limit. */
+export function requestCost(limit: TeamLimit, meta: RequestMeta): number {
+  if (!limit.countsTokens) return 1;
+  if (meta.promptTokens === undefined) return limit.plainTokens;
+  return meta.promptTokens + (meta.maxOutputTokens ?? 0);
+}
+
+function refill(bucket: QuotaBucket, nowMs: number): void {
+  const elapsedMs = Math.max(0, nowMs - bucket.updatedMs);
+  const level = bucket.levelCost + (bucket.costPerSecond * elapsedMs) / 1000;
+  bucket.levelCost = Math.min(bucket.burstCost, level);
+  bucket.updatedMs = nowMs;
+}
+
+/** The bucket of a team under the limit in force; `share` scales the limit. */
+function prepareBucket(
+  state: QuotaState,
+  team: TeamId,
+  limit: TeamLimit,
+  share: number,
+  nowMs: number,
+): QuotaBucket {
+  const costPerSecond = limit.costPerSecond * share;
+  const burstCost = limit.burstCost * share;
+  let bucket = state.buckets.get(team);
+  if (!bucket) {
+    const levelCost = burstCost * state.startShare;
+    bucket = {costPerSecond, burstCost, levelCost, updatedMs: nowMs};
+    state.buckets.set(team, bucket);
+  }
+  refill(bucket, nowMs);
+  bucket.costPerSecond = costPerSecond;
+  bucket.burstCost = burstCost;
+  bucket.levelCost = Math.min(bucket.levelCost, burstCost);
+  return bucket;
+}
+
+/** Charges a request against a team's limit, or says when to come back. */
+export function takeQuota(
+  state: QuotaState,
+  team: Team,
+  cost: number,
+  share: number,
+  nowMs: number,
+): QuotaAnswer {
+  if (!team.limit) return {granted: true};
+  const bucket = prepareBucket(state, team.id, team.limit, share, nowMs);
+  if (bucket.levelCost <= 0) {
+    const retryAfterMs = ((1 - bucket.levelCost) / Math.max(1e-9, bucket.costPerSecond)) * 1000;
+    return {granted: false, retryAfterMs};
+  }
+  bucket.levelCost -= cost;
+  return {granted: true};
+}
+
+/** Gives back the cost of a request that hasn't run. */
+export function returnQuota(state: QuotaState, team: TeamId, cost: number): void {
+  const bucket = state.buckets.get(team);
+  if (bucket) bucket.levelCost = Math.min(bucket.burstCost, bucket.levelCost + cost);
+}
--- a/packages/testkit/src/deployment.ts
+++ b/packages/testkit/src/deployment.ts
@@ -9,7 +9,7 @@
   teamKey,
 } from '@radishgw/config';
 import {createSystemRandom, KeyId, toId} from '@radishgw/core';
-import {HttpPlatform} from '@radishgw/platform';
+import {HttpPlatform} from '@radishgw/coordination';
 import {createCertificate} from './certificates.js';
 import {FaultProxy, startFaultProxy} from './fault-proxy.js';
 import {Child, findFreePorts, startChild, startStandIn, waitForUrl} from './child.js';
--- a/packages/testkit/src/platform/object-store.ts
+++ b/packages/testkit/src/platform/object-store.ts
@@ -1,4 +1,4 @@
-import {PlatformEvent, PlatformObject, Revision} from '@radishgw/platform';
+import {PlatformEvent, PlatformObject, Revision} from '@radishgw/coordination';
 
 interface Waiter {
   readonly prefix: string;
--- a/packages/testkit/src/platform/platform-server.ts
+++ b/packages/testkit/src/platform/platform-server.ts
@@ -1,5 +1,5 @@
 import {IncomingMessage, ServerResponse} from 'node:http';
-import {TargetOrder, UsageReport} from '@radishgw/platform';
+import {TargetOrder, UsageReport} from '@radishgw/coordination';
 import {Listening, listen, readText, sendJson} from '../http.js';
 import {ObjectStore} from './object-store.js';
 
--- a/packages/testkit/test/platform-contract.test.ts
+++ b/packages/testkit/test/platform-contract.test.ts
@@ -1,5 +1,5 @@
-import {HttpPlatform} from '@radishgw/platform';
-import {describePlatformContract} from '@radishgw/platform/contract';
+import {HttpPlatform} from '@radishgw/coordination';
+import {describePlatformContract} from '@radishgw/coordination/contract';
 import {startPlatformServer} from '../src/index.js';
 
 const CALL_TIMEOUT_MS = 10_000;
--- a/packages/usage/src/frozen-window.ts
+++ b/packages/usage/src/frozen-window.ts
@@ -1,5 +1,5 @@
 import {call, Err, Ok, Procedure, Result} from '@radishgw/core';
-import {Platform, PlatformObject, putSettled} from '@radishgw/platform';
+import {Platform, PlatformObject, putSettled} from '@radishgw/coordination';
 import {FrozenMarks, UsageFigure} from './shard-ledger.js';
 import {UsageDependencies, WINDOW_MS} from './types.js';
 
--- a/packages/usage/src/types.ts
+++ b/packages/usage/src/types.ts
@@ -1,5 +1,5 @@
 import {Clock, EventLog, HostId, RandomSource, Result, SessionId, TeamId} from '@radishgw/core';
-import {Platform} from '@radishgw/platform';
+import {Platform} from '@radishgw/coordination';
 
 /** Length of an accounting window; windows start at multiples of it in wall time. */
 export const WINDOW_MS = 60_000;
--- a/packages/usage/src/usage-freezer.ts
+++ b/packages/usage/src/usage-freezer.ts
@@ -1,5 +1,5 @@
 import {Err, Ok, Procedure, Result, sleep} from '@radishgw/core';
-import {Authority, putSettled} from '@radishgw/platform';
+import {Authority, putSettled} from '@radishgw/coordination';
 import {
   FrozenWindow,
   readOrCreateCursor,
--- a/packages/usage/src/usage-reporter.ts
+++ b/packages/usage/src/usage-reporter.ts
@@ -1,5 +1,5 @@
 import {assertInvariant, call, Procedure, sleep} from '@radishgw/core';
-import {Authority, putSettled, Revision} from '@radishgw/platform';
+import {Authority, putSettled, Revision} from '@radishgw/coordination';
 import {
   cursorKey,
   FrozenWindow,
--- a/packages/usage/test/usage.test.ts
+++ b/packages/usage/test/usage.test.ts
@@ -13,8 +13,8 @@
   toId,
   VirtualClock,
 } from '@radishgw/core';
-import {Authority, AuthorityError} from '@radishgw/platform';
-import {MemoryPlatform, MemoryStore, runVirtually} from '@radishgw/platform/testing';
+import {Authority, AuthorityError} from '@radishgw/coordination';
+import {MemoryPlatform, MemoryStore, runVirtually} from '@radishgw/coordination/testing';
 import {
   CopyStore,
   ShardLedger,
--- /dev/null
+++ b/scripts/bundle.mjs
@@ -0,0 +1,29 @@
+// Bundles the program for deployment into one file, so that it loads in a fraction of a second.
+import {build} from 'esbuild';
+
+/** The CommonJS file of ts-results resolves its parts at run time, which a bundle can't follow. */
+const tsResults = {
+  name: 'ts-results',
+  setup(setup) {
+    setup.onResolve({filter: /^ts-results$/}, () => ({path: 'ts-results', namespace: 'whole'}));
+    setup.onLoad({filter: /.*/, namespace: 'whole'}, () => ({
+      contents: "import * as all from 'ts-results/esm/index.js'; export default all;",
+      resolveDir: process.cwd(),
+    }));
+  },
+};
+
+await build({
+  entryPoints: ['platform/dist/src/main.js'],
+  outfile: 'target/radishgw.mjs',
+  bundle: true,
+  platform: 'node',
+  format: 'esm',
+  target: 'node20',
+  minifySyntax: true,
+  plugins: [tsResults],
+  // CommonJS packages inside an ES module bundle need `require`.
+  banner: {
+    js: "import {createRequire} from 'node:module';const require=createRequire(import.meta.url);",
+  },
+});
