Calibrate estimated waits and refuse prompts that others keep waiting

Cause: prompts waited at prefill engines for twice the estimate, and every request was taken, so all were late and attempts were given up and repeated. Ruled out: the limit of teams (no refusals by it after returning the cost of streams that never began).

--- a/packages/relay/src/engine-placement.ts
+++ b/packages/relay/src/engine-placement.ts
@@ -8,6 +8,7 @@
   loadWeight,
   TargetState,
 } from './target-state.js';
+import {WaitCalibration, waitFactor} from './wait-calibration.js';
 
 /** Estimates used to compare engines. Only their ratios matter for the choice. */
 export interface EngineEstimates {
@@ -44,6 +45,9 @@
   warmUpMs: 6000,
 };
 
+/** Part of the shared tokens that a prefill engine is assumed to hold as the parts' first choice. */
+const PREFILL_HOLDER_SHARE = 0.5;
+
 /** Requests of other hosts that wait or run have half of their prompts still to be read. */
 const OTHERS_UNREAD_SHARE = 0.5;
 
@@ -57,19 +61,41 @@
 export interface PromptWork {
   readonly parts: readonly PromptPart[];
   readonly promptTokens: number;
+  /** 0 is admitted first. */
+  readonly urgency: number;
+}
+
+/** What a placement depends on beside the prompt and the engines. */
+export interface PlacementContext {
+  /** Hosts that take requests, this one included. */
+  readonly hosts: number;
+  readonly nowMs: number;
+  /** Whether a prefill engine may read the prompt. */
+  readonly mayStage: boolean;
+  readonly calibration: WaitCalibration;
+  readonly estimates: EngineEstimates;
 }
 
 /** Where a prompt is read and where its output is made. */
 export type EnginePlacement =
-  | {readonly type: 'direct'; readonly decode: TargetState; readonly waitMs: number}
-  | {
+  | ({readonly type: 'direct'; readonly decode: TargetState} & PlacementTimes)
+  | ({
       readonly type: 'staged';
       readonly prefill: TargetState;
       readonly decode: TargetState;
-      readonly waitMs: number;
-    }
+    } & PlacementTimes)
   | {readonly type: 'none'};
 
+/** Estimates that a placement rests on. */
+export interface PlacementTimes {
+  /** Until the prompt is read and its memory is at the decode engine. */
+  readonly waitMs: number;
+  /** Part of it that other requests cause. */
+  readonly queueMs: number;
+  /** Time at the reading engine before calibration, to be compared with what is measured. */
+  readonly rawReadMs: number;
+}
+
 /** Parts that other requests may share: all but the last, which belongs to the request. */
 export function sharedParts(parts: readonly PromptPart[]): readonly PromptPart[] {
   return parts.slice(0, -1);
@@ -88,45 +114,56 @@
   return {othersTokens: ((hosts - 1) * ownTokens) / Math.max(1, targets.length)};
 }
 
-/** Time until an engine has read a prompt of which it holds `cachedTokens`. */
-function estimateReadMs(
+/** Estimated time at a reading engine. */
+interface ReadTimes {
+  readonly totalMs: number;
+  readonly queueMs: number;
+}
+
+/** Time until an engine has read a prompt of which it holds `cachedTokens`, before calibration. */
+function estimateRead(
   target: TargetState,
   work: PromptWork,
   cachedTokens: number,
-  estimates: EngineEstimates,
+  context: PlacementContext,
   load: StageLoad,
-  nowMs: number,
-): number {
+): ReadTimes {
+  const {estimates, nowMs} = context;
   const reported = target.othersRequests * loadWeight(target, nowMs) * OTHERS_UNREAD_SHARE;
   const othersTokens = Math.max(reported * estimates.othersPromptTokens, load.othersTokens);
-  const tokens = work.promptTokens - cachedTokens + target.ownPromptTokens + othersTokens;
   const tokensPerMs =
     stageOf(target) === 'prefill' ? estimates.prefillTokensPerMs : estimates.decodeTokensPerMs;
-  return tokens / tokensPerMs + estimateRequests(target, nowMs) * estimates.msPerRequest;
+  const queueMs =
+    (target.ownPromptTokens + othersTokens) / tokensPerMs +
+    estimateRequests(target, nowMs) * estimates.msPerRequest;
+  return {queueMs, totalMs: queueMs + (work.promptTokens - cachedTokens) / tokensPerMs};
 }
 
-interface Reader {
+interface Reader extends PlacementTimes {
   readonly target: TargetState;
-  /** Until the prompt's memory is at the decode engine. */
-  readonly waitMs: number;
 }
 
 /** The prefill engine that hands over a prompt first. */
 function choosePrefill(
   targets: readonly TargetState[],
   work: PromptWork,
-  estimates: EngineEstimates,
-  hosts: number,
-  nowMs: number,
+  context: PlacementContext,
 ): Reader | undefined {
+  const {estimates, hosts, nowMs} = context;
   const shared = sharedParts(work.parts);
+  const sharedTokens = countTokens(shared);
+  const holder = findHolder(targets, shared);
   const load = estimateStageLoad(targets, hosts);
+  const factor = waitFactor(context.calibration, 'prefill', work.urgency);
   const moveMs = estimates.handoverMs + work.promptTokens / estimates.transferTokensPerMs;
   let best: Reader | undefined;
   for (const target of targets) {
-    const cached = estimateCachedTokens(target, shared, nowMs);
-    const waitMs = estimateReadMs(target, work, cached, estimates, load, nowMs) + moveMs;
-    if (!best || waitMs < best.waitMs) best = {target, waitMs};
+    const known = estimateCachedTokens(target, shared, nowMs);
+    const assumed = target.entry.id === holder ? sharedTokens * PREFILL_HOLDER_SHARE : 0;
+    const read = estimateRead(target, work, Math.max(known, assumed), context, load);
+    const waitMs = read.totalMs * factor + moveMs;
+    if (best && waitMs >= best.waitMs) continue;
+    best = {target, waitMs, queueMs: read.queueMs * factor, rawReadMs: read.totalMs};
   }
   return best;
 }
@@ -142,23 +179,20 @@
   all: Iterable<TargetState>,
   work: PromptWork,
   tried: ReadonlySet<TargetId>,
-  hosts: number,
-  nowMs: number,
-  mayStage = true,
-  estimates: EngineEstimates = DEFAULT_ENGINE_ESTIMATES,
+  context: PlacementContext,
 ): EnginePlacement {
+  const {estimates, hosts, nowMs} = context;
   const byStage: Record<EngineStage, TargetState[]> = {prefill: [], decode: []};
   for (const target of all) {
     if (tried.has(target.entry.id) || !canTakeWork(target, nowMs)) continue;
     byStage[stageOf(target)].push(target);
   }
   const shared = sharedParts(work.parts);
-  const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0);
+  const sharedTokens = countTokens(shared);
   const holder = findHolder(byStage.decode, shared);
-  const reader = mayStage
-    ? choosePrefill(byStage.prefill, work, estimates, hosts, nowMs)
-    : undefined;
+  const reader = context.mayStage ? choosePrefill(byStage.prefill, work, context) : undefined;
   const load = estimateStageLoad(byStage.decode, hosts);
+  const factor = waitFactor(context.calibration, 'decode', work.urgency);
   let best: EnginePlacement = {type: 'none'};
   let bestCostMs = Infinity;
   for (const decode of byStage.decode) {
@@ -168,19 +202,24 @@
     const isWarm = isHolder && nowMs - decode.knownSinceMs > estimates.warmUpMs;
     const cached = isWarm ? sharedTokens : known;
     const copyMs = isHolder ? 0 : (sharedTokens - known) * estimates.msPerCopiedToken;
-    const directMs = estimateReadMs(decode, work, cached, estimates, load, nowMs);
+    const read = estimateRead(decode, work, cached, context, load);
+    const directMs = read.totalMs * factor;
     const busyMs = estimateRequests(decode, nowMs) * estimates.msPerRequest;
     const isStaged = reader !== undefined && reader.waitMs + busyMs < directMs;
     const waitMs = isStaged ? reader.waitMs + busyMs : directMs;
     if (waitMs + copyMs >= bestCostMs) continue;
     bestCostMs = waitMs + copyMs;
     best = isStaged
-      ? {type: 'staged', prefill: reader.target, decode, waitMs}
-      : {type: 'direct', decode, waitMs};
+      ? {...reader, type: 'staged', prefill: reader.target, decode, waitMs}
+      : {type: 'direct', decode, waitMs, queueMs: read.queueMs * factor, rawReadMs: read.totalMs};
   }
   return best;
 }
 
+function countTokens(parts: readonly PromptPart[]): number {
+  return parts.reduce((sum, part) => sum + part.tokens, 0);
+}
+
 /** The engine that keeps a prompt's shared parts; undefined if it has none. */
 function findHolder(
   targets: readonly TargetState[],
--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -38,6 +38,7 @@
   syncTargets,
 } from './store-sync.js';
 import {TargetPool} from './target-pool.js';
+import {createWaitCalibration} from './wait-calibration.js';
 import {
   countRequest,
   createUsageLedger,
@@ -183,6 +184,7 @@
       configView: this.configView,
       targets: this.targets,
       quota: this.quota,
+      calibration: createWaitCalibration(),
       extraAttempts: this.extraAttempts,
       extraAttemptSettings: settings.extraAttempts,
       revokeMs: settings.revokeMs - REVOKE_MARGIN_MS,
--- a/packages/relay/src/request-context.ts
+++ b/packages/relay/src/request-context.ts
@@ -6,6 +6,7 @@
 import {RelayCodec, RequestMeta, Route, ServiceName, Team} from './model.js';
 import {QuotaClient} from './quota-client.js';
 import {TargetPool} from './target-pool.js';
+import {WaitCalibration} from './wait-calibration.js';
 
 /** Parts of a host that serve requests. */
 export interface RelayParts {
@@ -20,6 +21,8 @@
   readonly quota: QuotaClient;
   readonly extraAttempts: Map<ServiceName, ExtraAttempts>;
   readonly extraAttemptSettings: ExtraAttemptSettings;
+  /** How long prompts really wait, from this host's requests. */
+  readonly calibration: WaitCalibration;
   /** Bound on serving keyed requests without a confirmation of the configuration. */
   readonly revokeMs: number;
   /** Hosts that take requests, this one included. */
--- a/packages/relay/src/serve-stream.ts
+++ b/packages/relay/src/serve-stream.ts
@@ -1,5 +1,11 @@
 import {call, Procedure, TargetId} from '@radishgw/core';
-import {EnginePlacement, placePrompt, sharedParts} from './engine-placement.js';
+import {
+  DEFAULT_ENGINE_ESTIMATES,
+  EnginePlacement,
+  PlacementTimes,
+  placePrompt,
+  sharedParts,
+} from './engine-placement.js';
 import {EventSplitter, StreamEvent} from './events.js';
 import {recordRequest} from './extra-attempts.js';
 import {CacheSource} from './model.js';
@@ -10,6 +16,7 @@
 import {PooledAttempt, PooledTarget} from './target-pool.js';
 import {writeTargetRequest} from './target-request.js';
 import {estimateCachedTokens, recordLoad, recordParts} from './target-state.js';
+import {recordWait} from './wait-calibration.js';
 
 /** A stream that may be continued is moved after this multiple of its expected or allowed wait. */
 const SILENCE_FACTOR = 3;
@@ -17,6 +24,15 @@
 /** Least silence before a stream is moved: shorter ones come from full engines. */
 const MIN_SILENCE_MS = 1000;
 
+/**
+ * A prompt is refused if others keep it waiting for longer than this part of its objective: when
+ * more is asked than the engines can read, those that are served are then served in time.
+ */
+const QUEUE_OBJECTIVES = 0.9;
+
+/** Least time for which a refused client is told to stay away: a queue falls in some 100 ms. */
+const MIN_RETRY_AFTER_MS = 200;
+
 /** How one run of a stream ended. */
 type RunEnd =
   | {readonly type: 'done'; readonly outcome: ServeOutcome}
@@ -46,13 +62,15 @@
     const placement = place(state, mayStage && !exchange.hasStarted);
     if (placement.type === 'none') return giveUp(state, 'noTarget');
     const leftMs = request.endMs - parts.clock.nowMs();
-    if (!exchange.hasStarted && !progress.mayHaveRun && placement.waitMs > leftMs) {
-      return {type: 'refused', refusal: 'overloaded', retryAfterMs: placement.waitMs - leftMs};
+    const bestQueueMs = Math.min(leftMs, route.objectiveMs * QUEUE_OBJECTIVES);
+    if (!exchange.hasStarted && !progress.mayHaveRun && placement.queueMs > bestQueueMs) {
+      const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, placement.queueMs - bestQueueMs);
+      return {type: 'refused', refusal: 'overloaded', retryAfterMs};
     }
     notePlacement(state, placement);
     let source: CacheSource | undefined;
     if (placement.type === 'staged') {
-      source = yield* readPrompt(state, placement.prefill as PooledTarget, placement.waitMs);
+      source = yield* readPrompt(state, placement.prefill as PooledTarget, placement);
       // One prompt is prepared at most once, so that a rejected call costs no second one.
       if (!source) {
         mayStage = false;
@@ -68,10 +86,15 @@
 }
 
 function place({parts, request, tried}: StreamState, mayStage: boolean): EnginePlacement {
-  const {meta, service} = request;
-  const work = {parts: meta.promptParts, promptTokens: meta.promptTokens ?? 0};
-  const targets = parts.targets.ofService(service);
-  return placePrompt(targets, work, tried, parts.countHosts(), parts.clock.nowMs(), mayStage);
+  const {meta, service, urgency} = request;
+  const work = {parts: meta.promptParts, promptTokens: meta.promptTokens ?? 0, urgency};
+  return placePrompt(parts.targets.ofService(service), work, tried, {
+    hosts: parts.countHosts(),
+    nowMs: parts.clock.nowMs(),
+    mayStage,
+    calibration: parts.calibration,
+    estimates: DEFAULT_ENGINE_ESTIMATES,
+  });
 }
 
 /** Notes where a prompt was placed and with which inputs, for the log. */
@@ -91,6 +114,7 @@
     decode: decode.entry.id,
     reader: reader.entry.id,
     estimatedWaitMs: Math.round(waitMs),
+    queueMs: Math.round(placement.queueMs),
     atMs: Math.round(request.exchange.ageMs()),
     knownTokens: known,
     readerOwnTokens: reader.ownPromptTokens,
@@ -125,7 +149,7 @@
 function* readPrompt(
   state: StreamState,
   target: PooledTarget,
-  waitMs: number,
+  times: PlacementTimes,
 ): Procedure<CacheSource | undefined> {
   const {parts, request} = state;
   const {progress} = request;
@@ -134,9 +158,10 @@
     lastEventId: state.lastEventId,
   });
   const endPending = addPending(target, state);
+  const sentMs = parts.clock.nowMs();
   const sent = parts.targets.send(target, outgoing, true);
   try {
-    const silenceMs = prefillSilenceMs(state, waitMs);
+    const silenceMs = prefillSilenceMs(state, times.waitMs);
     const answer = yield* readWholeAnswer(sent.attempt, parts.codec, silenceMs);
     if (answer.type !== 'answer') {
       const wasSent = answer.type === 'silent' || answer.wasSent;
@@ -145,6 +170,8 @@
       return undefined;
     }
     if (answer.meta.load) recordLoad(target, answer.meta.load, parts.clock.nowMs());
+    const actualMs = parts.clock.nowMs() - sentMs;
+    recordWait(parts.calibration, 'prefill', request.urgency, times.rawReadMs, actualMs);
     const isOwn =
       answer.meta.requestId === undefined || answer.meta.requestId === request.meta.requestId;
     const prefill =
@@ -194,7 +221,14 @@
   const sent = parts.targets.send(target, outgoing, state.mayRepeat);
   let isSourceUsed = false;
   try {
-    const end = yield* relayRun(state, sent, placement.waitMs, endPending);
+    const sentMs = parts.clock.nowMs();
+    const onFirstEvent = () => {
+      endPending();
+      if (source) return;
+      const actualMs = parts.clock.nowMs() - sentMs;
+      recordWait(parts.calibration, 'decode', request.urgency, placement.rawReadMs, actualMs);
+    };
+    const end = yield* relayRun(state, sent, placement.waitMs, onFirstEvent);
     isSourceUsed = end.type === 'done' || progress.hasCountedUsage;
     if (end.type === 'notRun') Object.assign(progress, before);
     return end;
@@ -212,7 +246,7 @@
   state: StreamState,
   sent: PooledAttempt,
   waitMs: number,
-  endPending: () => void,
+  onFirstEvent: () => void,
 ): Procedure<RunEnd> {
   const {parts, request} = state;
   const {exchange, progress} = request;
@@ -255,7 +289,7 @@
         if (!hasEvents) {
           hasEvents = true;
           sent.recordProgress();
-          endPending();
+          onFirstEvent();
           noteFirstEvent(state);
         }
         yield* forwardEvent(state, head, item);
