--- /dev/null
+++ b/packages/relay/src/capacity-policy.ts
@@ -0,0 +1,138 @@
+import {FailureDomain} from '@radishgw/core';
+import {CapacityOrder, ScalingTraits, Service, TargetEntry} from './model.js';
+
+/** Settings of the capacity policy. */
+export interface CapacitySettings {
+  /**
+   * Prompt tokens that an engine is counted on to read in a second. A decode engine reads 30,000
+   * beside its other work; with most of a prompt shared this leaves room for bursts.
+   */
+  readonly tokensPerEngine: number;
+  /** Capacity before demand is known, relative to what was there at the start. */
+  readonly startFactor: number;
+  /** Cheap targets are used if they cost at most this part of the ordinary price. */
+  readonly maxCheapPriceRatio: number;
+  /** Ordinary targets kept in each failure domain for when the cheap ones are withdrawn. */
+  readonly ordinaryPerDomain: number;
+  /** An order isn't repeated sooner: new targets take seconds to appear. */
+  readonly repeatMs: number;
+}
+
+export const DEFAULT_CAPACITY_SETTINGS: CapacitySettings = {
+  tokensPerEngine: 30_000,
+  startFactor: 1.5,
+  maxCheapPriceRatio: 0.6,
+  ordinaryPerDomain: 1,
+  repeatMs: 3000,
+};
+
+/** What the holder of the fleet lease knows of one service. */
+export interface CapacityState {
+  /** Targets when this holder first saw the service. */
+  readonly startCount: number;
+  /** Failure domains in which targets were seen. */
+  readonly domains: Set<FailureDomain>;
+  /** Last order by domain and kind. */
+  readonly lastOrders: Map<string, {readonly count: number; readonly atMs: number}>;
+  /** Highest number wanted so far. */
+  wantedTotal: number;
+}
+
+export function createCapacityState(entries: readonly TargetEntry[]): CapacityState {
+  return {
+    startCount: entries.filter(entry => !entry.isDraining).length,
+    domains: new Set(entries.map(entry => entry.failureDomain)),
+    lastOrders: new Map(),
+    wantedTotal: 0,
+  };
+}
+
+/**
+ * Decides which orders to send for a service. Most capacity is cheap where that is offered, spread
+ * over the failure domains, since a domain's cheap targets are withdrawn together. Ordinary targets
+ * go only when the cheap ones that replace them are there.
+ */
+export function decideCapacity(
+  state: CapacityState,
+  service: Service,
+  entries: readonly TargetEntry[],
+  demandPerSecond: number,
+  settings: CapacitySettings,
+  nowMs: number,
+): CapacityOrder[] {
+  const {scaling} = service;
+  if (!scaling || !service.engine) return [];
+  for (const entry of entries) state.domains.add(entry.failureDomain);
+  const fromDemand = Math.ceil(demandPerSecond / settings.tokensPerEngine);
+  const fromStart = Math.ceil(state.startCount * settings.startFactor);
+  state.wantedTotal = Math.max(state.wantedTotal, fromDemand > 0 ? fromDemand : fromStart);
+  const usesCheap =
+    scaling.cheapPriceRatio !== undefined && scaling.cheapPriceRatio <= settings.maxCheapPriceRatio;
+  const domains = sortByPrice([...state.domains], scaling);
+  const orders: CapacityOrder[] = [];
+  domains.forEach((failureDomain, index) => {
+    const share = splitEvenly(state.wantedTotal, domains.length, index);
+    const total = Math.min(scaling.maxCount, Math.max(scaling.minCount, share));
+    const ordinary = usesCheap
+      ? Math.min(total, Math.max(scaling.minCount, settings.ordinaryPerDomain))
+      : total;
+    const present = countReady(entries, failureDomain);
+    const order = (isCheap: boolean, desiredCount: number) =>
+      orders.push({service: service.name, failureDomain, isCheap, desiredCount});
+    if (usesCheap) order(true, Math.min(total - ordinary, scaling.maxCount - ordinary));
+    // Ordinary targets leave when what replaces them is ready.
+    const isReplaced = present.cheap >= total - ordinary;
+    if (present.ordinary <= ordinary || isReplaced) order(false, ordinary);
+  });
+  return orders.filter(order => isDue(state, order, entries, settings, nowMs));
+}
+
+interface Present {
+  readonly cheap: number;
+  readonly ordinary: number;
+}
+
+function countReady(entries: readonly TargetEntry[], failureDomain: FailureDomain): Present {
+  let cheap = 0;
+  let ordinary = 0;
+  for (const entry of entries) {
+    if (entry.isDraining || entry.failureDomain !== failureDomain) continue;
+    if (entry.isCheap) cheap++;
+    else ordinary++;
+  }
+  return {cheap, ordinary};
+}
+
+/** Cheaper domains get the remainder of an uneven split. */
+function sortByPrice(domains: FailureDomain[], scaling: ScalingTraits): FailureDomain[] {
+  const price = (domain: FailureDomain) => scaling.domainPrices.get(domain) ?? 1;
+  return domains.sort((a, b) => price(a) - price(b) || (a < b ? -1 : 1));
+}
+
+function splitEvenly(total: number, parts: number, index: number): number {
+  return Math.floor(total / parts) + (index < total % parts ? 1 : 0);
+}
+
+/** An order is sent if it differs from the last one, or again if its effect isn't seen. */
+function isDue(
+  state: CapacityState,
+  order: CapacityOrder,
+  entries: readonly TargetEntry[],
+  settings: CapacitySettings,
+  nowMs: number,
+): boolean {
+  const last = state.lastOrders.get(orderKey(order));
+  const present = countReady(entries, order.failureDomain);
+  const count = order.isCheap ? present.cheap : present.ordinary;
+  if (last && nowMs - last.atMs < settings.repeatMs) return last.count !== order.desiredCount;
+  return count !== order.desiredCount;
+}
+
+function orderKey(order: CapacityOrder): string {
+  return `${order.failureDomain}/${order.isCheap}`;
+}
+
+/** Notes an order that was sent. */
+export function recordOrder(state: CapacityState, order: CapacityOrder, nowMs: number): void {
+  state.lastOrders.set(orderKey(order), {count: order.desiredCount, atMs: nowMs});
+}
--- a/packages/relay/src/fleet-duties.ts
+++ b/packages/relay/src/fleet-duties.ts
@@ -1,4 +1,5 @@
 import {call, Clock, EventLog, HostId, Procedure, sleep} from '@radishgw/core';
+import {CapacityKeeper} from './capacity-keeper.js';
 import {readInstant} from './elapsed-clock.js';
 import {HostRegistry, readyHosts, updateHosts} from './host-registry.js';
 import {
@@ -42,6 +43,7 @@
   readonly leaseTimes: LeaseTimes;
   readonly usageWindowMs: number;
   readonly usageDueMs: number;
+  readonly capacity: CapacityKeeper;
   /** Writes this host's own record. */
   writeOwn(): Procedure<void>;
   onHosts(): void;
@@ -94,7 +96,10 @@
     observeLease(this.lease, state.lease?.record, state.lease?.revision ?? 0, now);
     if (this.isCandidate()) yield* this.keepLease();
     this.noteHolder();
-    if (this.currentTerm() !== undefined) yield* this.reportUsage(state);
+    if (this.currentTerm() === undefined) return;
+    yield* this.reportUsage(state);
+    const hosts = readyHosts(parts.registry, this.lastReadMs);
+    yield* parts.capacity.step(hosts, () => this.currentTerm());
   }
 
   /** Few hosts compete, chosen alike everywhere; a holder goes on in any case. */
--- a/packages/relay/src/host-registry.ts
+++ b/packages/relay/src/host-registry.ts
@@ -15,6 +15,8 @@
   readonly beat: number;
   /** Requests that began to run, by window and team. */
   readonly usage: Readonly<Record<string, WindowCounts>>;
+  /** Prompt tokens per second that clients ask of each service through this host. */
+  readonly demand?: Readonly<Record<string, number>>;
 }
 
 /** A host counts as lost when its record hasn't changed for this long: three missed writes. */
--- a/packages/relay/src/quota-client.ts
+++ b/packages/relay/src/quota-client.ts
@@ -109,6 +109,12 @@
     returnQuota(this.owned, message.team, message.cost);
   }
 
+  /** Closes the connections to other hosts. */
+  async close(): Promise<void> {
+    await Promise.all([...this.pools.values()].map(pool => pool.destroy()));
+    this.pools.clear();
+  }
+
   private takeFallback(team: Team, cost: number): QuotaAnswer {
     const share = 1 / Math.max(1, this.hosts.length);
     return takeQuota(this.fallback, team, cost, share, this.clock.nowMs());
--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -13,6 +13,8 @@
 import {configAgeMs, createConfigView} from './config-view.js';
 import {readInstant} from './elapsed-clock.js';
 import {EntryCodec} from './entry-codec.js';
+import {CapacityKeeper} from './capacity-keeper.js';
+import {DemandMeter} from './demand-meter.js';
 import {createExtraAttempts, ExtraAttempts} from './extra-attempts.js';
 import {FleetDuties} from './fleet-duties.js';
 import {createHostRegistry, HostRecord, HostRegistry, readyHosts} from './host-registry.js';
@@ -89,6 +91,7 @@
   private readonly registry: HostRegistry = createHostRegistry();
   private readonly usage: UsageLedger = createUsageLedger();
   private readonly extraAttempts = new Map<ServiceName, ExtraAttempts>();
+  private readonly demand = new DemandMeter();
   private readonly targets: TargetPool;
   private readonly quota: QuotaClient;
   private readonly clientServer: ClientServer;
@@ -165,6 +168,18 @@
     log.write('hostStopped', {host: settings.hostId, inFlight: this.clientServer.inFlight});
   }
 
+  /** Ends everything at once; for tests. */
+  async close(): Promise<void> {
+    for (const task of this.tasks) task.cancel();
+    const servers = [this.clientServer.server, ...Object.values(this.servers)];
+    for (const server of servers) {
+      server.close();
+      server.closeAllConnections();
+    }
+    this.targets.update([]);
+    await this.quota.close();
+  }
+
   private get isReady(): boolean {
     if (this.stopAtMs !== undefined || !this.targets.hasRead || !this.configView.config)
       return false;
@@ -185,6 +200,7 @@
       targets: this.targets,
       quota: this.quota,
       calibration: createWaitCalibration(),
+      demand: this.demand,
       extraAttempts: this.extraAttempts,
       extraAttemptSettings: settings.extraAttempts,
       revokeMs: settings.revokeMs - REVOKE_MARGIN_MS,
@@ -216,6 +232,14 @@
       writeOwn: () => this.writeOwn(),
       onHosts: () => this.applyHosts(),
       isStopping: () => this.stopAtMs !== undefined,
+      capacity: new CapacityKeeper({
+        hostId: settings.hostId,
+        clock,
+        log,
+        duties,
+        configView: this.configView,
+        targets: this.targets,
+      }),
     });
   }
 
@@ -280,6 +304,7 @@
         isReady: this.isReady,
         beat: this.beat,
         usage: Object.fromEntries(this.usage.windows),
+        demand: this.demand.levels(this.options.clock.nowMs()),
       }),
     );
     if (answer.err) this.monitor.note(answer.val);
--- a/packages/relay/src/request-context.ts
+++ b/packages/relay/src/request-context.ts
@@ -1,6 +1,7 @@
 import {Clock, EventLog, HostId, RandomSource, TeamId} from '@radishgw/core';
 import {ClientExchange} from './client-exchange.js';
 import {ConfigView} from './config-view.js';
+import {DemandMeter} from './demand-meter.js';
 import {ExtraAttempts, ExtraAttemptSettings} from './extra-attempts.js';
 import {RelayMetrics} from './metrics.js';
 import {RelayCodec, RequestMeta, Route, ServiceName, Team} from './model.js';
@@ -23,6 +24,7 @@
   readonly extraAttemptSettings: ExtraAttemptSettings;
   /** How long prompts really wait, from this host's requests. */
   readonly calibration: WaitCalibration;
+  readonly demand: DemandMeter;
   /** Bound on serving keyed requests without a confirmation of the configuration. */
   readonly revokeMs: number;
   /** Hosts that take requests, this one included. */
--- a/packages/relay/src/serve-request.ts
+++ b/packages/relay/src/serve-request.ts
@@ -86,6 +86,7 @@
   if (team === 'unknown') return refuse('keyUnknown');
   const service = chooseService(route, parts.random);
   if (!service || !config.services.has(service)) return refuse('noTarget');
+  parts.demand.record(service, meta.promptTokens ?? 0, parts.clock.nowMs());
   const granted = yield* takeRate(parts, team, meta);
   if (granted) return granted;
   return {
--- a/packages/relay/src/target-connections.ts
+++ b/packages/relay/src/target-connections.ts
@@ -95,8 +95,7 @@
       },
       onData: chunk => this.push({type: 'data', chunk}),
       onComplete: () => {
-        // A body without a length that ends with a reset isn't whole; undici takes it as such.
-        if (connection.endedByReset) this.fail(connection, 'connection reset within the body');
+        if (connection.endedEarly) this.fail(connection, 'connection ended within the body');
         else this.push({type: 'end'});
         this.finish();
       },
@@ -152,13 +151,25 @@
   return code ? `${code}: ${error.message}` : error.message;
 }
 
+/** What ends the body of an answer. */
+type BodyFraming = 'length' | 'chunks' | 'connection';
+
+/** Whether a body ended early, by its framing; undici itself compares a length. */
+const EARLY_ENDS: Readonly<Record<BodyFraming, (wasReset: boolean, hasEnded: boolean) => boolean>> =
+  {
+    length: () => false,
+    chunks: (wasReset, hasEnded) => wasReset || hasEnded,
+    connection: wasReset => wasReset,
+  };
+
 /** One connection to a target; it carries one request at a time and is never opened again. */
 export class TargetConnection {
   readonly client: Client;
   private socket: Socket | undefined;
   private hasOpened = false;
-  private hasBodyWithoutLength = false;
+  private framing: BodyFraming = 'length';
   private wasReset = false;
+  private hasEnded = false;
   /** Whether the connection was established, after which a request may have reached the target. */
   isConnected = false;
   isClosed = false;
@@ -207,6 +218,9 @@
           this.wasReset = true;
           settle(error);
         });
+        socket.once('end', () => {
+          this.hasEnded = true;
+        });
         socket.once('close', () => {
           this.isClosed = true;
           settle(new Error('closed while connecting'));
@@ -216,16 +230,19 @@
     });
   }
 
-  /** Whether the answer's body ended because the connection was reset. */
-  get endedByReset(): boolean {
-    return this.wasReset && this.hasBodyWithoutLength;
+  /**
+   * Whether the answer's body ended because the connection did, before its own end. Undici takes a
+   * body as whole when a connection that won't be kept is closed or reset, also within chunks.
+   */
+  get endedEarly(): boolean {
+    return EARLY_ENDS[this.framing](this.wasReset, this.hasEnded);
   }
 
   /** Notes how the end of the answer's body is found. */
   noteFraming(headers: RawHeaders): void {
-    this.hasBodyWithoutLength = !headers.some(
-      (name, i) => i % 2 === 0 && /^(content-length|transfer-encoding)$/i.test(name),
-    );
+    const names = headers.filter((_, i) => i % 2 === 0).map(name => name.toLowerCase());
+    if (names.includes('transfer-encoding')) this.framing = 'chunks';
+    else this.framing = names.includes('content-length') ? 'length' : 'connection';
   }
 
   /** Closes the connection at once. */
--- /dev/null
+++ b/packages/relay/test/engine-placement.test.ts
@@ -0,0 +1,102 @@
+import {expect} from 'chai';
+import {createSeededRandom} from '@radishgw/core';
+import {createTargetState, recordParts, TargetState} from '../src/target-state.js';
+import {DEFAULT_ENGINE_ESTIMATES, PlacementContext, placePrompt} from '../src/index.js';
+import {createWaitCalibration, recordWait, waitFactor} from '../src/wait-calibration.js';
+import {makeEntry, makeParts} from './fixtures.js';
+
+function makeContext(fields: Partial<PlacementContext> = {}): PlacementContext {
+  return {
+    hosts: 1,
+    nowMs: 100_000,
+    mayStage: true,
+    calibration: createWaitCalibration(),
+    estimates: DEFAULT_ENGINE_ESTIMATES,
+    ...fields,
+  };
+}
+
+function makeEngines(decode: number, prefill: number): TargetState[] {
+  const engines: TargetState[] = [];
+  for (let i = 0; i < decode; i++) engines.push(createTargetState(makeEntry(`d${i}`), 0));
+  for (let i = 0; i < prefill; i++) {
+    engines.push(createTargetState(makeEntry(`p${i}`, {stage: 'prefill'}), 0));
+  }
+  return engines;
+}
+
+describe('engine placement', () => {
+  it('gives prompts with the same shared part to one engine on all hosts', () => {
+    // Guards against shared parts that are read again on each engine.
+    const chosen = new Set<string>();
+    for (let host = 0; host < 6; host++) {
+      const parts = makeParts(['shared', 13_300], [`own${host}`, 3700]);
+      const work = {parts, promptTokens: 17_000, urgency: 2};
+      const placement = placePrompt(makeEngines(8, 0), work, new Set(), makeContext({hosts: 6}));
+      if (placement.type !== 'none') chosen.add(placement.decode.entry.id);
+    }
+    expect(chosen.size).to.equal(1);
+  });
+
+  it('has a part that nobody holds read by a prefill engine and kept by its holder', () => {
+    // Guards against long first prompts that hold up the tokens of other requests.
+    const engines = makeEngines(4, 2).map(engine => ({...engine, knownSinceMs: 99_000}));
+    const parts = makeParts(['shared', 13_300], ['own', 3700]);
+    const work = {parts, promptTokens: 17_000, urgency: 2};
+    const cold = placePrompt(engines, work, new Set(), makeContext());
+    expect(cold.type).to.equal('staged');
+    if (cold.type === 'none') return;
+    recordParts(cold.decode, parts, 99_500);
+    const warm = placePrompt(engines, work, new Set(), makeContext());
+    expect(warm.type).to.equal('direct');
+    expect(warm.type !== 'none' && warm.decode.entry.id).to.equal(cold.decode.entry.id);
+  });
+
+  it('spreads a popular part when its holder is busy', () => {
+    // Guards against one engine with a long queue beside idle ones.
+    const engines = makeEngines(6, 0);
+    const parts = makeParts(['hot', 13_300], ['own', 3700]);
+    const work = {parts, promptTokens: 17_000, urgency: 2};
+    const used = new Set<string>();
+    for (let i = 0; i < 30; i++) {
+      const placement = placePrompt(engines, work, new Set(), makeContext());
+      if (placement.type === 'none') continue;
+      placement.decode.ownPromptTokens += 17_000;
+      placement.decode.ownRequests++;
+      recordParts(placement.decode, parts, 100_000);
+      used.add(placement.decode.entry.id);
+    }
+    expect(used.size).to.equal(6);
+  });
+
+  it('tells how long others keep a prompt waiting, so that overload is refused at once', () => {
+    // Guards against prompts that wait until their deadline behind a queue that was known.
+    const engines = makeEngines(2, 0);
+    for (const engine of engines) engine.ownPromptTokens = 60_000;
+    const work = {parts: makeParts(['own', 1000]), promptTokens: 1000, urgency: 0};
+    const placement = placePrompt(engines, work, new Set(), makeContext());
+    expect(placement.type !== 'none' && placement.queueMs).to.be.greaterThan(1900);
+  });
+
+  it('passes over draining, failed and tried engines', () => {
+    // Guards against work for an engine that will not do it.
+    const engines = makeEngines(3, 0);
+    engines[0].entry = makeEntry('d0', {isDraining: true});
+    engines[1].health.excludedUntilMs = 200_000;
+    const work = {parts: [], promptTokens: 100, urgency: 0};
+    const placement = placePrompt(engines, work, new Set(), makeContext());
+    expect(placement.type !== 'none' && placement.decode.entry.id).to.equal('d2');
+    const tried = new Set([engines[2].entry.id]);
+    expect(placePrompt(engines, work, tried, makeContext()).type).to.equal('none');
+  });
+
+  it('learns how fast the engines of a stage are', () => {
+    // Guards against a deployment whose engines are slower than is assumed.
+    const calibration = createWaitCalibration();
+    const random = createSeededRandom(3);
+    for (let i = 0; i < 200; i++)
+      recordWait(calibration, 'decode', 1, 100, 200 + random.nextInt(100));
+    expect(waitFactor(calibration, 'decode', 1)).to.be.within(2, 3);
+    expect(waitFactor(calibration, 'decode', 0)).to.equal(1);
+  });
+});
--- /dev/null
+++ b/packages/relay/test/fixtures.ts
@@ -0,0 +1,61 @@
+import {FailureDomain, TargetId, TeamId, toId} from '@radishgw/core';
+import {
+  PromptPart,
+  PromptPartId,
+  RelayConfig,
+  Route,
+  RouteName,
+  ServiceName,
+  TargetEntry,
+} from '../src/index.js';
+
+export const ENGINES = toId<ServiceName>('engines');
+export const TEAM = toId<TeamId>('team');
+
+export function makeEntry(id: string, fields: Partial<TargetEntry> = {}): TargetEntry {
+  return {
+    id: toId<TargetId>(id),
+    bornMs: 1,
+    service: ENGINES,
+    address: '127.0.0.1:1',
+    failureDomain: toId<FailureDomain>('domain-a'),
+    slots: 64,
+    isDraining: false,
+    stage: 'decode',
+    isCheap: false,
+    ...fields,
+  };
+}
+
+export function makeRoute(fields: Partial<Route> = {}): Route {
+  return {
+    name: toId<RouteName>('route'),
+    host: 'host.example',
+    pathPrefix: '/a/',
+    kind: 'safe',
+    timeoutMs: 1000,
+    objectiveMs: 300,
+    maxAttempts: 2,
+    priority: 1,
+    allowsAnonymous: false,
+    mayResume: false,
+    maxGapMs: 0,
+    shares: [{service: ENGINES, weight: 1}],
+    ...fields,
+  };
+}
+
+export function makeConfig(version: number, routes: readonly Route[] = []): RelayConfig {
+  return {
+    version,
+    routes,
+    services: new Map(),
+    teams: new Map(),
+    teamsByKey: new Map(),
+    clientLimits: {headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1},
+  };
+}
+
+export function makeParts(...parts: readonly (readonly [string, number])[]): PromptPart[] {
+  return parts.map(([id, tokens]) => ({id: toId<PromptPartId>(id), tokens}));
+}
--- /dev/null
+++ b/packages/relay/test/views.test.ts
@@ -0,0 +1,85 @@
+import {expect} from 'chai';
+import {
+  confirmConfig,
+  createConfigView,
+  createTargetView,
+  findRoute,
+  Instant,
+  isConfigFresh,
+  REAPPEAR_MS,
+  updateTargets,
+} from '../src/index.js';
+import {makeConfig, makeEntry, makeRoute} from './fixtures.js';
+
+const at = (monotonicMs: number, wallMs = monotonicMs): Instant => ({monotonicMs, wallMs});
+
+describe('configuration view', () => {
+  it('keeps the newest version when reads arrive out of order', () => {
+    // Guards against a version that is taken back by a slower read.
+    const view = createConfigView();
+    expect(confirmConfig(view, makeConfig(7), at(100))).to.equal(true);
+    expect(confirmConfig(view, makeConfig(5), at(200))).to.equal(false);
+    expect(view.config?.version).to.equal(7);
+    expect(view.confirmedAt?.monotonicMs).to.equal(100);
+  });
+
+  it('is not fresh after a suspension that the monotonic clock does not count', () => {
+    // Guards against a withdrawn key that a host accepts right after it was frozen.
+    const view = createConfigView();
+    confirmConfig(view, makeConfig(1), at(1000, 50_000));
+    expect(isConfigFresh(view, at(2000, 51_000), 5000)).to.equal(true);
+    expect(isConfigFresh(view, at(2000, 56_000), 5000)).to.equal(false);
+  });
+
+  it('is not fresh when the wall clock was set back', () => {
+    // Guards against a clock step that lengthens the life of a withdrawn key.
+    const view = createConfigView();
+    confirmConfig(view, makeConfig(1), at(1000, 50_000));
+    expect(isConfigFresh(view, at(6000, 49_000), 5000)).to.equal(false);
+  });
+});
+
+describe('route table', () => {
+  it('selects the longest prefix of the same host', () => {
+    // Guards against requests that reach the service of a shorter route.
+    const short = makeRoute({pathPrefix: '/a/'});
+    const long = makeRoute({pathPrefix: '/a/b/'});
+    const other = makeRoute({pathPrefix: '/a/b/c/', host: 'other.example'});
+    const config = makeConfig(1, [short, long, other]);
+    expect(findRoute(config, 'Host.Example:80', '/a/b/c/d?x=1')).to.equal(long);
+    expect(findRoute(config, 'host.example', '/a/c')).to.equal(short);
+    expect(findRoute(config, 'host.example', '/b?p=/a/')).to.equal(undefined);
+  });
+});
+
+describe('target view', () => {
+  it('keeps entries that are missing after an outage until they had time to come back', () => {
+    // Guards against sending nothing to living targets whose entries lapsed with the store.
+    const view = createTargetView();
+    updateTargets(view, [makeEntry('a'), makeEntry('b')], 0);
+    const back = updateTargets(view, [], 5000);
+    expect(back.gone).to.have.length(0);
+    for (let nowMs = 5600; nowMs < 5000 + REAPPEAR_MS; nowMs += 600) {
+      expect(updateTargets(view, [makeEntry('a')], nowMs).gone).to.have.length(0);
+    }
+    const later = updateTargets(view, [makeEntry('a')], 5000 + REAPPEAR_MS);
+    expect(later.gone.map(entry => entry.id)).to.deep.equal(['b']);
+    expect([...view.targets.keys()]).to.deep.equal(['a']);
+  });
+
+  it('takes a missing entry as gone while the store answers', () => {
+    // Guards against new work for a target that left.
+    const view = createTargetView();
+    updateTargets(view, [makeEntry('a')], 0);
+    expect(updateTargets(view, [], 600).gone).to.have.length(1);
+  });
+
+  it('takes the same id with another start as another target', () => {
+    // Guards against connections and cached parts that outlive a restart.
+    const view = createTargetView();
+    updateTargets(view, [makeEntry('a', {bornMs: 1})], 0);
+    const changes = updateTargets(view, [makeEntry('a', {bornMs: 2})], 600);
+    expect(changes.gone).to.have.length(1);
+    expect(changes.added).to.have.length(1);
+  });
+});
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -24,9 +24,10 @@
 
 const knownRed = readKnownRed();
 const mocha = new Mocha({timeout: 120_000, reporter: 'spec', forbidOnly: true});
-for (const name of readdirSync('packages').sort()) {
+const folders = [...readdirSync('packages').sort().map(name => join('packages', name)), 'platform'];
+for (const folder of folders) {
   // Only tests that still have a source file: old build output is passed over.
-  for (const file of findTests(join('packages', name, 'dist', 'test'))) {
+  for (const file of findTests(join(folder, 'dist', 'test'))) {
     const source = file.replace('/dist/test/', '/test/').replace(/\.js$/, '.ts');
     if (existsSync(source)) mocha.addFile(file);
   }
