--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -1,3 +1,4 @@
+export * from './capacity-policy.js';
 export * from './client-exchange.js';
 export * from './config-view.js';
 export * from './elapsed-clock.js';
--- /dev/null
+++ b/packages/relay/test/capacity.test.ts
@@ -0,0 +1,148 @@
+import {expect} from 'chai';
+import {FailureDomain, toId} from '@radishgw/core';
+import {
+  CapacityOrder,
+  CapacityState,
+  createCapacityState,
+  decideCapacity,
+  DEFAULT_CAPACITY_SETTINGS,
+  recordOrder,
+  Service,
+  TargetEntry,
+} from '../src/index.js';
+import {DemandMeter} from '../src/demand-meter.js';
+import {ENGINES, makeEntry} from './fixtures.js';
+
+const DOMAINS = ['domain-a', 'domain-b', 'domain-c'];
+
+function makeService(cheapPriceRatio: number | undefined): Service {
+  return {
+    name: ENGINES,
+    connectionLimit: 100,
+    engine: {cacheTokens: 500_000, handleTtlMs: 5000, stageSwitchMs: 3000},
+    scaling: {minCount: 1, maxCount: 10, bootMs: 4000, cheapPriceRatio, domainPrices: new Map()},
+  };
+}
+
+/** A fleet that carries out orders after the boot time, with cheap targets withheld on demand. */
+class Fleet {
+  readonly entries: TargetEntry[] = [];
+  readonly orders: CapacityOrder[] = [];
+  private readonly pending: {atMs: number; entry: TargetEntry}[] = [];
+  private nextId = 0;
+  hasCheap = true;
+
+  constructor(perDomain: number) {
+    for (const domain of DOMAINS)
+      for (let i = 0; i < perDomain; i++) this.entries.push(this.make(domain, false));
+  }
+
+  make(domain: string, isCheap: boolean): TargetEntry {
+    return makeEntry(`t${this.nextId++}`, {failureDomain: toId<FailureDomain>(domain), isCheap});
+  }
+
+  step(state: CapacityState, service: Service, demand: number, nowMs: number): void {
+    for (const item of this.pending.filter(entry => entry.atMs <= nowMs))
+      this.entries.push(item.entry);
+    this.pending.splice(0, this.pending.length, ...this.pending.filter(item => item.atMs > nowMs));
+    const settings = DEFAULT_CAPACITY_SETTINGS;
+    for (const order of decideCapacity(state, service, this.entries, demand, settings, nowMs)) {
+      recordOrder(state, order, nowMs);
+      this.orders.push(order);
+      this.carryOut(order, nowMs);
+    }
+  }
+
+  count(isCheap: boolean, domain?: string): number {
+    const matches = (entry: TargetEntry) =>
+      entry.isCheap === isCheap && (domain === undefined || entry.failureDomain === domain);
+    return this.entries.filter(matches).length;
+  }
+
+  private carryOut(order: CapacityOrder, nowMs: number): void {
+    const {failureDomain, isCheap, desiredCount} = order;
+    const isOf = (entry: TargetEntry) =>
+      entry.failureDomain === failureDomain && entry.isCheap === isCheap;
+    const coming = this.pending.filter(item => isOf(item.entry)).length;
+    let count = this.entries.filter(isOf).length + coming;
+    for (; count < desiredCount && (!isCheap || this.hasCheap); count++) {
+      this.pending.push({atMs: nowMs + 4000, entry: this.make(failureDomain, isCheap)});
+    }
+    for (; count > desiredCount; count--) this.entries.splice(this.entries.findIndex(isOf), 1);
+  }
+}
+
+function play(
+  fleet: Fleet,
+  service: Service,
+  demand: number,
+  fromMs: number,
+  toMs: number,
+  state = createCapacityState(fleet.entries),
+) {
+  for (let nowMs = fromMs; nowMs < toMs; nowMs += 1000) {
+    fleet.step(state, service, demand, nowMs);
+  }
+  return state;
+}
+
+describe('capacity policy', () => {
+  it('replaces ordinary targets by cheap ones without a dip in capacity', () => {
+    // Guards against a fleet that is smaller while its replacements start.
+    const fleet = new Fleet(4);
+    const state = createCapacityState(fleet.entries);
+    for (let nowMs = 0; nowMs < 20_000; nowMs += 1000) {
+      fleet.step(state, makeService(0.2), 0, nowMs);
+      expect(fleet.entries.length).to.be.at.least(12);
+    }
+    expect(fleet.count(false)).to.equal(3);
+    expect(fleet.count(true)).to.equal(15);
+  });
+
+  it('follows demand up, spread over the failure domains', () => {
+    // Guards against prompts that wait for engines that were never ordered.
+    const fleet = new Fleet(4);
+    play(fleet, makeService(0.2), 780_000, 0, 20_000);
+    for (const domain of DOMAINS) {
+      expect(fleet.count(true, domain) + fleet.count(false, domain)).to.be.within(8, 9);
+    }
+  });
+
+  it('keeps ordinary targets while cheap ones can not be had', () => {
+    // Guards against a loss of capacity when cheap targets are withheld.
+    const fleet = new Fleet(4);
+    fleet.hasCheap = false;
+    const state = play(fleet, makeService(0.2), 300_000, 0, 20_000);
+    expect(fleet.count(false)).to.equal(12);
+    fleet.hasCheap = true;
+    play(fleet, makeService(0.2), 300_000, 20_000, 40_000, state);
+    expect(fleet.count(false)).to.equal(3);
+  });
+
+  it('orders ordinary targets where there are no cheap ones', () => {
+    // Guards against deployments without preemptible targets.
+    const fleet = new Fleet(2);
+    play(fleet, makeService(undefined), 300_000, 0, 20_000);
+    expect(fleet.count(false)).to.equal(10);
+    expect(fleet.count(true)).to.equal(0);
+  });
+
+  it('stays within the bounds of each failure domain', () => {
+    // Guards against orders that the platform refuses.
+    const fleet = new Fleet(4);
+    play(fleet, makeService(0.2), 9_000_000, 0, 20_000);
+    for (const {desiredCount} of fleet.orders) expect(desiredCount).to.be.within(1, 10);
+    expect(fleet.entries.length).to.equal(30);
+  });
+});
+
+describe('demand meter', () => {
+  it('rises within seconds and falls slowly', () => {
+    // Guards against capacity that is given up between two bursts.
+    const meter = new DemandMeter();
+    for (let nowMs = 0; nowMs < 5000; nowMs += 10) meter.record(ENGINES, 1000, nowMs);
+    const high = meter.levels(5000)[ENGINES];
+    expect(high).to.be.within(90_000, 100_000);
+    expect(meter.levels(10_000)[ENGINES]).to.be.greaterThan(high * 0.7);
+  });
+});
--- a/packages/relay/test/target-connections.test.ts
+++ b/packages/relay/test/target-connections.test.ts
@@ -58,6 +58,14 @@
     expect(types(await collect(connections))).to.deep.equal(['head', 'data', 'failed']);
   });
 
+  it('finds a reset that arrives together with the last bytes', async () => {
+    // Guards against half an answer that looks complete: libuv reports such a reset as an end.
+    const connections = await serve(socket => {
+      socket.write('HTTP/1.1 200 OK\r\n\r\nhalf', () => socket.resetAndDestroy());
+    });
+    expect(types(await collect(connections)).at(-1)).to.equal('failed');
+  });
+
   it('takes an answer without a length as whole when the connection is closed', async () => {
     // Guards against the loss of answers of targets that end them so.
     const connections = await serve(socket => socket.end('HTTP/1.1 200 OK\r\n\r\nwhole'));
