Read prompts at prefill engines only and order engines' stages

Change: prefill engines read, at the holder of the shared parts; a quarter of each domain's engines decode, by orders of the lease holder.

--- a/packages/relay/src/engine-placement.ts
+++ b/packages/relay/src/engine-placement.ts
@@ -29,6 +29,10 @@
    * the place of other parts.
    */
   readonly msPerCopiedToken: number;
+  /** What it is worth to keep reading away from decode engines. */
+  readonly pauseMs: number;
+  /** Requests by which a decode engine in another failure domain must be less loaded. */
+  readonly farRequests: number;
   /** An engine that has been known for less holds no shared parts yet. */
   readonly warmUpMs: number;
 }
@@ -42,12 +46,11 @@
   othersPromptTokens: 3000,
   msPerRequest: 0.5,
   msPerCopiedToken: 0.006,
+  pauseMs: 300,
+  farRequests: 16,
   warmUpMs: 6000,
 };
 
-/** Part of the shared tokens that a prefill engine is assumed to hold as the parts' first choice. */
-const PREFILL_HOLDER_SHARE = 0.5;
-
 /** Requests of other hosts that wait or run have half of their prompts still to be read. */
 const OTHERS_UNREAD_SHARE = 0.5;
 
@@ -141,12 +144,18 @@
 
 interface Reader extends PlacementTimes {
   readonly target: TargetState;
+  /** Wait and the cost of what the choice displaces. */
+  readonly costMs: number;
 }
 
-/** The prefill engine that hands over a prompt first. */
-function choosePrefill(
+/**
+ * The engine of one stage at which a prompt is best read. All hosts rank the holder of the shared
+ * parts alike; another engine is chosen if it is ready sooner by more than a copy of them costs.
+ */
+function chooseReader(
   targets: readonly TargetState[],
   work: PromptWork,
+  stage: EngineStage,
   context: PlacementContext,
 ): Reader | undefined {
   const {estimates, hosts, nowMs} = context;
@@ -154,26 +163,48 @@
   const sharedTokens = countTokens(shared);
   const holder = findHolder(targets, shared);
   const load = estimateStageLoad(targets, hosts);
-  const factor = waitFactor(context.calibration, 'prefill', work.urgency);
-  const moveMs = estimates.handoverMs + work.promptTokens / estimates.transferTokensPerMs;
+  const factor = waitFactor(context.calibration, stage, work.urgency);
   let best: Reader | undefined;
   for (const target of targets) {
+    const isHolder = target.entry.id === holder;
     const known = estimateCachedTokens(target, shared, nowMs);
-    const assumed = target.entry.id === holder ? sharedTokens * PREFILL_HOLDER_SHARE : 0;
-    const read = estimateRead(target, work, Math.max(known, assumed), context, load);
-    const waitMs = read.totalMs * factor + moveMs;
-    if (best && waitMs >= best.waitMs) continue;
-    best = {target, waitMs, queueMs: read.queueMs * factor, rawReadMs: read.totalMs};
+    // Another host has probably sent the shared parts to their holder before.
+    const isWarm = isHolder && nowMs - target.knownSinceMs > estimates.warmUpMs;
+    const cached = isWarm ? sharedTokens : known;
+    const read = estimateRead(target, work, cached, context, load);
+    const waitMs = read.totalMs * factor;
+    const copyMs = isHolder ? 0 : (sharedTokens - known) * estimates.msPerCopiedToken;
+    const costMs = waitMs + copyMs;
+    if (best && costMs >= best.costMs) continue;
+    const queueMs = read.queueMs * factor;
+    best = {target, waitMs, costMs, queueMs, rawReadMs: read.totalMs};
+  }
+  return best;
+}
+
+/** The least loaded decode engine, if possible in the failure domain where the prompt is read. */
+function chooseDecode(
+  targets: readonly TargetState[],
+  near: TargetState,
+  context: PlacementContext,
+): TargetState | undefined {
+  let best: TargetState | undefined;
+  let bestLoad = Infinity;
+  for (const target of targets) {
+    const isNear = target.entry.failureDomain === near.entry.failureDomain;
+    const load =
+      estimateRequests(target, context.nowMs) + (isNear ? 0 : context.estimates.farRequests);
+    if (load >= bestLoad) continue;
+    best = target;
+    bestLoad = load;
   }
   return best;
 }
 
 /**
- * Places a prompt. The decode engine is the holder of the shared parts, which all hosts rank alike,
- * unless another one is ready sooner by more than the copy of these parts costs. It reads the prompt
- * itself if it holds most of it; else a prefill engine reads it and hands it over, after which the
- * holder keeps the parts. Answers prompts that are mostly shared and more of them than one engine's
- * memory can keep.
+ * Places a prompt. A prefill engine reads it and hands it over, so that decode engines make tokens
+ * without pauses. Answers streams whose pauses are bounded: a decode engine that reads prompts holds
+ * up the tokens of all its requests, so it reads one only if the prefill engines are far behind.
  */
 export function placePrompt(
   all: Iterable<TargetState>,
@@ -181,39 +212,24 @@
   tried: ReadonlySet<TargetId>,
   context: PlacementContext,
 ): EnginePlacement {
-  const {estimates, hosts, nowMs} = context;
+  const {estimates} = context;
   const byStage: Record<EngineStage, TargetState[]> = {prefill: [], decode: []};
   for (const target of all) {
-    if (tried.has(target.entry.id) || !canTakeWork(target, nowMs)) continue;
+    if (tried.has(target.entry.id) || !canTakeWork(target, context.nowMs)) continue;
     byStage[stageOf(target)].push(target);
   }
-  const shared = sharedParts(work.parts);
-  const sharedTokens = countTokens(shared);
-  const holder = findHolder(byStage.decode, shared);
-  const reader = context.mayStage ? choosePrefill(byStage.prefill, work, context) : undefined;
-  const load = estimateStageLoad(byStage.decode, hosts);
-  const factor = waitFactor(context.calibration, 'decode', work.urgency);
-  let best: EnginePlacement = {type: 'none'};
-  let bestCostMs = Infinity;
-  for (const decode of byStage.decode) {
-    const isHolder = decode.entry.id === holder;
-    const known = estimateCachedTokens(decode, shared, nowMs);
-    // Another host has probably sent the shared parts to their holder before.
-    const isWarm = isHolder && nowMs - decode.knownSinceMs > estimates.warmUpMs;
-    const cached = isWarm ? sharedTokens : known;
-    const copyMs = isHolder ? 0 : (sharedTokens - known) * estimates.msPerCopiedToken;
-    const read = estimateRead(decode, work, cached, context, load);
-    const directMs = read.totalMs * factor;
-    const busyMs = estimateRequests(decode, nowMs) * estimates.msPerRequest;
-    const isStaged = reader !== undefined && reader.waitMs + busyMs < directMs;
-    const waitMs = isStaged ? reader.waitMs + busyMs : directMs;
-    if (waitMs + copyMs >= bestCostMs) continue;
-    bestCostMs = waitMs + copyMs;
-    best = isStaged
-      ? {...reader, type: 'staged', prefill: reader.target, decode, waitMs}
-      : {type: 'direct', decode, waitMs, queueMs: read.queueMs * factor, rawReadMs: read.totalMs};
+  const direct = chooseReader(byStage.decode, work, 'decode', context);
+  if (!direct) return {type: 'none'};
+  const reader = context.mayStage
+    ? chooseReader(byStage.prefill, work, 'prefill', context)
+    : undefined;
+  const decode = reader && chooseDecode(byStage.decode, reader.target, context);
+  const moveMs = estimates.handoverMs + work.promptTokens / estimates.transferTokensPerMs;
+  if (reader && decode && reader.costMs + moveMs < direct.costMs + estimates.pauseMs) {
+    const waitMs = reader.waitMs + moveMs;
+    return {...reader, type: 'staged', prefill: reader.target, decode, waitMs};
   }
-  return best;
+  return {...direct, type: 'direct', decode: direct.target};
 }
 
 function countTokens(parts: readonly PromptPart[]): number {
--- a/packages/relay/src/fleet-duties.ts
+++ b/packages/relay/src/fleet-duties.ts
@@ -12,6 +12,7 @@
   observeLease,
 } from './lease.js';
 import {DutyClient} from './model.js';
+import {StageKeeper} from './stage-keeper.js';
 import {DependencyMonitor, FrozenWindow, SharedState, SharedStore} from './store-sync.js';
 import {sumWindow, windowIndexAt} from './usage-ledger.js';
 
@@ -44,6 +45,7 @@
   readonly usageWindowMs: number;
   readonly usageDueMs: number;
   readonly capacity: CapacityKeeper;
+  readonly stages: StageKeeper;
   /** Writes this host's own record. */
   writeOwn(): Procedure<void>;
   onHosts(): void;
@@ -100,6 +102,7 @@
     yield* this.reportUsage(state);
     const hosts = readyHosts(parts.registry, this.lastReadMs);
     yield* parts.capacity.step(hosts, () => this.currentTerm());
+    yield* parts.stages.step(() => this.currentTerm());
   }
 
   /** Few hosts compete, chosen alike everywhere; a holder goes on in any case. */
--- a/packages/relay/src/model.ts
+++ b/packages/relay/src/model.ts
@@ -191,12 +191,19 @@
   readPrefill(body: Buffer): {readonly handle: string} | undefined;
   /** Path by which a handle is freed with DELETE. */
   handlePath(handle: string): string;
+  /** Path at which an engine reports its state. */
+  readonly reportPath: string;
+  /** Orders that an engine has accepted, from its report; undefined if it can't be read. */
+  readAcceptedOrders(body: Buffer): number | undefined;
   /** Path and body of an order that changes an engine's stage. */
   stageOrder(
     stage: EngineStage,
     holder: HostId,
     fencingToken: number,
+    acceptedOrders: number,
   ): {readonly path: string; readonly body: string};
+  /** Headers of a call to a target that isn't a client's request. */
+  writeControlHeaders(target: TargetEntry): string[];
 }
 
 /** Requests of each team that began to run in one window. */
--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -31,6 +31,7 @@
   waitUntilIdle,
 } from './servers.js';
 import {RelaySettings} from './settings.js';
+import {StageKeeper} from './stage-keeper.js';
 import {
   DependencyMonitor,
   FleetSource,
@@ -240,6 +241,14 @@
         configView: this.configView,
         targets: this.targets,
       }),
+      stages: new StageKeeper({
+        hostId: settings.hostId,
+        clock,
+        log,
+        codec: this.options.codec,
+        configView: this.configView,
+        targets: this.targets,
+      }),
     });
   }
 
--- a/packages/relay/src/serve-stream.ts
+++ b/packages/relay/src/serve-stream.ts
@@ -80,6 +80,8 @@
     }
     const end = yield* runAt(state, placement, source);
     if (end.type === 'done') return end.outcome;
+    // The memory couldn't be fetched from there: another engine is to read the prompt.
+    if (placement.type === 'staged') tried.add(placement.prefill.entry.id);
     const isFree = end.type === 'notRun' && end.isFree;
     if (!mayTryAgain(parts, request, mayRepeat, isFree)) return giveUp(state, 'overloaded');
   }
@@ -190,7 +192,12 @@
   const path = parts.codec.handlePath(source.handle);
   const freed = parts.targets.send(
     target,
-    {method: 'DELETE', path, headers: [], body: undefined},
+    {
+      method: 'DELETE',
+      path,
+      headers: parts.codec.writeControlHeaders(target.entry),
+      body: undefined,
+    },
     true,
   );
   // The engine drops the memory by itself after its time to live; the answer changes nothing.
--- a/packages/relay/src/target-pool.ts
+++ b/packages/relay/src/target-pool.ts
@@ -61,7 +61,8 @@
     }
     const {added, draining, gone} = changes;
     if (added.length + draining.length + gone.length === 0) return;
-    const ids = (list: readonly TargetEntry[]) => list.map(entry => entry.id);
+    const ids = (list: readonly TargetEntry[]) =>
+      list.map(entry => `${entry.id} ${entry.stage ?? ''}${entry.isCheap ? ' cheap' : ''}`);
     this.log.write('targetsChanged', {
       added: ids(added),
       draining: ids(draining),
--- a/packages/relay/test/capacity.test.ts
+++ b/packages/relay/test/capacity.test.ts
@@ -6,11 +6,13 @@
   createCapacityState,
   decideCapacity,
   DEFAULT_CAPACITY_SETTINGS,
+  EngineStage,
   recordOrder,
   Service,
   TargetEntry,
 } from '../src/index.js';
 import {DemandMeter} from '../src/demand-meter.js';
+import {decideStages, DEFAULT_STAGE_SETTINGS} from '../src/stage-policy.js';
 import {ENGINES, makeEntry} from './fixtures.js';
 
 const DOMAINS = ['domain-a', 'domain-b', 'domain-c'];
@@ -136,6 +138,39 @@
   });
 });
 
+describe('stage policy', () => {
+  const settings = DEFAULT_STAGE_SETTINGS;
+  const engine = (id: string, stage: EngineStage, isCheap = false) =>
+    makeEntry(id, {stage, isCheap});
+
+  it('keeps a quarter of the engines for decoding, ordinary ones first', () => {
+    // Guards against streams that end with the withdrawal of cheap engines.
+    const entries = [
+      ...[1, 2, 3, 4, 5, 6, 7].map(i => engine(`cheap${i}`, 'decode', true)),
+      engine('ordinary', 'prefill'),
+    ];
+    const orders = decideStages(new Map(), entries, settings, 0);
+    expect(orders).to.deep.include({target: 'ordinary', stage: 'decode'});
+    expect(orders.filter(order => order.stage === 'prefill')).to.have.length(6);
+  });
+
+  it('orders nothing when the stages are as wanted, and an engine once until it takes effect', () => {
+    // Guards against engines that change their stage again and again.
+    const entries = [engine('a', 'decode'), ...[1, 2, 3].map(i => engine(`p${i}`, 'prefill'))];
+    expect(decideStages(new Map(), entries, settings, 0)).to.have.length(0);
+    const state = new Map([[entries[0].id, 0]]);
+    const other = [engine('a', 'prefill')];
+    expect(decideStages(state, other, settings, settings.repeatMs - 1)).to.have.length(0);
+    expect(decideStages(state, other, settings, settings.repeatMs)).to.have.length(1);
+  });
+
+  it('leaves the only engine of a failure domain to decode', () => {
+    // Guards against a domain, or a fleet, in which nothing makes tokens.
+    const orders = decideStages(new Map(), [engine('only', 'prefill')], settings, 0);
+    expect(orders).to.deep.equal([{target: 'only', stage: 'decode'}]);
+  });
+});
+
 describe('demand meter', () => {
   it('rises within seconds and falls slowly', () => {
     // Guards against capacity that is given up between two bursts.
