Wait with orders until targets have registered themselves

Change: orders wait 3.5 s after the first target; the number at the start is the most seen by then. The new test failed before.

--- a/packages/relay/src/capacity-keeper.ts
+++ b/packages/relay/src/capacity-keeper.ts
@@ -40,7 +40,8 @@
       const entries = parts.targets.ofService(service.name).map(target => target.entry);
       let state = this.states.get(service.name);
       if (!state) {
-        state = createCapacityState(entries);
+        if (entries.length === 0) continue;
+        state = createCapacityState(parts.clock.nowMs());
         this.states.set(service.name, state);
       }
       const demand = hosts.reduce((sum, host) => sum + (host.demand?.[service.name] ?? 0), 0);
--- a/packages/relay/src/capacity-policy.ts
+++ b/packages/relay/src/capacity-policy.ts
@@ -14,6 +14,11 @@
   readonly maxCheapPriceRatio: number;
   /** Ordinary targets kept in each failure domain for when the cheap ones are withdrawn. */
   readonly ordinaryPerDomain: number;
+  /**
+   * Orders wait this long after the first target was seen: targets register themselves within
+   * seconds of their start, and what is there at the start isn't known before.
+   */
+  readonly settleMs: number;
   /** An order isn't repeated sooner: new targets take seconds to appear. */
   readonly repeatMs: number;
 }
@@ -23,13 +28,16 @@
   startFactor: 1.5,
   maxCheapPriceRatio: 0.6,
   ordinaryPerDomain: 1,
+  settleMs: 3500,
   repeatMs: 3000,
 };
 
 /** What the holder of the fleet lease knows of one service. */
 export interface CapacityState {
-  /** Targets when this holder first saw the service. */
-  readonly startCount: number;
+  /** When this holder first saw a target of the service. */
+  readonly firstSeenMs: number;
+  /** Most targets seen before demand was known. */
+  startCount: number;
   /** Failure domains in which targets were seen. */
   readonly domains: Set<FailureDomain>;
   /** Last order by domain and kind. */
@@ -38,10 +46,11 @@
   wantedTotal: number;
 }
 
-export function createCapacityState(entries: readonly TargetEntry[]): CapacityState {
+export function createCapacityState(nowMs: number): CapacityState {
   return {
-    startCount: entries.filter(entry => !entry.isDraining).length,
-    domains: new Set(entries.map(entry => entry.failureDomain)),
+    firstSeenMs: nowMs,
+    startCount: 0,
+    domains: new Set(),
     lastOrders: new Map(),
     wantedTotal: 0,
   };
@@ -63,6 +72,9 @@
   const {scaling} = service;
   if (!scaling || !service.engine) return [];
   for (const entry of entries) state.domains.add(entry.failureDomain);
+  const ready = entries.filter(entry => !entry.isDraining).length;
+  if (state.wantedTotal === 0) state.startCount = Math.max(state.startCount, ready);
+  if (nowMs - state.firstSeenMs < settings.settleMs) return [];
   const fromDemand = Math.ceil(demandPerSecond / settings.tokensPerEngine);
   const fromStart = Math.ceil(state.startCount * settings.startFactor);
   state.wantedTotal = Math.max(state.wantedTotal, fromDemand > 0 ? fromDemand : fromStart);
--- a/packages/relay/test/capacity.test.ts
+++ b/packages/relay/test/capacity.test.ts
@@ -80,7 +80,7 @@
   demand: number,
   fromMs: number,
   toMs: number,
-  state = createCapacityState(fleet.entries),
+  state = createCapacityState(0),
 ) {
   for (let nowMs = fromMs; nowMs < toMs; nowMs += 1000) {
     fleet.step(state, service, demand, nowMs);
@@ -92,7 +92,7 @@
   it('replaces ordinary targets by cheap ones without a dip in capacity', () => {
     // Guards against a fleet that is smaller while its replacements start.
     const fleet = new Fleet(4);
-    const state = createCapacityState(fleet.entries);
+    const state = createCapacityState(0);
     for (let nowMs = 0; nowMs < 20_000; nowMs += 1000) {
       fleet.step(state, makeService(0.2), 0, nowMs);
       expect(fleet.entries.length).to.be.at.least(12);
@@ -101,6 +101,20 @@
     expect(fleet.count(true)).to.equal(15);
   });
 
+  it('orders nothing while targets still register themselves', () => {
+    // Guards against a fleet that is reduced to the few targets that registered first.
+    const fleet = new Fleet(4);
+    const late = fleet.entries.splice(2);
+    const state = createCapacityState(0);
+    fleet.step(state, makeService(0.2), 0, 0);
+    fleet.step(state, makeService(0.2), 0, 1000);
+    fleet.entries.push(...late);
+    fleet.step(state, makeService(0.2), 0, 2000);
+    expect(fleet.orders).to.have.length(0);
+    play(fleet, makeService(0.2), 0, 3000, 20_000, state);
+    expect(fleet.entries).to.have.length(18);
+  });
+
   it('follows demand up, spread over the failure domains', () => {
     // Guards against prompts that wait for engines that were never ordered.
     const fleet = new Fleet(4);
