--- a/packages/relay/src/capacity-policy.ts
+++ b/packages/relay/src/capacity-policy.ts
@@ -28,7 +28,7 @@
   startFactor: 1.5,
   maxCheapPriceRatio: 0.6,
   ordinaryPerDomain: 1,
-  settleMs: 3500,
+  settleMs: 2500,
   repeatMs: 3000,
 };
 
--- a/packages/relay/src/serve-stream.ts
+++ b/packages/relay/src/serve-stream.ts
@@ -178,7 +178,8 @@
       answer.meta.requestId === undefined || answer.meta.requestId === request.meta.requestId;
     const prefill =
       answer.status === 200 && isOwn ? parts.codec.readPrefill(answer.body) : undefined;
-    sent.finish(prefill ? 'finished' : answer.status === 421 ? 'unreachable' : 'failed');
+    const isRejected = statesNotRun(answer.status, answer.meta);
+    sent.finish(prefill ? 'finished' : isRejected ? 'unreachable' : 'failed');
     if (!prefill) progress.steps.push(`${target.entry.id}:prefill ${answer.status}`);
     return prefill && {address: target.entry.address, handle: prefill.handle};
   } finally {
@@ -365,7 +366,8 @@
   }
   if (meta.load) recordLoad(sent.target, meta.load, parts.clock.nowMs());
   if (statesNotRun(status, meta)) {
-    sent.finish(status === 421 ? 'unreachable' : 'failed');
+    // It is full, changes its stage or is another one: it takes nothing for some time.
+    sent.finish('unreachable');
     return {type: 'notRun', isFree: false};
   }
   sent.finish('failed');
--- a/packages/relay/src/stage-keeper.ts
+++ b/packages/relay/src/stage-keeper.ts
@@ -9,7 +9,7 @@
 const CALL_TIMEOUT_MS = 700;
 
 /** Orders sent in one step; the duties' other work waits for them. */
-const MAX_ORDERS_PER_STEP = 4;
+const MAX_ORDERS_PER_STEP = 12;
 
 /** What the orders to engines need. */
 export interface StageParts {
