--- a/packages/relay/src/engine-placement.ts
+++ b/packages/relay/src/engine-placement.ts
@@ -1,5 +1,6 @@
 import {TargetId} from '@radishgw/core';
 import {EngineStage, PromptPart} from './model.js';
+import {averagePending, PendingAverage} from './pending-average.js';
 import {rankByKey} from './rendezvous.js';
 import {
   canTakeWork,
@@ -76,6 +77,8 @@
   /** Whether a prefill engine may read the prompt. */
   readonly mayStage: boolean;
   readonly calibration: WaitCalibration;
+  /** Updated by each placement. */
+  readonly pending: PendingAverage;
   readonly estimates: EngineEstimates;
 }
 
@@ -112,8 +115,13 @@
  * Reported loads come with answers, so they are old just when answers are slow. Hosts have like
  * traffic: what this host has sent to a stage stands for what each of the others has.
  */
-function estimateStageLoad(targets: readonly TargetState[], hosts: number): StageLoad {
-  const ownTokens = targets.reduce((sum, target) => sum + target.ownPromptTokens, 0);
+function estimateStageLoad(
+  targets: readonly TargetState[],
+  stage: EngineStage,
+  {hosts, pending, nowMs}: PlacementContext,
+): StageLoad {
+  const nowTokens = targets.reduce((sum, target) => sum + target.ownPromptTokens, 0);
+  const ownTokens = averagePending(pending, stage, nowTokens, nowMs);
   return {othersTokens: ((hosts - 1) * ownTokens) / Math.max(1, targets.length)};
 }
 
@@ -158,11 +166,11 @@
   stage: EngineStage,
   context: PlacementContext,
 ): Reader | undefined {
-  const {estimates, hosts, nowMs} = context;
+  const {estimates, nowMs} = context;
   const shared = sharedParts(work.parts);
   const sharedTokens = countTokens(shared);
   const holder = findHolder(targets, shared);
-  const load = estimateStageLoad(targets, hosts);
+  const load = estimateStageLoad(targets, stage, context);
   const factor = waitFactor(context.calibration, stage, work.urgency);
   let best: Reader | undefined;
   for (const target of targets) {
--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -201,6 +201,7 @@
       targets: this.targets,
       quota: this.quota,
       calibration: createWaitCalibration(),
+      pending: new Map(),
       demand: this.demand,
       extraAttempts: this.extraAttempts,
       extraAttemptSettings: settings.extraAttempts,
--- a/packages/relay/src/request-context.ts
+++ b/packages/relay/src/request-context.ts
@@ -5,6 +5,7 @@
 import {ExtraAttempts, ExtraAttemptSettings} from './extra-attempts.js';
 import {RelayMetrics} from './metrics.js';
 import {RelayCodec, RequestMeta, Route, ServiceName, Team} from './model.js';
+import {PendingAverage} from './pending-average.js';
 import {QuotaClient} from './quota-client.js';
 import {TargetPool} from './target-pool.js';
 import {WaitCalibration} from './wait-calibration.js';
@@ -24,6 +25,7 @@
   readonly extraAttemptSettings: ExtraAttemptSettings;
   /** How long prompts really wait, from this host's requests. */
   readonly calibration: WaitCalibration;
+  readonly pending: Map<ServiceName, PendingAverage>;
   readonly demand: DemandMeter;
   /** Bound on serving keyed requests without a confirmation of the configuration. */
   readonly revokeMs: number;
--- a/packages/relay/src/serve-stream.ts
+++ b/packages/relay/src/serve-stream.ts
@@ -8,7 +8,8 @@
 } from './engine-placement.js';
 import {EventSplitter, StreamEvent} from './events.js';
 import {recordRequest} from './extra-attempts.js';
-import {CacheSource} from './model.js';
+import {CacheSource, ServiceName} from './model.js';
+import {createPendingAverage, PendingAverage} from './pending-average.js';
 import {AdmittedRequest, RelayParts} from './request-context.js';
 import {mayTryAgain, ServeOutcome} from './serve-outcome.js';
 import {findAnswerFault, readWholeAnswer, statesNotRun} from './target-answer.js';
@@ -95,10 +96,20 @@
     nowMs: parts.clock.nowMs(),
     mayStage,
     calibration: parts.calibration,
+    pending: pendingOf(parts, service),
     estimates: DEFAULT_ENGINE_ESTIMATES,
   });
 }
 
+function pendingOf(parts: RelayParts, service: ServiceName): PendingAverage {
+  let pending = parts.pending.get(service);
+  if (!pending) {
+    pending = createPendingAverage();
+    parts.pending.set(service, pending);
+  }
+  return pending;
+}
+
 /** Notes where a prompt was placed and with which inputs, for the log. */
 function notePlacement(
   {parts, request}: StreamState,
--- a/packages/relay/test/engine-placement.test.ts
+++ b/packages/relay/test/engine-placement.test.ts
@@ -2,6 +2,7 @@
 import {createSeededRandom, toId} from '@radishgw/core';
 import {createTargetState, recordParts, TargetState} from '../src/target-state.js';
 import {DEFAULT_ENGINE_ESTIMATES, PlacementContext, placePrompt} from '../src/index.js';
+import {createPendingAverage} from '../src/pending-average.js';
 import {createWaitCalibration, recordWait, waitFactor} from '../src/wait-calibration.js';
 import {makeEntry, makeParts} from './fixtures.js';
 
@@ -11,6 +12,7 @@
     nowMs: 100_000,
     mayStage: true,
     calibration: createWaitCalibration(),
+    pending: createPendingAverage(),
     estimates: DEFAULT_ENGINE_ESTIMATES,
     ...fields,
   };
@@ -104,6 +106,20 @@
     expect(placePrompt(engines, work, tried, makeContext()).type).to.equal('none');
   });
 
+  it('remembers its share of the load between its own requests', () => {
+    // Guards against hosts, one of many, that see an idle stage whenever they have nothing pending.
+    const engines = makeEngines(4, 0);
+    const pending = createPendingAverage();
+    const work = {parts: makeParts(['own', 1000]), promptTokens: 1000, urgency: 0};
+    engines[0].ownPromptTokens = 20_000;
+    const place = (nowMs: number) =>
+      placePrompt(engines, work, new Set(), makeContext({hosts: 74, pending, nowMs}));
+    for (let nowMs = 100_000; nowMs < 102_000; nowMs += 100) place(nowMs);
+    engines[0].ownPromptTokens = 0;
+    const placement = place(102_050);
+    expect(placement.type !== 'none' && placement.queueMs).to.be.greaterThan(5000);
+  });
+
   it('learns how fast the engines of a stage are', () => {
     // Guards against a deployment whose engines are slower than is assumed.
     const calibration = createWaitCalibration();
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -24,6 +24,6 @@
   plugins: [tsResults],
   // CommonJS packages inside an ES module bundle need `require`.
   banner: {
-    js: "import {createRequire} from 'node:module';const require=createRequire(import.meta.url);",
+    js: "import {createRequire as makeRequire} from 'node:module';const require=makeRequire(import.meta.url);",
   },
 });
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -24,7 +24,12 @@
 
 const knownRed = readKnownRed();
 const mocha = new Mocha({timeout: 120_000, reporter: 'spec', forbidOnly: true});
-const folders = [...readdirSync('packages').sort().map(name => join('packages', name)), 'platform'];
+const folders = [
+  ...readdirSync('packages')
+    .sort()
+    .map(name => join('packages', name)),
+  'platform',
+];
 for (const folder of folders) {
   // Only tests that still have a source file: old build output is passed over.
   for (const file of findTests(join(folder, 'dist', 'test'))) {
