--- a/packages/relay/src/team-quota.ts
+++ b/packages/relay/src/team-quota.ts
@@ -10,8 +10,16 @@
   burstCost: number;
   levelCost: number;
   updatedMs: number;
+  /**
+   * Cost of refused requests that were told to come back and whose time hasn't come. Each is told a
+   * later time than the one before, so that clients come back in turn and find room.
+   */
+  promisedCost: number;
 }
 
+/** Clients don't stay away for longer, so that room is promised only within this time. */
+const MAX_PROMISE_MS = 1500;
+
 /** Answer to a request for quota. */
 export type QuotaAnswer =
   {readonly granted: true} | {readonly granted: false; readonly retryAfterMs: number};
@@ -36,8 +44,9 @@
 
 function refill(bucket: QuotaBucket, nowMs: number): void {
   const elapsedMs = Math.max(0, nowMs - bucket.updatedMs);
-  const level = bucket.levelCost + (bucket.costPerSecond * elapsedMs) / 1000;
-  bucket.levelCost = Math.min(bucket.burstCost, level);
+  const refilled = (bucket.costPerSecond * elapsedMs) / 1000;
+  bucket.levelCost = Math.min(bucket.burstCost, bucket.levelCost + refilled);
+  bucket.promisedCost = Math.max(0, bucket.promisedCost - refilled);
   bucket.updatedMs = nowMs;
 }
 
@@ -54,7 +63,7 @@
   let bucket = state.buckets.get(team);
   if (!bucket) {
     const levelCost = burstCost * state.startShare;
-    bucket = {costPerSecond, burstCost, levelCost, updatedMs: nowMs};
+    bucket = {costPerSecond, burstCost, levelCost, updatedMs: nowMs, promisedCost: 0};
     state.buckets.set(team, bucket);
   }
   refill(bucket, nowMs);
@@ -75,7 +84,9 @@
   if (!team.limit) return {granted: true};
   const bucket = prepareBucket(state, team.id, team.limit, share, nowMs);
   if (bucket.levelCost <= 0) {
-    const retryAfterMs = ((1 - bucket.levelCost) / Math.max(1e-9, bucket.costPerSecond)) * 1000;
+    const missing = 1 - bucket.levelCost + bucket.promisedCost;
+    const retryAfterMs = (missing / Math.max(1e-9, bucket.costPerSecond)) * 1000;
+    if (retryAfterMs < MAX_PROMISE_MS) bucket.promisedCost += cost;
     return {granted: false, retryAfterMs};
   }
   bucket.levelCost -= cost;
--- a/packages/relay/test/quota.test.ts
+++ b/packages/relay/test/quota.test.ts
@@ -43,6 +43,19 @@
     expect(refused.granted === false && refused.retryAfterMs).to.be.closeTo(914.9, 1);
   });
 
+  it('tells refused clients to come back one after the other', () => {
+    // Guards against clients that all come back at the same moment and are refused again.
+    const state = createQuotaState(1);
+    takeQuota(state, team, 60_000, 1, 0);
+    const waits = [1, 2, 3].map(() => {
+      const answer = takeQuota(state, team, 10_000, 1, 0);
+      return answer.granted ? 0 : answer.retryAfterMs;
+    });
+    expect(waits[1] - waits[0]).to.be.closeTo((10_000 / RATE) * 1000, 1);
+    expect(waits[2] - waits[1]).to.be.closeTo((10_000 / RATE) * 1000, 1);
+    expect(takeQuota(state, team, 10_000, 1, waits[0] + 1).granted).to.equal(true);
+  });
+
   it('gives back what a request that has not run was charged', () => {
     // Guards against wrongful refusals after work that failed.
     const state = createQuotaState(1);
