Keep long prompts away from decode engines

Such prompts came there when prefill engines were behind or silent. Ruled out: load by slots, preemption, transfers. Change: the cost of reading at a decode engine grows with the prompt; after a failed prefill another prefill engine is tried, as an extra attempt. The new test failed before.

--- a/packages/relay/src/engine-placement.ts
+++ b/packages/relay/src/engine-placement.ts
@@ -30,8 +30,10 @@
    * the place of other parts.
    */
   readonly msPerCopiedToken: number;
-  /** What it is worth to keep reading away from decode engines. */
+  /** What it is worth to keep reading away from decode engines, for each prompt ... */
   readonly pauseMs: number;
+  /** ... and for each of its tokens: a long prompt stops the tokens of all others for a second. */
+  readonly pauseMsPerToken: number;
   /** Requests by which a decode engine in another failure domain must be less loaded. */
   readonly farRequests: number;
   /** An engine that has been known for less holds no shared parts yet. */
@@ -48,6 +50,7 @@
   msPerRequest: 0.5,
   msPerCopiedToken: 0.006,
   pauseMs: 300,
+  pauseMsPerToken: 0.15,
   farRequests: 16,
   warmUpMs: 6000,
 };
@@ -233,7 +236,8 @@
     : undefined;
   const decode = reader && chooseDecode(byStage.decode, reader.target, context);
   const moveMs = estimates.handoverMs + work.promptTokens / estimates.transferTokensPerMs;
-  if (reader && decode && reader.costMs + moveMs < direct.costMs + estimates.pauseMs) {
+  const pauseMs = estimates.pauseMs + work.promptTokens * estimates.pauseMsPerToken;
+  if (reader && decode && reader.costMs + moveMs < direct.costMs + pauseMs) {
     const waitMs = reader.waitMs + moveMs;
     return {...reader, type: 'staged', prefill: reader.target, decode, waitMs};
   }
--- a/packages/relay/src/serve-stream.ts
+++ b/packages/relay/src/serve-stream.ts
@@ -34,6 +34,13 @@
 /** Least time for which a refused client is told to stay away: a queue falls in some 100 ms. */
 const MIN_RETRY_AFTER_MS = 200;
 
+/** A prefill answers only at its end: it is given up later than a stream that falls silent. */
+const PREFILL_SILENCE_FACTOR = 4;
+const MIN_PREFILL_SILENCE_MS = 1500;
+
+/** Part of the time that is left which a prefill may take. */
+const PREFILL_TIME_SHARE = 0.7;
+
 /** How one run of a stream ended. */
 type RunEnd =
   | {readonly type: 'done'; readonly outcome: ServeOutcome}
@@ -58,9 +65,8 @@
   const tried = new Set<TargetId>();
   const state: StreamState = {parts, request, mayRepeat, tried, lastEventId: meta.lastEventId};
   recordRequest(parts.extraAttempts.get(service)!, parts.clock.nowMs());
-  let mayStage = true;
   for (;;) {
-    const placement = place(state, mayStage && !exchange.hasStarted);
+    const placement = place(state, !exchange.hasStarted);
     if (placement.type === 'none') return giveUp(state, 'noTarget');
     const leftMs = request.endMs - parts.clock.nowMs();
     const bestQueueMs = Math.min(leftMs, route.objectiveMs * QUEUE_OBJECTIVES);
@@ -72,10 +78,10 @@
     let source: CacheSource | undefined;
     if (placement.type === 'staged') {
       source = yield* readPrompt(state, placement.prefill as PooledTarget, placement);
-      // One prompt is prepared at most once, so that a rejected call costs no second one.
       if (!source) {
-        mayStage = false;
-        if (!mayTryAgain(parts, request, true, true)) return giveUp(state, 'overloaded');
+        // A further reading is an extra attempt; a long prompt would hold up a decode engine.
+        tried.add(placement.prefill.entry.id);
+        if (!mayTryAgain(parts, request, true, false)) return giveUp(state, 'overloaded');
         continue;
       }
     }
@@ -389,7 +395,8 @@
 /** A prefill may take most of the time that is left, but a silent engine must leave some. */
 function prefillSilenceMs({parts, request}: StreamState, waitMs: number): number {
   const leftMs = Math.max(1, request.endMs - parts.clock.nowMs());
-  return Math.min(leftMs * 0.7, Math.max(MIN_SILENCE_MS, SILENCE_FACTOR * waitMs));
+  const silenceMs = Math.max(MIN_PREFILL_SILENCE_MS, PREFILL_SILENCE_FACTOR * waitMs);
+  return Math.min(leftMs * PREFILL_TIME_SHARE, silenceMs);
 }
 
 function longestSilenceMs(state: StreamState, hasEvents: boolean, waitMs: number): number {
--- a/packages/relay/test/engine-placement.test.ts
+++ b/packages/relay/test/engine-placement.test.ts
@@ -68,6 +68,14 @@
     expect(placePrompt(engines, work, new Set(), makeContext()).type).to.equal('direct');
   });
 
+  it('does not have a long prompt read by a decode engine beside a queue', () => {
+    // Guards against streams of other requests that stop for a second.
+    const engines = makeEngines(2, 2);
+    for (const engine of engines.slice(2)) engine.ownPromptTokens = 60_000;
+    const work = {parts: makeParts(['own', 20_000]), promptTokens: 20_000, urgency: 0};
+    expect(placePrompt(engines, work, new Set(), makeContext()).type).to.equal('staged');
+  });
+
   it('spreads a popular part when its holder is busy', () => {
     // Guards against one engine with a long queue beside idle ones.
     const engines = makeEngines(6, 0);
