--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -5,7 +5,9 @@
   ...gts,
   {
     files: ['**/*.ts'],
-    languageOptions: {parserOptions: {project: ['./packages/*/tsconfig.json', './platform/tsconfig.json']}},
+    languageOptions: {
+      parserOptions: {project: ['./packages/*/tsconfig.json', './platform/tsconfig.json']},
+    },
     rules: {'n/no-extraneous-import': 'off', 'n/no-unpublished-import': 'off', 'n/hashbang': 'off'},
   },
   {
--- a/packages/gateway/src/request/idempotency.ts
+++ b/packages/gateway/src/request/idempotency.ts
@@ -1,6 +1,12 @@
 import {createHash} from 'node:crypto';
 import {call, Clock, Procedure, RandomSource} from '@radishgw/core';
-import {Platform, PlatformObject, putSettled, Revision, SettledPutError} from '@radishgw/coordination';
+import {
+  Platform,
+  PlatformObject,
+  putSettled,
+  Revision,
+  SettledPutError,
+} from '@radishgw/coordination';
 import {z} from 'zod';
 import {Refusal} from './refusal.js';
 
--- a/packages/gateway/src/usage/usage-service.ts
+++ b/packages/gateway/src/usage/usage-service.ts
@@ -14,7 +14,13 @@
   startTask,
   TeamId,
 } from '@radishgw/core';
-import {Authority, HostSession, Membership, Platform, ShardAssignment} from '@radishgw/coordination';
+import {
+  Authority,
+  HostSession,
+  Membership,
+  Platform,
+  ShardAssignment,
+} from '@radishgw/coordination';
 import {
   create,
   INNER_SERVICE,
