Count a second reading of a prompt as an extra attempt

Cause: after a failed run the prompt was read again at another prefill engine. Change: a reading after the first accepted one takes from the budget; 0.7 instead of 0.8 of the bound is used, for restarted hosts.

--- a/packages/relay/src/extra-attempts.ts
+++ b/packages/relay/src/extra-attempts.ts
@@ -7,8 +7,8 @@
   readonly slack: number;
 }
 
-/** Part of the bound that is used, so that windows that straddle two of a host's own fit in. */
-const USED_SHARE = 0.8;
+/** Part of the bound that is used: a restarted host doesn't know what it used in the same window. */
+const USED_SHARE = 0.7;
 
 /** Requests and extra attempts of one service on this host within the window. */
 export interface ExtraAttempts {
--- a/packages/relay/src/serve-outcome.ts
+++ b/packages/relay/src/serve-outcome.ts
@@ -1,4 +1,5 @@
 import {takeExtraAttempt} from './extra-attempts.js';
+import {ServiceName} from './model.js';
 import {RefusalName} from './refusals.js';
 import {AdmittedRequest, RelayParts} from './request-context.js';
 
@@ -39,7 +40,11 @@
   if (progress.mayHaveRun && !mayRepeat) return false;
   if (progress.attempts >= route.maxAttempts && progress.mayHaveRun) return false;
   if (progress.steps.length >= MAX_SENDS) return false;
-  if (isFree) return true;
+  return isFree || takeExtra(parts, service);
+}
+
+/** Takes one call from this host's part of the bound on extra attempts. */
+export function takeExtra(parts: RelayParts, service: ServiceName): boolean {
   const extras = parts.extraAttempts.get(service)!;
   const settings = parts.extraAttemptSettings;
   return takeExtraAttempt(extras, settings, parts.countHosts(), parts.clock.nowMs());
--- a/packages/relay/src/serve-stream.ts
+++ b/packages/relay/src/serve-stream.ts
@@ -11,7 +11,7 @@
 import {CacheSource, ServiceName} from './model.js';
 import {createPendingAverage, PendingAverage} from './pending-average.js';
 import {AdmittedRequest, RelayParts} from './request-context.js';
-import {mayTryAgain, ServeOutcome} from './serve-outcome.js';
+import {mayTryAgain, ServeOutcome, takeExtra} from './serve-outcome.js';
 import {findAnswerFault, readWholeAnswer, statesNotRun} from './target-answer.js';
 import {AttemptEvent} from './target-connections.js';
 import {PooledAttempt, PooledTarget} from './target-pool.js';
@@ -56,6 +56,8 @@
   readonly mayRepeat: boolean;
   readonly tried: Set<TargetId>;
   lastEventId: string | undefined;
+  /** Whether a prefill engine has accepted the prompt: a further reading is an extra attempt. */
+  hasPrefilled: boolean;
 }
 
 /** Serves a stream of events from an engine, continuing it at another one where that is allowed. */
@@ -63,7 +65,14 @@
   const {progress, route, service, exchange, meta} = request;
   const mayRepeat = route.mayResume;
   const tried = new Set<TargetId>();
-  const state: StreamState = {parts, request, mayRepeat, tried, lastEventId: meta.lastEventId};
+  const state: StreamState = {
+    parts,
+    request,
+    mayRepeat,
+    tried,
+    lastEventId: meta.lastEventId,
+    hasPrefilled: false,
+  };
   recordRequest(parts.extraAttempts.get(service)!, parts.clock.nowMs());
   for (;;) {
     const placement = place(state, !exchange.hasStarted);
@@ -77,6 +86,8 @@
     notePlacement(state, placement);
     let source: CacheSource | undefined;
     if (placement.type === 'staged') {
+      const isExtra = state.hasPrefilled;
+      if (isExtra && !takeExtra(parts, service)) return giveUp(state, 'overloaded');
       source = yield* readPrompt(state, placement.prefill as PooledTarget, placement);
       if (!source) {
         // A further reading is an extra attempt; a long prompt would hold up a decode engine.
@@ -197,6 +208,7 @@
       answer.status === 200 && isOwn ? parts.codec.readPrefill(answer.body) : undefined;
     const isRejected = statesNotRun(answer.status, answer.meta);
     sent.finish(prefill ? 'finished' : isRejected ? 'unreachable' : 'failed');
+    if (prefill) state.hasPrefilled = true;
     if (!prefill) progress.steps.push(`${target.entry.id}:prefill ${answer.status}`);
     return prefill && {address: target.entry.address, handle: prefill.handle};
   } finally {
