Revert "Release ordinary targets as cheap ones come"

Tried: ordinary targets reduced one by one as cheap ones come, and 42,000 instead of 30,000 tokens per engine. Conclusion: fewer engines cost more in late banners than they save; reverted.

--- a/packages/relay/src/capacity-policy.ts
+++ b/packages/relay/src/capacity-policy.ts
@@ -4,8 +4,8 @@
 /** Settings of the capacity policy. */
 export interface CapacitySettings {
   /**
-   * Prompt tokens, shared ones included, that an engine is counted on to take in a second. An engine
-   * reads 61,000 and holds about half of what is asked; the rest is room for bursts.
+   * Prompt tokens that an engine is counted on to read in a second. A decode engine reads 30,000
+   * beside its other work; with most of a prompt shared this leaves room for bursts.
    */
   readonly tokensPerEngine: number;
   /** Capacity before demand is known, relative to what was there at the start. */
@@ -19,20 +19,17 @@
    * seconds of their start, and what is there at the start isn't known before.
    */
   readonly settleMs: number;
-  /** An order isn't repeated sooner: what can't be had now may come back some seconds later. */
+  /** An order isn't repeated sooner: new targets take seconds to appear. */
   readonly repeatMs: number;
-  /** Cheap targets that aren't there this long after their boot time can't be had. */
-  readonly arrivalMarginMs: number;
 }
 
 export const DEFAULT_CAPACITY_SETTINGS: CapacitySettings = {
-  tokensPerEngine: 42_000,
+  tokensPerEngine: 30_000,
   startFactor: 1.5,
   maxCheapPriceRatio: 0.6,
   ordinaryPerDomain: 1,
   settleMs: 2500,
-  repeatMs: 5000,
-  arrivalMarginMs: 4000,
+  repeatMs: 3000,
 };
 
 /** What the holder of the fleet lease knows of one service. */
@@ -45,8 +42,6 @@
   readonly domains: Set<FailureDomain>;
   /** Last order by domain and kind. */
   readonly lastOrders: Map<string, {readonly count: number; readonly atMs: number}>;
-  /** When the present number of cheap targets was first ordered, by domain. */
-  readonly cheapOrderedMs: Map<FailureDomain, number>;
   /** Highest number wanted so far. */
   wantedTotal: number;
 }
@@ -57,7 +52,6 @@
     startCount: 0,
     domains: new Set(),
     lastOrders: new Map(),
-    cheapOrderedMs: new Map(),
     wantedTotal: 0,
   };
 }
@@ -91,36 +85,20 @@
   domains.forEach((failureDomain, index) => {
     const share = splitEvenly(state.wantedTotal, domains.length, index);
     const total = Math.min(scaling.maxCount, Math.max(scaling.minCount, share));
-    const least = Math.min(total, Math.max(scaling.minCount, settings.ordinaryPerDomain));
+    const ordinary = usesCheap
+      ? Math.min(total, Math.max(scaling.minCount, settings.ordinaryPerDomain))
+      : total;
     const present = countReady(entries, failureDomain);
     const order = (isCheap: boolean, desiredCount: number) =>
       orders.push({service: service.name, failureDomain, isCheap, desiredCount});
-    if (!usesCheap) {
-      order(false, total);
-      return;
-    }
-    order(true, total - least);
-    const missing = Math.max(least, total - present.cheap);
-    const isSettled = isCheapSettled(state, failureDomain, scaling, settings, nowMs);
-    // Ordinary targets leave as cheap ones come, and make up for those that don't come.
-    const ordinary = missing <= present.ordinary || isSettled ? missing : present.ordinary;
-    order(false, Math.max(ordinary, Math.min(least, total)));
+    if (usesCheap) order(true, Math.min(total - ordinary, scaling.maxCount - ordinary));
+    // Ordinary targets leave when what replaces them is ready.
+    const isReplaced = present.cheap >= total - ordinary;
+    if (present.ordinary <= ordinary || isReplaced) order(false, ordinary);
   });
   return orders.filter(order => isDue(state, order, entries, settings, nowMs));
 }
 
-/** Whether the cheap targets that were ordered first would be there by now. */
-function isCheapSettled(
-  state: CapacityState,
-  failureDomain: FailureDomain,
-  scaling: ScalingTraits,
-  settings: CapacitySettings,
-  nowMs: number,
-): boolean {
-  const firstMs = state.cheapOrderedMs.get(failureDomain);
-  return firstMs !== undefined && nowMs - firstMs > scaling.bootMs + settings.arrivalMarginMs;
-}
-
 interface Present {
   readonly cheap: number;
   readonly ordinary: number;
@@ -168,9 +146,5 @@
 
 /** Notes an order that was sent. */
 export function recordOrder(state: CapacityState, order: CapacityOrder, nowMs: number): void {
-  const last = state.lastOrders.get(orderKey(order));
-  if (order.isCheap && last?.count !== order.desiredCount) {
-    state.cheapOrderedMs.set(order.failureDomain, nowMs);
-  }
   state.lastOrders.set(orderKey(order), {count: order.desiredCount, atMs: nowMs});
 }
