--- a/packages/relay/src/client-exchange.ts
+++ b/packages/relay/src/client-exchange.ts
@@ -72,7 +72,7 @@
     this.abandonListener?.();
   }
 
-  /** Reads the body; false if it is larger than `maxBytes` or the client left. */
+  /** Reads the whole body, unless it is larger than `maxBytes` or the client leaves within it. */
   async readBody(maxBytes: number): Promise<'read' | 'tooLarge' | 'left'> {
     const chunks: Buffer[] = [];
     let bytes = 0;
--- a/packages/relay/src/fleet-duties.ts
+++ b/packages/relay/src/fleet-duties.ts
@@ -43,7 +43,6 @@
   readonly monitor: DependencyMonitor;
   readonly leaseTimes: LeaseTimes;
   readonly usageWindowMs: number;
-  readonly usageDueMs: number;
   readonly capacity: CapacityKeeper;
   readonly stages: StageKeeper;
   /** Writes this host's own record. */
--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -230,7 +230,6 @@
       monitor: this.monitor,
       leaseTimes: settings.leaseTimes,
       usageWindowMs: settings.usageWindowMs,
-      usageDueMs: settings.usageDueMs,
       writeOwn: () => this.writeOwn(),
       onHosts: () => this.applyHosts(),
       isStopping: () => this.stopAtMs !== undefined,
--- a/packages/relay/src/serve-call.ts
+++ b/packages/relay/src/serve-call.ts
@@ -4,7 +4,7 @@
 import {mayTryAgain, ServeOutcome} from './serve-outcome.js';
 import {placeCall} from './service-placement.js';
 import {findAnswerFault, readWholeAnswer, statesNotRun, WholeAnswer} from './target-answer.js';
-import {PooledAttempt, PooledTarget} from './target-pool.js';
+import {PooledAttempt} from './target-pool.js';
 import {writeTargetRequest} from './target-request.js';
 import {recordLoad} from './target-state.js';
 
@@ -25,8 +25,7 @@
   recordRequest(parts.extraAttempts.get(service)!, parts.clock.nowMs());
   for (;;) {
     const nowMs = parts.clock.nowMs();
-    const target = placeCall(parts.targets.ofService(service), tried, nowMs, parts.random) as
-      PooledTarget | undefined;
+    const target = placeCall(parts.targets.ofService(service), tried, nowMs, parts.random);
     if (!target)
       return {type: 'refused', refusal: progress.mayHaveRun ? 'outcomeUnknown' : 'noTarget'};
     tried.add(target.entry.id);
--- a/packages/relay/src/serve-request.ts
+++ b/packages/relay/src/serve-request.ts
@@ -21,7 +21,7 @@
 /** Clients' clocks start earlier by the way of the request. */
 const TRANSIT_MS = 5;
 
-/** A refused request is told to come back within this part of what it has left. */
+/** A request that isn't admitted. */
 interface Refused {
   readonly type: 'refused';
   readonly refusal: RefusalName;
--- a/packages/relay/src/servers.ts
+++ b/packages/relay/src/servers.ts
@@ -77,8 +77,8 @@
   server.closeIdleConnections();
 }
 
-/** Time since which a server has had nothing to do is polled this often. */
-export const IDLE_POLL_MS = 50;
+/** How often a stopping host looks whether its requests are finished. */
+const IDLE_POLL_MS = 50;
 
 /** Resolves when `isIdle` holds or `untilMs` has come. */
 export function waitUntilIdle(clock: Clock, isIdle: () => boolean, untilMs: number): Promise<void> {
--- a/packages/relay/src/service-placement.ts
+++ b/packages/relay/src/service-placement.ts
@@ -6,13 +6,13 @@
  * load of short calls on few slots: ties, the usual case, are broken at random so that hosts don't
  * send their calls to the same target.
  */
-export function placeCall(
-  targets: Iterable<TargetState>,
+export function placeCall<Target extends TargetState>(
+  targets: Iterable<Target>,
   tried: ReadonlySet<TargetId>,
   nowMs: number,
   random: RandomSource,
-): TargetState | undefined {
-  let best: TargetState | undefined;
+): Target | undefined {
+  let best: Target | undefined;
   let bestLoad = Infinity;
   for (const target of targets) {
     if (tried.has(target.entry.id) || !canTakeWork(target, nowMs)) continue;
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -25,8 +25,6 @@
   readonly leaseTimes: LeaseTimes;
   readonly extraAttempts: ExtraAttemptSettings;
   readonly usageWindowMs: number;
-  /** A window's report is due this long after its end. */
-  readonly usageDueMs: number;
   /** Longest time for which clients may keep the directory's answer. */
   readonly directoryTtlMs: number;
 }
--- a/packages/relay/src/store-sync.ts
+++ b/packages/relay/src/store-sync.ts
@@ -1,4 +1,4 @@
-import {call, Clock, EventLog, HostId, Procedure, sleep} from '@radishgw/core';
+import {call, Clock, EventLog, Procedure, sleep} from '@radishgw/core';
 import {ObjectStore, PlatformAnswer, PlatformError} from '@radishgw/coordination';
 import {confirmConfig, ConfigView} from './config-view.js';
 import {readInstant} from './elapsed-clock.js';
@@ -146,10 +146,6 @@
     return this.store.put(HOST_PREFIX + record.hostId, JSON.stringify(record));
   }
 
-  removeHost(hostId: HostId): PlatformAnswer<number> {
-    return this.store.remove(HOST_PREFIX + hostId);
-  }
-
   writeLease(record: LeaseRecord, ifRevision: number): PlatformAnswer<number> {
     return this.store.put(LEASE_KEY, JSON.stringify(record), {ifRevision});
   }
--- a/packages/relay/src/target-connections.ts
+++ b/packages/relay/src/target-connections.ts
@@ -51,7 +51,9 @@
   private bufferedBytes = 0;
   private wake: (() => void) | undefined;
   private abortRequest: ((error?: Error) => void) | undefined;
+  /** Continues a body that was paused; undefined while it isn't. */
   private resume: (() => void) | undefined;
+  private resumeBody: (() => void) | undefined;
   private isOver = false;
 
   constructor(
@@ -88,7 +90,7 @@
       },
       onHeaders: (status, rawHeaders, resume) => {
         if (status < 200) return true;
-        this.resumeWith(resume);
+        this.resumeBody = resume;
         const headers = rawHeaders.map(value => value.toString('latin1'));
         connection.noteFraming(headers);
         return this.push({type: 'head', status, headers});
@@ -112,19 +114,13 @@
     this.finish();
   }
 
-  private resumeFunction: (() => void) | undefined;
-
-  private resumeWith(resume: () => void): void {
-    this.resumeFunction = resume;
-  }
-
   private push(event: AttemptEvent): boolean {
     if (this.isOver) return true;
     this.events.push(event);
     if (event.type === 'data') this.bufferedBytes += event.chunk.length;
     this.wake?.();
     if (this.bufferedBytes < MAX_BUFFERED_BYTES) return true;
-    this.resume = this.resumeFunction;
+    this.resume = this.resumeBody;
     return false;
   }
 
