Refuse calls before the service stand-in closes its connections

The service stand-in called server.close() at once, which destroys idle connections. A call that the host had already sent on one of them, but that the service had not read, was reset, and the host can't know whether a call without an idempotency key ran, so 502 is its true answer.

Ruled out: a fault of the host. It reports 'unknown' only after a reset of a connection on which the call was written.

Change: the stand-in refuses calls with 'not run' and 'connection: close' for 300 ms before it closes, as a planned stop of a service does.

--- a/packages/testkit/src/service/service-server.ts
+++ b/packages/testkit/src/service/service-server.ts
@@ -1,4 +1,5 @@
 import {IncomingMessage, ServerResponse} from 'node:http';
+import {setTimeout} from 'node:timers/promises';
 import {Listening, listen, readText, sendJson} from '../http.js';
 
 /** Behaviour of a service stand-in; a test changes it through `POST /test/faults`. */
@@ -37,6 +38,12 @@
   stop(timeoutMs: number): Promise<void>;
 }
 
+/**
+ * Time between the first refusal and the closing of connections. Closing an idle connection resets
+ * a call that is already on its way; hosts learn from refusals in this time to call elsewhere.
+ */
+const REFUSING_MS = 300;
+
 const DEFAULT_BEHAVIOUR: ServiceBehaviour = {
   delayMs: 0,
   silent: false,
@@ -58,7 +65,7 @@
     const url = request.url ?? '';
     executions.push({method, url, headers: {...request.headers}, body});
     const execution = executions.length;
-    if (behaviour.delayMs > 0) await new Promise(resolve => setTimeout(resolve, behaviour.delayMs));
+    if (behaviour.delayMs > 0) await setTimeout(behaviour.delayMs);
     if (behaviour.silent) return;
     if (behaviour.dropAnswers) {
       request.socket.destroy();
@@ -88,6 +95,7 @@
     } else if (behaviour.dropCalls) request.socket.destroy();
     else if (behaviour.refuseNew) {
       response.setHeader('x-radishgw-execution', 'not_run');
+      response.shouldKeepAlive = false;
       sendJson(response, 503, {message: 'service takes no new calls'});
     } else await execute(request, response, body);
   }, port);
@@ -95,8 +103,9 @@
     ...listening,
     behaviour,
     executions,
-    stop: timeoutMs => {
+    stop: async timeoutMs => {
       behaviour.refuseNew = true;
+      await setTimeout(REFUSING_MS);
       return listening.stop(timeoutMs);
     },
   };
