Let one host of each failure domain read the store for the others

Ruled out: longer intervals, since a change must be known within 2 s; watches on the list of targets, since each heartbeat of a target is an event.

Change: of the ready hosts of a failure domain one, chosen by rendezvous hashing, reads directly. The others ask it every 300 ms and get the entries that changed since their version, with the age of the read, so that what they confirm is dated by the reader's call. A host without a fresh answer (1 s) reads directly at once; only direct reads are handed on; a stopping host answers no questions. Readers compete for the lease, one in each domain instead of the three lowest names, which may all stand in one domain.

--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -40,6 +40,7 @@
   targetsChanged: {number: 1810, level: 'info', text: 'list of targets changed'},
   entryRejected: {number: 1811, level: 'warn', text: 'entry of a target can not be used'},
   hostsChanged: {number: 1812, level: 'info', text: 'list of ready hosts changed'},
+  sharedReadFailed: {number: 1813, level: 'warn', text: 'read of the store not shared'},
   quotaFallback: {number: 1820, level: 'warn', text: 'quota decided without its owner'},
   leaseAcquired: {number: 1830, level: 'info', text: 'fleet lease acquired'},
   leaseLost: {number: 1831, level: 'warn', text: 'fleet lease lost'},
--- a/packages/relay/src/config-view.ts
+++ b/packages/relay/src/config-view.ts
@@ -12,11 +12,15 @@
   return {config: undefined, confirmedAt: undefined};
 }
 
-/** Takes in a linearizable read that was sent at `sentAt`. Versions never go back. */
+/**
+ * Takes in a linearizable read that was sent at `sentAt`. Versions never go back, and neither does
+ * the confirmation: what another host has read may be older than this host's own read.
+ */
 export function confirmConfig(view: ConfigView, config: RelayConfig, sentAt: Instant): boolean {
   const current = view.config?.version ?? -Infinity;
   if (config.version < current) return false;
-  view.confirmedAt = sentAt;
+  const isLater = !view.confirmedAt || sentAt.monotonicMs > view.confirmedAt.monotonicMs;
+  if (isLater || config.version > current) view.confirmedAt = sentAt;
   if (config.version === current) return false;
   view.config = config;
   return true;
--- a/packages/relay/src/fleet-duties.ts
+++ b/packages/relay/src/fleet-duties.ts
@@ -1,7 +1,14 @@
 import {call, Clock, EventLog, HostId, Procedure, sleep} from '@radishgw/core';
 import {CapacityKeeper} from './capacity-keeper.js';
 import {readInstant} from './elapsed-clock.js';
-import {HostRegistry, readyHosts, updateHosts} from './host-registry.js';
+import {
+  adoptHosts,
+  HostRecord,
+  HostRegistry,
+  readyHosts,
+  shortenRecord,
+  updateHosts,
+} from './host-registry.js';
 import {
   acceptLease,
   createLeaseView,
@@ -12,6 +19,7 @@
   observeLease,
 } from './lease.js';
 import {DutyClient} from './model.js';
+import {SharedReads} from './shared-reads.js';
 import {StageKeeper} from './stage-keeper.js';
 import {DependencyMonitor, FrozenWindow, SharedState, SharedStore} from './store-sync.js';
 import {sumWindow, windowIndexAt} from './usage-ledger.js';
@@ -28,9 +36,6 @@
 /** Windows that are kept in the store after their report. */
 const KEPT_WINDOWS = 12;
 
-/** Hosts that compete for the lease; more would only read and write more. */
-const MAX_CANDIDATES = 3;
-
 /** What the duties need. */
 export interface DutyParts {
   readonly hostId: HostId;
@@ -41,6 +46,7 @@
   readonly duties: DutyClient;
   readonly registry: HostRegistry;
   readonly monitor: DependencyMonitor;
+  readonly reads: SharedReads;
   readonly leaseTimes: LeaseTimes;
   readonly usageWindowMs: number;
   readonly capacity: CapacityKeeper;
@@ -82,6 +88,8 @@
 
   private *step(): Procedure<void> {
     const {parts} = this;
+    if (!this.mustReadDirectly() && (yield* this.adoptShared())) return;
+    const sentAt = readInstant(parts.clock);
     const answer = yield* call(() => parts.shared.read());
     if (answer.err) {
       parts.monitor.note(answer.val);
@@ -92,6 +100,8 @@
     const state = answer.val;
     this.lastReadMs = parts.clock.nowMs();
     updateHosts(parts.registry, state.hosts, this.lastReadMs);
+    const hosts = readyHosts(parts.registry, this.lastReadMs);
+    parts.reads.publish('hosts', hosts.map(shortenRecord), sentAt);
     parts.onHosts();
     const now = readInstant(parts.clock);
     observeLease(this.lease, state.lease?.record, state.lease?.revision ?? 0, now);
@@ -99,18 +109,35 @@
     this.noteHolder();
     if (this.currentTerm() === undefined) return;
     yield* this.reportUsage(state);
-    const hosts = readyHosts(parts.registry, this.lastReadMs);
     yield* parts.capacity.step(hosts, () => this.currentTerm());
     yield* parts.stages.step(() => this.currentTerm());
   }
 
-  /** Few hosts compete, chosen alike everywhere; a holder goes on in any case. */
+  /** Readers watch the lease and the holder acts on the full records. */
+  private mustReadDirectly(): boolean {
+    return this.parts.reads.isReader || this.lease.record?.holder === this.parts.hostId;
+  }
+
+  /** Takes over the ready hosts as this host's reader sees them; false if that isn't possible. */
+  private *adoptShared(): Procedure<boolean> {
+    const {parts} = this;
+    const shared = yield* parts.reads.fetch<readonly HostRecord[]>('hosts');
+    if (!shared) return false;
+    this.lastReadMs = parts.clock.nowMs();
+    adoptHosts(parts.registry, shared.value, this.lastReadMs);
+    parts.onHosts();
+    this.noteHolder();
+    return true;
+  }
+
+  /**
+   * The readers compete, one in each failure domain: they read the record anyway, and the loss of
+   * a domain leaves others that have watched it. A holder goes on in any case.
+   */
   private isCandidate(): boolean {
     const {parts, lease} = this;
     if (parts.isStopping()) return false;
-    if (lease.record?.holder === parts.hostId) return true;
-    const ids = readyHosts(parts.registry, this.lastReadMs).map(host => host.hostId);
-    return ids.sort().slice(0, MAX_CANDIDATES).includes(parts.hostId);
+    return lease.record?.holder === parts.hostId || parts.reads.isReader;
   }
 
   private *keepLease(): Procedure<void> {
--- a/packages/relay/src/quota-client.ts
+++ b/packages/relay/src/quota-client.ts
@@ -1,8 +1,8 @@
 import {Clock, EventLog, HostId, TeamId} from '@radishgw/core';
-import {Pool} from 'undici';
 import {ConfigView} from './config-view.js';
 import {HostRecord} from './host-registry.js';
 import {Team} from './model.js';
+import {PeerClient} from './peer-client.js';
 import {rankByKey} from './rendezvous.js';
 import {createQuotaState, QuotaAnswer, returnQuota, takeQuota} from './team-quota.js';
 
@@ -37,7 +37,6 @@
 export class QuotaClient {
   private readonly owned = createQuotaState(OWNER_START_SHARE);
   private readonly fallback = createQuotaState(OWNER_START_SHARE);
-  private readonly pools = new Map<string, Pool>();
   private readonly pausedUntilMs = new Map<string, number>();
   private hosts: readonly HostRecord[] = [];
   private readonly owners = new Map<TeamId, Owner>();
@@ -47,18 +46,13 @@
     private readonly view: ConfigView,
     private readonly clock: Clock,
     private readonly log: EventLog,
+    private readonly peers: PeerClient,
   ) {}
 
   /** Takes in the ready hosts. */
   setHosts(hosts: readonly HostRecord[]): void {
     this.hosts = hosts;
     this.owners.clear();
-    const addresses = new Set(hosts.map(host => host.peerAddress));
-    for (const [address, pool] of this.pools) {
-      if (addresses.has(address)) continue;
-      this.pools.delete(address);
-      void pool.destroy().catch(() => undefined); // Rejects only if it is destroyed already.
-    }
   }
 
   /** Charges a request, asking the owner of the team if that is another host. */
@@ -109,12 +103,6 @@
     returnQuota(this.owned, message.team, message.cost);
   }
 
-  /** Closes the connections to other hosts. */
-  async close(): Promise<void> {
-    await Promise.all([...this.pools.values()].map(pool => pool.destroy()));
-    this.pools.clear();
-  }
-
   private takeFallback(team: Team, cost: number): QuotaAnswer {
     const share = 1 / Math.max(1, this.hosts.length);
     return takeQuota(this.fallback, team, cost, share, this.clock.nowMs());
@@ -132,25 +120,7 @@
     return owner;
   }
 
-  private async ask(owner: Owner, path: string, message: QuotaMessage): Promise<QuotaAnswer> {
-    let pool = this.pools.get(owner.peerAddress);
-    if (!pool) {
-      pool = new Pool(`http://${owner.peerAddress}`, {
-        connections: 2,
-        pipelining: 8,
-        connect: {timeout: OWNER_TIMEOUT_MS},
-        keepAliveTimeout: 60_000,
-      });
-      this.pools.set(owner.peerAddress, pool);
-    }
-    const answer = await pool.request({
-      method: 'POST',
-      path,
-      body: JSON.stringify(message),
-      signal: AbortSignal.timeout(OWNER_TIMEOUT_MS),
-    });
-    const text = await answer.body.text();
-    if (answer.statusCode !== 200) throw new Error(`owner answered ${answer.statusCode}`);
-    return JSON.parse(text) as QuotaAnswer;
+  private ask(owner: Owner, path: string, message: QuotaMessage): Promise<QuotaAnswer> {
+    return this.peers.ask<QuotaAnswer>(owner.peerAddress, path, message, OWNER_TIMEOUT_MS);
   }
 }
--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -17,9 +17,16 @@
 import {DemandMeter} from './demand-meter.js';
 import {createExtraAttempts, ExtraAttempts} from './extra-attempts.js';
 import {FleetDuties} from './fleet-duties.js';
-import {createHostRegistry, HostRecord, HostRegistry, readyHosts} from './host-registry.js';
+import {
+  createHostRegistry,
+  findDomainReader,
+  HostRecord,
+  HostRegistry,
+  readyHosts,
+} from './host-registry.js';
 import {RelayMetrics} from './metrics.js';
 import {DutyClient, RelayCodec, RelayConfig, ServiceName} from './model.js';
+import {PeerClient} from './peer-client.js';
 import {QuotaClient, QuotaMessage, RETURN_QUOTA_PATH, TAKE_QUOTA_PATH} from './quota-client.js';
 import {RelayParts} from './request-context.js';
 import {
@@ -31,6 +38,7 @@
   waitUntilIdle,
 } from './servers.js';
 import {RelaySettings} from './settings.js';
+import {SHARED_READ_PATH, SharedReadQuestion, SharedReads} from './shared-reads.js';
 import {StageKeeper} from './stage-keeper.js';
 import {
   DependencyMonitor,
@@ -94,7 +102,9 @@
   private readonly extraAttempts = new Map<ServiceName, ExtraAttempts>();
   private readonly demand = new DemandMeter();
   private readonly targets: TargetPool;
+  private readonly peers = new PeerClient();
   private readonly quota: QuotaClient;
+  private readonly reads: SharedReads;
   private readonly clientServer: ClientServer;
   private readonly shared: SharedStore;
   private readonly duties: FleetDuties;
@@ -110,7 +120,8 @@
     const {settings, clock, random, log} = options;
     this.incarnation = random.nextHex(8);
     this.targets = new TargetPool(clock, log);
-    this.quota = new QuotaClient(settings.hostId, this.configView, clock, log);
+    this.quota = new QuotaClient(settings.hostId, this.configView, clock, log, this.peers);
+    this.reads = this.createReads();
     this.clientServer = new ClientServer(this.createParts());
     this.shared = new SharedStore(options.store, log);
     this.monitor = new DependencyMonitor('store', clock, log);
@@ -178,7 +189,7 @@
       server.closeAllConnections();
     }
     this.targets.update([]);
-    await this.quota.close();
+    await this.peers.close();
   }
 
   private get isReady(): boolean {
@@ -217,6 +228,18 @@
     };
   }
 
+  private createReads(): SharedReads {
+    const {settings, clock, log} = this.options;
+    return new SharedReads({
+      hostId: settings.hostId,
+      incarnation: this.incarnation,
+      clock,
+      log,
+      peers: this.peers,
+      findReader: () => findDomainReader(this.listReady(), settings.failureDomain),
+    });
+  }
+
   private createDuties(): FleetDuties {
     const {settings, clock, log, duties} = this.options;
     return new FleetDuties({
@@ -228,6 +251,7 @@
       duties,
       registry: this.registry,
       monitor: this.monitor,
+      reads: this.reads,
       leaseTimes: settings.leaseTimes,
       usageWindowMs: settings.usageWindowMs,
       writeOwn: () => this.writeOwn(),
@@ -257,10 +281,11 @@
       clock: this.options.clock,
       log: this.options.log,
       source: this.options.source,
+      reads: this.reads,
       configView: this.configView,
       monitor: this.monitor,
       onConfig: config => this.applyConfig(config),
-      onTargets: entries => this.targets.update(entries),
+      onTargets: (entries, asOfMs) => this.targets.update(entries, asOfMs),
     };
   }
 
@@ -271,7 +296,7 @@
     }
   }
 
-  private listReady(): HostRecord[] {
+  private listReady(): readonly HostRecord[] {
     return readyHosts(this.registry, this.duties.lastReadMs);
   }
 
@@ -283,6 +308,7 @@
       .join(' ');
     if (ids === this.readyIds) return;
     this.readyIds = ids;
+    this.peers.keepOnly(new Set(ready.map(host => host.peerAddress)));
     this.quota.setHosts(ready);
     this.options.log.write('hostsChanged', {ready: ready.map(host => host.hostId)});
   }
@@ -355,6 +381,13 @@
       this.quota.returnOwned(JSON.parse(body) as QuotaMessage);
       return {status: 200, contentType: JSON_TYPE, body: '{}'};
     },
+    [SHARED_READ_PATH]: (body: string): PlainAnswer => {
+      const question = JSON.parse(body) as SharedReadQuestion;
+      // A host that stops hands over its role at once: its reads end before its process does.
+      const answer = this.stopAtMs === undefined ? this.reads.answer(question) : undefined;
+      if (!answer) return {status: 404, contentType: TEXT, body: ''};
+      return {status: 200, contentType: JSON_TYPE, body: JSON.stringify(answer)};
+    },
     '/metrics': (): PlainAnswer => ({status: 200, contentType: TEXT, body: this.formatMetrics()}),
   };
 
--- a/packages/relay/src/store-sync.ts
+++ b/packages/relay/src/store-sync.ts
@@ -1,10 +1,10 @@
-import {call, Clock, EventLog, Procedure, sleep} from '@radishgw/core';
+import {Clock, EventLog, Procedure, sleep} from '@radishgw/core';
 import {ObjectStore, PlatformAnswer, PlatformError} from '@radishgw/coordination';
 import {confirmConfig, ConfigView} from './config-view.js';
-import {readInstant} from './elapsed-clock.js';
 import {HostRecord} from './host-registry.js';
 import {LeaseRecord} from './lease.js';
 import {RelayConfig, TargetEntry, WindowCounts} from './model.js';
+import {DatedValue, SharedReads} from './shared-reads.js';
 
 /** Reads of what others write to the store. All reads are linearizable. */
 export interface FleetSource {
@@ -16,6 +16,9 @@
 /** A change of configuration must be in force within 2 s and a target's leaving obeyed in 2 s. */
 export const READ_INTERVAL_MS = 600;
 
+/** Interval of questions to the host that reads for this one; they cost little. */
+const SHARED_INTERVAL_MS = 300;
+
 /** Pause after a failed call, so that an outage's end is noticed soon. */
 const RETRY_MS = 200;
 
@@ -52,25 +55,35 @@
   readonly clock: Clock;
   readonly log: EventLog;
   readonly source: FleetSource;
+  readonly reads: SharedReads;
   readonly configView: ConfigView;
   readonly monitor: DependencyMonitor;
   onConfig(config: RelayConfig): void;
-  onTargets(entries: readonly TargetEntry[]): void;
+  /** `asOfMs` is the monotonic time at which the store held the entries. */
+  onTargets(entries: readonly TargetEntry[], asOfMs: number): void;
+}
+
+/** What another host has read says nothing of this host's way to the store. */
+function noteSuccess(parts: SyncParts, read: DatedValue<unknown>): void {
+  if (!read.isShared) parts.monitor.note(undefined);
+}
+
+function pauseAfter(read: DatedValue<unknown>): number {
+  return read.isShared ? SHARED_INTERVAL_MS : READ_INTERVAL_MS;
 }
 
 /** Reads the configuration again and again. */
 export function* syncConfig(parts: SyncParts): Procedure<void> {
   for (;;) {
-    const sentAt = readInstant(parts.clock);
-    const answer = yield* call(() => parts.source.readConfig());
+    const answer = yield* parts.reads.read('config', () => parts.source.readConfig());
     if (answer.ok) {
-      parts.monitor.note(undefined);
-      const isNew = confirmConfig(parts.configView, answer.val, sentAt);
-      if (isNew) {
-        parts.log.write('configApplied', {version: answer.val.version});
-        parts.onConfig(answer.val);
+      noteSuccess(parts, answer.val);
+      const {value, asOf, isShared} = answer.val;
+      if (confirmConfig(parts.configView, value, asOf)) {
+        parts.log.write('configApplied', {version: value.version, isShared});
+        parts.onConfig(value);
       }
-      yield* sleep(READ_INTERVAL_MS);
+      yield* sleep(pauseAfter(answer.val));
       continue;
     }
     if (isUnavailable(answer.val)) parts.monitor.note(answer.val);
@@ -82,11 +95,11 @@
 /** Reads the list of targets again and again. */
 export function* syncTargets(parts: SyncParts): Procedure<void> {
   for (;;) {
-    const answer = yield* call(() => parts.source.readTargets());
+    const answer = yield* parts.reads.read('targets', () => parts.source.readTargets());
     if (answer.ok) {
-      parts.monitor.note(undefined);
-      parts.onTargets(answer.val);
-      yield* sleep(READ_INTERVAL_MS);
+      noteSuccess(parts, answer.val);
+      parts.onTargets(answer.val.value, answer.val.asOf.monotonicMs);
+      yield* sleep(pauseAfter(answer.val));
       continue;
     }
     parts.monitor.note(answer.val);
--- a/packages/relay/src/target-pool.ts
+++ b/packages/relay/src/target-pool.ts
@@ -40,9 +40,9 @@
     return this.view.readAtMs > -Infinity;
   }
 
-  /** Takes in a complete read of the list of targets. */
-  update(entries: readonly TargetEntry[]): void {
-    const changes = updateTargets(this.view, entries, this.clock.nowMs());
+  /** Takes in a complete read of the list of targets, which the store held at `asOfMs`. */
+  update(entries: readonly TargetEntry[], asOfMs = this.clock.nowMs()): void {
+    const changes = updateTargets(this.view, entries, asOfMs);
     for (const entry of changes.gone) {
       const target = this.targets.get(entry.id);
       if (!target || !isSameIncarnation(target.entry, entry)) continue;
--- a/packages/relay/src/target-view.ts
+++ b/packages/relay/src/target-view.ts
@@ -34,12 +34,16 @@
   return a.id === b.id && a.bornMs === b.bornMs && a.address === b.address;
 }
 
-/** Takes in a complete read of the list. */
+/**
+ * Takes in a complete read of the list; `nowMs` is when the store held it. A read that is older
+ * than one before, as another host's may be, changes nothing.
+ */
 export function updateTargets(
   view: TargetView,
   entries: readonly TargetEntry[],
   nowMs: number,
 ): TargetChanges {
+  if (nowMs < view.readAtMs) return {added: [], draining: [], gone: []};
   const wasAway = nowMs - view.readAtMs > OUTAGE_GAP_MS && view.readAtMs > -Infinity;
   if (wasAway) view.reappearUntilMs = nowMs + REAPPEAR_MS;
   view.readAtMs = nowMs;
--- /dev/null
+++ b/packages/relay/test/shared-reads.test.ts
@@ -0,0 +1,207 @@
+import {expect} from 'chai';
+import {PlatformAnswer} from '@radishgw/coordination';
+import {
+  createHandlers,
+  Err,
+  FailureDomain,
+  HostId,
+  VirtualClock,
+  Ok,
+  Procedure,
+  startTask,
+  toId,
+} from '@radishgw/core';
+import {
+  adoptHosts,
+  createHostRegistry,
+  decodeShared,
+  encodeShared,
+  findDomainReader,
+  HOST_LOST_MS,
+  HostRecord,
+  PeerClient,
+  readyHosts,
+  RelayConfig,
+  SharedReadAnswer,
+  SharedReadQuestion,
+  SharedReads,
+  TargetEntry,
+  updateHosts,
+} from '../src/index.js';
+import {makeConfig, makeEntry} from './fixtures.js';
+
+function makeHost(id: string, domain: string, beat = 1): HostRecord {
+  return {
+    hostId: toId<HostId>(id),
+    incarnation: 'x',
+    failureDomain: toId<FailureDomain>(domain),
+    address: `${id}:80`,
+    peerAddress: `${id}:90`,
+    isReady: true,
+    beat,
+    usage: {},
+  };
+}
+
+/** Two hosts of one domain whose questions to each other need no network. */
+class Pair {
+  readonly clock = new VirtualClock();
+  readonly events: string[] = [];
+  readonly answers: SharedReadAnswer[] = [];
+  isReaderReachable = true;
+  private readonly record = makeHost('reader', 'a');
+  readonly reader = this.createReads('reader');
+  readonly follower = this.createReads('follower');
+
+  private createReads(id: string): SharedReads {
+    const peers = new PeerClient();
+    peers.ask = (_address: string, _path: string, question: unknown) => {
+      const answer = this.reader.answer(question as SharedReadQuestion);
+      if (!this.isReaderReachable || !answer) return Promise.reject(new Error('no answer'));
+      this.answers.push(answer);
+      return Promise.resolve(JSON.parse(JSON.stringify(answer)));
+    };
+    return new SharedReads({
+      hostId: toId<HostId>(id),
+      incarnation: `incarnation of ${id}`,
+      clock: this.clock,
+      log: {write: (event: string) => void this.events.push(event)},
+      peers,
+      findReader: () => this.record,
+    });
+  }
+
+  run<T>(procedure: Procedure<T>): Promise<T | undefined> {
+    return startTask(procedure, createHandlers(this.clock)).done;
+  }
+}
+
+describe('shared reads', () => {
+  const directly =
+    <T>(value: T) =>
+    () =>
+      Promise.resolve(Ok(value));
+  const never = (): PlatformAnswer<never> => {
+    throw new Error('read directly');
+  };
+  const targets = (...ids: string[]) => directly(ids.map(id => makeEntry(id)));
+  const config = (version: number) => directly(makeConfig(version));
+
+  it('spare the calls of all hosts but the reader', async () => {
+    // Guards against calls to the store that grow with the number of hosts.
+    const pair = new Pair();
+    await pair.run(pair.reader.read('config', config(1)));
+    pair.clock.advance(400);
+    const answer = (await pair.run(pair.follower.read('config', never)))!.unwrap();
+    expect(answer).to.deep.include({value: makeConfig(1), isShared: true});
+    expect(answer.asOf.monotonicMs).to.equal(pair.clock.nowMs() - 400);
+  });
+
+  it('send only the entries that have changed', async () => {
+    // Guards against a reader whose link is filled by lists of which little has changed.
+    const pair = new Pair();
+    const lists = [
+      ['a', 'b'],
+      ['a', 'b', 'c'],
+      ['a', 'b', 'c'],
+      ['a', 'c'],
+      ['b', 'a', 'c'],
+    ];
+    const sent: string[][] = [];
+    for (const ids of lists) {
+      await pair.run(pair.reader.read('targets', targets(...ids)));
+      const answer = (await pair.run(
+        pair.follower.read<TargetEntry[]>('targets', never),
+      ))!.unwrap();
+      expect(answer.value.map(entry => entry.id).sort()).to.deep.equal([...ids].sort());
+      sent.push(pair.answers.at(-1)!.changed.map(([key]) => key));
+    }
+    expect(sent).to.deep.equal([['a', 'b'], ['c'], [], [], ['b']]);
+  });
+
+  it('send everything to a host that has missed too many removals', async () => {
+    // Guards against entries that a follower keeps for ever.
+    const pair = new Pair();
+    const many = Array.from({length: 600}, (_, i) => `old-${i}`);
+    await pair.run(pair.reader.read('targets', targets('a', ...many)));
+    await pair.run(pair.follower.read('targets', never));
+    await pair.run(pair.reader.read('targets', targets('a')));
+    const answer = (await pair.run(pair.follower.read<TargetEntry[]>('targets', never)))!.unwrap();
+    expect(answer.value.map(entry => entry.id)).to.deep.equal(['a']);
+    expect(pair.answers.at(-1)!.isWhole).to.equal(true);
+  });
+
+  it('end at once when the reader has nothing fresh, and begin again after a pause', async () => {
+    // Guards against a host that goes on with old entries while its reader is cut off.
+    const pair = new Pair();
+    const versionOf = async (read: () => PlatformAnswer<RelayConfig>) =>
+      (await pair.run(pair.follower.read('config', read)))!.unwrap().value.version;
+    await pair.run(pair.reader.read('config', config(1)));
+    pair.clock.advance(1100);
+    expect(await versionOf(config(2))).to.equal(2);
+    expect(pair.events).to.deep.equal(['sharedReadFailed']);
+    await pair.run(pair.reader.read('config', config(3)));
+    expect(await versionOf(config(4))).to.equal(4);
+    pair.clock.advance(1000);
+    await pair.run(pair.reader.read('config', config(5)));
+    expect(await versionOf(never)).to.equal(5);
+  });
+
+  it('read directly when the reader does not answer', async () => {
+    // Guards against a domain that stops learning of changes with its reader.
+    const pair = new Pair();
+    await pair.run(pair.reader.read('config', config(1)));
+    pair.isReaderReachable = false;
+    const answer = (await pair.run(pair.follower.read('config', config(2))))!.unwrap();
+    expect(answer.value.version).to.equal(2);
+  });
+
+  it('hand on nothing that was not read directly', async () => {
+    // Guards against two hosts that confirm an old value to each other.
+    const pair = new Pair();
+    await pair.run(pair.reader.read('config', config(1)));
+    await pair.run(pair.follower.read('config', never));
+    expect(pair.follower.answer({kind: 'config', version: undefined})).to.equal(undefined);
+  });
+
+  it('report a failed direct read', async () => {
+    // Guards against an outage of the store that looks like an empty list.
+    const pair = new Pair();
+    const failing = () => Promise.resolve(Err({kind: 'unavailable' as const, detail: 'down'}));
+    const answer = await pair.run(pair.follower.read<RelayConfig>('config', failing));
+    expect(answer?.err).to.equal(true);
+  });
+
+  it('carry configurations with their maps', () => {
+    // Guards against teams and services that are lost on the way between hosts.
+    const withKeys = {...makeConfig(3), teamsByKey: new Map([['key', 'team']])};
+    expect(decodeShared(encodeShared(withKeys))).to.deep.equal(withKeys);
+  });
+});
+
+describe('domain readers', () => {
+  it('are the same at all hosts and stay when others come or go', () => {
+    // Guards against two hosts that each take the other for the reader.
+    const hosts = ['1', '2', '3', '4'].map(id => makeHost(id, id < '4' ? 'a' : 'b'));
+    const domain = toId<FailureDomain>('a');
+    const reader = findDomainReader(hosts, domain)!;
+    expect(findDomainReader([...hosts].reverse(), domain)).to.equal(reader);
+    const others = hosts.filter(host => host !== reader);
+    expect(findDomainReader([reader, ...others.slice(1)], domain)).to.equal(reader);
+    expect(findDomainReader(others, domain)?.failureDomain).to.equal('a');
+    expect(findDomainReader([], domain)).to.equal(undefined);
+  });
+
+  it('leave no lost host in the list of a follower that has to read itself', () => {
+    // Guards against clients that are sent to a host that was lost before the reader was.
+    const registry = createHostRegistry();
+    adoptHosts(registry, [makeHost('1', 'a', 0)], 1000);
+    expect(readyHosts(registry, 1000).map(host => host.hostId)).to.deep.equal(['1']);
+    updateHosts(registry, [makeHost('1', 'a', 7), makeHost('lost', 'a', 3)], 2000);
+    expect(readyHosts(registry, 2000).map(host => host.hostId)).to.deep.equal(['1']);
+    updateHosts(registry, [makeHost('1', 'a', 8), makeHost('lost', 'a', 4)], 3000);
+    expect(readyHosts(registry, 3000)).to.have.length(2);
+    updateHosts(registry, [makeHost('1', 'a', 8)], 3000 + HOST_LOST_MS);
+    expect(readyHosts(registry, 3000 + HOST_LOST_MS)).to.have.length(0);
+  });
+});
