Average demand at each host instead of holding its peak

Cause: the holder sums the levels of demand of all hosts.

Change: a host's level follows rises and falls alike. Capacity still outlasts a dip, since the policy keeps the highest number wanted.

--- a/packages/relay/src/demand-meter.ts
+++ b/packages/relay/src/demand-meter.ts
@@ -3,8 +3,12 @@
 /** Length of the intervals in which demand is counted. */
 const INTERVAL_MS = 1000;
 
-/** Part by which the level falls in an interval of lower demand, so that capacity outlasts a dip. */
-const DECAY = 0.05;
+/**
+ * Part of a change that shows after one interval: a single second with a few long prompts is no
+ * trend. Rises and falls count alike, so that the levels of many hosts sum up to that of all; a
+ * peak held at each host would count peaks of different moments as one.
+ */
+const NEW_SHARE = 0.5;
 
 interface ServiceDemand {
   intervalStartMs: number;
@@ -39,10 +43,7 @@
     }
     while (nowMs - demand.intervalStartMs >= INTERVAL_MS) {
       const perSecond = (demand.tokens * 1000) / INTERVAL_MS;
-      const fallen = demand.levelPerSecond * (1 - DECAY);
-      // Half of a rise at once: a single second with a few long prompts is no trend.
-      const risen = demand.levelPerSecond + (perSecond - demand.levelPerSecond) / 2;
-      demand.levelPerSecond = Math.max(fallen, risen);
+      demand.levelPerSecond += (perSecond - demand.levelPerSecond) * NEW_SHARE;
       demand.tokens = 0;
       demand.intervalStartMs += INTERVAL_MS;
     }
