Credit refill that was lost while spent tokens counted as outstanding

Cause: the owner of a team's bucket counts a grant as outstanding until its use is reported. At the burst, refill finds no room although part of the grant is spent.

Change: a report states the time since the last of its tokens was spent. The owner remembers the stretches in which refill was lost and credits, up to the tokens reported, what was lost after that moment, shortened by the bound on clock drift. A taken stretch makes no other credit. Refunds of a charge whose room was filled this way are bounded by the rest.

--- a/packages/bench/test/limits-soak.test.ts
+++ b/packages/bench/test/limits-soak.test.ts
@@ -14,6 +14,13 @@
     expect((await LIMITS_SOAK.run(270)).failure).to.equal(undefined);
   });
 
+  for (const seed of [387, 500, 700]) {
+    it(`keeps the rate and refuses nothing within it, seed ${seed}`, async () => {
+      // Guards against the same loss, and against lost refill that is credited twice (387).
+      expect((await LIMITS_SOAK.run(seed)).failure).to.equal(undefined);
+    });
+  }
+
   it('gives the same run for the same seed', () => {
     // Guards against failures that can't be repeated.
     const options = soakOptions(8, 'mixed');
--- a/packages/limits/src/host-state.ts
+++ b/packages/limits/src/host-state.ts
@@ -27,6 +27,8 @@
   readonly epoch: number;
   availableTokens: number;
   spentTokens: number;
+  /** Time of the last spending; -Infinity without one. */
+  lastSpentMs: number;
   readonly validUntilMs: number;
 }
 
@@ -288,6 +290,7 @@
   link: ShardLink,
   holding: TeamHolding,
   request: WaitingRequest,
+  nowMs: number,
 ): void {
   const parts: ChargePart[] = [];
   let left = request.costTokens;
@@ -296,6 +299,7 @@
     if (tokens <= 0) continue;
     grant.availableTokens -= tokens;
     grant.spentTokens += tokens;
+    grant.lastSpentMs = nowMs;
     left -= tokens;
     parts.push(createPart(grant, tokens, grant.epoch, 0));
   }
--- a/packages/limits/src/host.ts
+++ b/packages/limits/src/host.ts
@@ -105,7 +105,7 @@
     link.failures++;
     if (link.failures > 1) link.pausedUntilMs = nowMs + state.settings.retryPauseMs;
     // The owner may have issued the grant; it gets it back with the next report.
-    holding.ended.push({grantId, spentTokens: 0, returnedTokens: 0, closed: true});
+    holding.ended.push({grantId, spentTokens: 0, returnedTokens: 0, spentAgeMs: 0, closed: true});
     return serveTeam(state, link, holding, nowMs);
   }
   link.failures = 0;
@@ -136,6 +136,7 @@
     epoch: link.epoch,
     availableTokens: response.grantedTokens,
     spentTokens: 0,
+    lastSpentMs: -Infinity,
     validUntilMs: sentMs + response.timeToLiveMs,
   });
 }
@@ -159,7 +160,7 @@
     // What was just refused needn't be asked for again.
     if (isRefused(holding, head.costTokens - own, nowMs)) head.answered = true;
     if (mayCharge(state, link, holding, head, nowMs)) {
-      charge(state, link, holding, head);
+      charge(state, link, holding, head, nowMs);
       actions.push({type: 'admit', requestId: head.requestId});
     } else if (isHopeless(link, holding, head, nowMs)) {
       actions.push(refuseHead(link, holding, head));
@@ -298,10 +299,12 @@
     const isEmpty = grant.availableTokens <= 0;
     const closed = isEmpty || grant.validUntilMs - nowMs <= RETURN_AHEAD_MS;
     const {grantId, spentTokens} = grant;
+    const spentAgeMs = spentTokens > 0 ? nowMs - grant.lastSpentMs : 0;
     const returnedTokens = closed ? grant.availableTokens : 0;
     if (closed) grant.availableTokens = 0;
     else kept.push(grant);
-    if (grant.epoch === link.epoch) reports.push({grantId, spentTokens, returnedTokens, closed});
+    const report = {grantId, spentTokens, returnedTokens, spentAgeMs, closed};
+    if (grant.epoch === link.epoch) reports.push(report);
   }
   holding.grants = kept;
   return reports;
--- a/packages/limits/src/messages.ts
+++ b/packages/limits/src/messages.ts
@@ -5,6 +5,8 @@
   readonly grantId: string;
   readonly spentTokens: number;
   readonly returnedTokens: number;
+  /** Time since the last of the spent tokens was spent, by the host's monotonic clock. */
+  readonly spentAgeMs: number;
   /** The host will spend no more of the grant. */
   readonly closed: boolean;
 }
--- a/packages/limits/src/owner-grants.ts
+++ b/packages/limits/src/owner-grants.ts
@@ -1,4 +1,5 @@
 import {assertInvariant} from '@radishgw/core';
+import {leastHeadroomSince, recordHeadroom} from './bucket.js';
 import {AcquireGrantRequest, AcquireGrantResponse, GrantReport} from './messages.js';
 import {ConfirmReply, recallReserves} from './owner-reserve.js';
 import {
@@ -9,6 +10,7 @@
   openTeam,
   OwnerState,
   settleLevel,
+  takeLostRefill,
   TeamAccount,
 } from './owner-state.js';
 
@@ -42,11 +44,17 @@
   }
   const team = openTeam(state, request.teamId, nowMs);
   if (!team) return {response: answer(state, 'refused', 0, 0, 0), replies: []};
+  let refundableTokens = Infinity;
   if (request.epoch === state.epoch) {
-    for (const report of request.reports) applyGrantReport(team, report);
+    const drift = state.settings.clockDriftFraction;
+    for (const report of request.reports) {
+      const refundable = applyGrantReport(team, report, drift, nowMs);
+      refundableTokens = Math.min(refundableTokens, refundable);
+    }
     for (const refund of request.refunds) applyRefund(team, refund);
   }
-  const stamp = settleLevel(state, request.teamId, team, nowMs);
+  const settledStamp = settleLevel(state, request.teamId, team, nowMs);
+  const stamp = boundRefunds(team, settledStamp, refundableTokens);
   const {levelTokens, limit, outstandingTokens} = team;
   const assumed = assumedTokens(state, team, nowMs);
   const room = Math.max(0, limit.burstTokens - outstandingTokens - assumed);
@@ -93,10 +101,25 @@
   settleLevel(state, request.teamId, team, nowMs);
 }
 
-function applyGrantReport(team: TeamAccount, report: GrantReport): void {
+/**
+ * Bounds refunds of the charges that this response stamps. Their room was filled with refill that
+ * was lost, so no more than the rest of it can be refunded.
+ */
+function boundRefunds(team: TeamAccount, stamp: number, refundableTokens: number): number {
+  if (refundableTokens >= leastHeadroomSince(team.log, stamp)) return stamp;
+  return recordHeadroom(team.log, refundableTokens);
+}
+
+/** Returns the part of the spent tokens that a refund may still give back. */
+function applyGrantReport(
+  team: TeamAccount,
+  report: GrantReport,
+  clockDriftFraction: number,
+  nowMs: number,
+): number {
   const grant = team.grants.get(report.grantId);
   // The tokens of an ended grant already count as spent.
-  if (!grant) return;
+  if (!grant) return Infinity;
   const spent = Math.max(0, report.spentTokens - grant.spentTokens);
   const returned = Math.max(0, report.returnedTokens - grant.returnedTokens);
   const used = Math.min(grant.openTokens, spent);
@@ -106,7 +129,12 @@
   grant.returnedTokens += returned;
   team.outstandingTokens -= used + back;
   team.levelTokens += back;
+  // Until now these tokens counted as outstanding, so refill since their spending may be lost.
+  const spentByMs = nowMs - report.spentAgeMs * (1 - clockDriftFraction);
+  const credit = takeLostRefill(team, spentByMs, used);
+  team.levelTokens += credit;
   if (report.closed) team.grants.delete(report.grantId);
+  return credit > 0 ? used - credit : Infinity;
 }
 
 function refuseGrant(
--- a/packages/limits/src/owner-state.ts
+++ b/packages/limits/src/owner-state.ts
@@ -16,6 +16,17 @@
   readonly endsMs: number;
 }
 
+/** A stretch of time in which refill found no room. */
+export interface LostRefill {
+  readonly fromMs: number;
+  readonly toMs: number;
+  /** Rate of the refill, without what goes to reserves. */
+  readonly tokensPerSecond: number;
+}
+
+/** Longest history of lost refill. Older stretches are dropped, which only lowers credits. */
+const MAX_LOST_ENTRIES = 64;
+
 /** Bucket of one team at the shard owner. */
 export interface TeamAccount {
   limit: TeamLimit;
@@ -28,6 +39,8 @@
   /** Grants of an earlier owner, counted until `assumedUntilMs` of the shard. */
   assumedTokens: number;
   lastRecallMs: number;
+  /** Oldest first. */
+  lostRefill: LostRefill[];
   readonly log: HeadroomLog;
 }
 
@@ -188,9 +201,49 @@
     const cap = Math.max(account.heldTokens, reserveCapTokens(limit, state.settings));
     account.heldTokens = Math.min(cap, account.heldTokens + rate * elapsedSeconds);
   }
-  team.levelTokens += Math.max(0, poolRate) * elapsedSeconds;
+  const tokensPerSecond = Math.max(0, poolRate);
+  const refillTokens = tokensPerSecond * elapsedSeconds;
+  team.levelTokens += refillTokens;
   team.updatedMs = toMs;
+  const filledTokens = team.levelTokens;
   settleLevel(state, teamId, team, toMs);
+  // Below a cap of 0 the room that a spending makes isn't room for refill yet.
+  if (levelCap(state, teamId, team, toMs) < 0) return;
+  // What else the cap took away stands in reserves and comes back with their reports.
+  const lostTokens = Math.min(refillTokens, filledTokens - team.levelTokens);
+  // Room ends before time does, so what is lost is the end of the stretch.
+  const fromMs = toMs - (lostTokens / tokensPerSecond) * 1000;
+  noteLostRefill(team, {fromMs, toMs, tokensPerSecond});
+}
+
+function noteLostRefill(team: TeamAccount, lost: LostRefill): void {
+  if (!(lost.fromMs < lost.toMs)) return;
+  team.lostRefill.push(lost);
+  if (team.lostRefill.length > MAX_LOST_ENTRIES) team.lostRefill.shift();
+}
+
+/**
+ * Takes refill that would have found room had the owner known that `tokens` were spent by
+ * `sinceMs`, oldest first. What is taken, or was lost before, makes no other credit.
+ */
+export function takeLostRefill(team: TeamAccount, sinceMs: number, tokens: number): number {
+  const rest: LostRefill[] = [];
+  let wanted = tokens;
+  for (const lost of team.lostRefill) {
+    const fromMs = Math.max(lost.fromMs, sinceMs);
+    const most = (lost.tokensPerSecond * (lost.toMs - fromMs)) / 1000;
+    const taken = Math.min(most, wanted);
+    if (taken <= 0) {
+      rest.push(lost);
+      continue;
+    }
+    wanted -= taken;
+    if (lost.fromMs < fromMs) rest.push({...lost, toMs: fromMs});
+    const takenToMs = fromMs + (taken / lost.tokensPerSecond) * 1000;
+    if (takenToMs < lost.toMs) rest.push({...lost, fromMs: takenToMs});
+  }
+  team.lostRefill = rest;
+  return tokens - wanted;
 }
 
 /** Removes ended grants; their open tokens count as spent. */
@@ -254,6 +307,7 @@
     grants: new Map(),
     assumedTokens: assumed,
     lastRecallMs: -Infinity,
+    lostRefill: [],
     log: createHeadroomLog(),
   };
 }
@@ -272,6 +326,8 @@
     revision: team.limit.revision,
   };
   team.limit = limit;
+  // Lost at another rate.
+  team.lostRefill = [];
   settleLevel(state, teamId, team, nowMs);
 }
 
--- a/packages/limits/test/host.test.ts
+++ b/packages/limits/test/host.test.ts
@@ -128,7 +128,7 @@
     answer(host, first.grantId, 100, 2);
     const second = findAcquire(request(host, 'r2', 100, 10));
     expect(second.reports).to.deep.equal([
-      {grantId: first.grantId, spentTokens: 100, returnedTokens: 0, closed: true},
+      {grantId: first.grantId, spentTokens: 100, returnedTokens: 0, spentAgeMs: 8, closed: true},
     ]);
     answer(host, second.grantId, 100, 12);
     settleRequest(host, TEAM, toId<RequestId>('r1'), 30, 500);
--- a/packages/limits/test/owner.test.ts
+++ b/packages/limits/test/owner.test.ts
@@ -105,7 +105,7 @@
     // Guards against late refunds that add up to more than rate × t + burst.
     const owner = startOwner();
     handleAcquire(owner, ask(400), 0);
-    const spent = {grantId: 'g', spentTokens: 400, returnedTokens: 0, closed: true};
+    const spent = {grantId: 'g', spentTokens: 400, returnedTokens: 0, spentAgeMs: 0, closed: true};
     const {stamp} = handleAcquire(owner, ask(0, {reports: [spent]}), 10).response;
     const refunds = [{teamId: TEAM, tokens: 400, stamp}];
     // 200 tokens have come since, so 200 of the refund fit at 2010 ms and none after the refill.
@@ -115,12 +115,46 @@
     handleAcquire(late, ask(400), 0);
     const reported = handleAcquire(late, ask(0, {reports: [spent]}), 10).response;
     handleAcquire(late, ask(900, {grantId: 'h'}), 10_000);
-    const second = {grantId: 'h', spentTokens: 900, returnedTokens: 0, closed: true};
+    const second = {grantId: 'h', spentTokens: 900, returnedTokens: 0, spentAgeMs: 0, closed: true};
     const lateRefunds = [{teamId: TEAM, tokens: 400, stamp: reported.stamp}];
     handleAcquire(late, ask(0, {reports: [second], refunds: lateRefunds}), 10_000);
     expect(describeTeam(late, TEAM, 10_000)?.levelTokens).to.equal(100);
   });
 
+  it('credits refill that was lost while spent tokens counted as outstanding', () => {
+    // Guards against refusals within the rate: seeds 270, 500 and 700 of the soak.
+    const levelAfter = (spentAgeMs: number, spentTokens = 400) => {
+      const owner = startOwner();
+      handleAcquire(owner, ask(400), 0);
+      const report = {grantId: 'g', spentTokens, returnedTokens: 0, spentAgeMs, closed: false};
+      for (let i = 0; i < 2; i++) {
+        handleAcquire(owner, ask(0, {grantId: `h${i}`, reports: [report]}), 100);
+      }
+      return describeTeam(owner, TEAM, 100)!.levelTokens;
+    };
+    // 100 tokens per second come, and those of 100 ms found no room; clocks may differ by 0.1 %.
+    expect(levelAfter(100)).to.be.within(609.9, 610);
+    expect(levelAfter(40)).to.be.within(603.9, 604);
+    expect(levelAfter(0)).to.equal(600);
+    // No more than the spending made room for.
+    expect(levelAfter(100, 5)).to.be.within(604.9, 605);
+  });
+
+  it('credits lost refill once', () => {
+    // Guards against two reports that each claim the same refill: seed 387 of the soak.
+    const owner = startOwner();
+    handleAcquire(owner, ask(200), 0);
+    handleAcquire(owner, ask(200, {grantId: 'late'}), 0);
+    const report = (grantId: string, spentAgeMs: number) => {
+      const spent = {grantId, spentTokens: 8, returnedTokens: 0, spentAgeMs, closed: false};
+      handleAcquire(owner, ask(0, {grantId: `report ${grantId}`, reports: [spent]}), 100);
+      return describeTeam(owner, TEAM, 100)!.levelTokens;
+    };
+    // Of 10 lost tokens the first takes the oldest 8, and 2 of the last 4 are left.
+    expect(report('g', 100)).to.be.closeTo(608, 0.02);
+    expect(report('late', 40)).to.be.closeTo(610, 0.02);
+  });
+
   it('applies a lower burst at once', () => {
     // Guards against tokens of the old burst that stay usable after the change.
     let limit = LIMIT;
