Report a host ready only when it knows an owner of each shard

A host said that it was ready when its configuration was complete. Until an owner of each shard is known, a request of a team with a limit can only wait for its one second and be refused. limits.test.ts had its own wait for the shards, which hid it.

Ruled out: a refusal by the team's rate; the burst of 500,000 tokens was unused.

Change: readiness includes that an owner of each shard was known once; /status shows it as knowsOwners.

The new test reads /status right after the first 'ready'.

--- a/packages/gateway/src/limits/limit-service.ts
+++ b/packages/gateway/src/limits/limit-service.ts
@@ -142,6 +142,14 @@
     }
   }
 
+  /**
+   * Whether an owner of each shard was known once. Before that, requests of teams with a limit
+   * can only be refused.
+   */
+  get knowsOwners(): boolean {
+    return this.shardViews.size === this.services.settings.shardCount;
+  }
+
   /** Follows changes of shard owners until cancelled. */
   *run(): Procedure<never> {
     for (;;) {
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -282,7 +282,10 @@
   let stopping: Promise<void> | undefined;
   const stop = () => (stopping ??= stopGracefully());
   const isReady = () =>
-    stopping === undefined && configSync.isComplete() && freshnessWatch.judge().kind !== 'stale';
+    stopping === undefined &&
+    configSync.isComplete() &&
+    limiter.knowsOwners &&
+    freshnessWatch.judge().kind !== 'stale';
   const operators = createOperatorServer({
     metrics: base.metrics,
     decisions: base.decisions,
@@ -293,6 +296,7 @@
       hostId,
       failureDomain,
       ready: isReady(),
+      knowsOwners: limiter.knowsOwners,
       stopping: stopping !== undefined,
       freshness: freshnessWatch.judge(),
       completeRevision: config.completeRevision,
--- a/packages/gateway/test/limits.test.ts
+++ b/packages/gateway/test/limits.test.ts
@@ -105,3 +105,24 @@
     expect(admittedTokens).to.be.at.most(BURST_TOKENS + TOKENS_PER_SECOND * elapsedSeconds);
   });
 });
+
+describe('a host that starts', () => {
+  it('is ready when limits can be decided', async () => {
+    // Guards against refusals of the first requests, which no owner of a shard can decide yet.
+    const deployment = await startDeployment({
+      hosts: 1,
+      engines: 0,
+      services: 1,
+      failureDomains: ['hobart-a'],
+      decodeMsPerToken: 1,
+      tokensPerSecond: TOKENS_PER_SECOND,
+      burstTokens: BURST_TOKENS,
+    });
+    try {
+      const response = await request(`${deployment.hosts[0].operatorUrl}/status`);
+      expect(await response.body.json()).to.include({ready: true, knowsOwners: true});
+    } finally {
+      await deployment.stop();
+    }
+  });
+});
