Let a quota's owner grant only while no other can have replaced it

Its log shows that 26 hosts, most of one failure domain, lost the store at 0.7 s. From 4.2 s on the others counted them as lost and chose another owner for the team, while the cut hosts went on with the list and the owner that they knew. Each owner granted the whole rate until the cut hosts stopped serving keys, and the new one began with half of the burst.

Ruled out: fallback shares alone (10 fallbacks for the team in that window), a change of the limit (none in force between 0.7 and 8 s).

Change: an owner grants while less than HOST_LOST_MS has passed since it sent its last record that the store took; after that, or if by its own list it isn't the owner, it says so and hosts decide by their share. A new owner starts with a tenth of the burst and what has refilled since it owns the team, drops buckets of teams that others owned, and shares without an owner have a quarter of their burst. A list without any ready host is not taken over: when no record can be written each host would have owned every team. A host is ready once it has read the list.

Tests: two of three new ones fail with the former constants and without the drop of buckets (459,900 of 423,000 allowed; 20 grants of 3); the third guards the refill before the first request.

--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -192,9 +192,15 @@
     await this.peers.close();
   }
 
+  /** A host that has not read of the others would grant the whole rate of a team. */
   private get isReady(): boolean {
+    return this.canServe && this.duties.lastReadMs > -Infinity;
+  }
+
+  private get canServe(): boolean {
     if (this.stopAtMs !== undefined || !this.targets.hasRead || !this.configView.config)
       return false;
+
     const ageMs = configAgeMs(this.configView, readInstant(this.options.clock));
     return ageMs < this.options.settings.revokeMs * READY_AGE_SHARE;
   }
@@ -302,6 +308,8 @@
 
   private applyHosts(): void {
     const ready = this.listReady();
+    // While records can't be written all hosts seem lost; those known before are a better answer.
+    if (ready.length === 0) return;
     const ids = ready
       .map(host => `${host.hostId}/${host.incarnation}`)
       .sort()
@@ -328,6 +336,7 @@
       this.hasOwnHistory = true;
     }
     this.beat++;
+    const sentAt = readInstant(this.options.clock);
     const {clientAddress, peerAddress, failureDomain, hostId} = settings;
     const answer = yield* call(() =>
       this.shared.writeHost({
@@ -336,13 +345,14 @@
         failureDomain,
         address: `${clientAddress.host}:${clientAddress.port}`,
         peerAddress: `${peerAddress.host}:${peerAddress.port}`,
-        isReady: this.isReady,
+        isReady: this.canServe,
         beat: this.beat,
         usage: Object.fromEntries(this.usage.windows),
         demand: this.demand.levels(this.options.clock.nowMs()),
       }),
     );
-    if (answer.err) this.monitor.note(answer.val);
+    if (answer.ok) this.quota.noteRecord(sentAt);
+    else this.monitor.note(answer.val);
   }
 
   private answerReadiness({path}: PlainRequest): PlainAnswer {
@@ -375,6 +385,7 @@
   private readonly peerHandlers = {
     [TAKE_QUOTA_PATH]: (body: string): PlainAnswer => {
       const answer = this.quota.takeOwned(JSON.parse(body) as QuotaMessage);
+      if (!answer) return {status: 409, contentType: TEXT, body: ''};
       return {status: 200, contentType: JSON_TYPE, body: JSON.stringify(answer)};
     },
     [RETURN_QUOTA_PATH]: (body: string): PlainAnswer => {
--- a/packages/relay/src/team-quota.ts
+++ b/packages/relay/src/team-quota.ts
@@ -27,12 +27,22 @@
 /** Buckets of the teams that one process decides on. */
 export interface QuotaState {
   readonly buckets: Map<TeamId, QuotaBucket>;
-  /** Part of the burst with which a new bucket starts: a predecessor may have granted the rest. */
-  readonly startShare: number;
 }
 
-export function createQuotaState(startShare: number): QuotaState {
-  return {buckets: new Map(), startShare};
+export function createQuotaState(): QuotaState {
+  return {buckets: new Map()};
+}
+
+/** What part of a team's limit one process decides on. */
+export interface QuotaShare {
+  /** Part of the rate. */
+  readonly ofRate: number;
+  /** Part of the burst. */
+  readonly ofBurst: number;
+  /** Part of the burst with which a new bucket starts: a predecessor may have granted the rest. */
+  readonly ofBurstAtStart: number;
+  /** Since when this process has decided on the team; a new bucket has refilled since then. */
+  readonly sinceMs: number;
 }
 
 /** Cost of a request against its team's limit. */
@@ -50,20 +60,21 @@
   bucket.updatedMs = nowMs;
 }
 
-/** The bucket of a team under the limit in force; `share` scales the limit. */
+/** The bucket of a team under the limit in force. */
 function prepareBucket(
   state: QuotaState,
   team: TeamId,
   limit: TeamLimit,
-  share: number,
+  share: QuotaShare,
   nowMs: number,
 ): QuotaBucket {
-  const costPerSecond = limit.costPerSecond * share;
-  const burstCost = limit.burstCost * share;
+  const costPerSecond = limit.costPerSecond * share.ofRate;
+  const burstCost = limit.burstCost * share.ofBurst;
   let bucket = state.buckets.get(team);
   if (!bucket) {
-    const levelCost = burstCost * state.startShare;
-    bucket = {costPerSecond, burstCost, levelCost, updatedMs: nowMs, promisedCost: 0};
+    const levelCost = burstCost * share.ofBurstAtStart;
+    const updatedMs = Math.min(share.sinceMs, nowMs);
+    bucket = {costPerSecond, burstCost, levelCost, updatedMs, promisedCost: 0};
     state.buckets.set(team, bucket);
   }
   refill(bucket, nowMs);
@@ -78,7 +89,7 @@
   state: QuotaState,
   team: Team,
   cost: number,
-  share: number,
+  share: QuotaShare,
   nowMs: number,
 ): QuotaAnswer {
   if (!team.limit) return {granted: true};
--- a/packages/relay/test/quota.test.ts
+++ b/packages/relay/test/quota.test.ts
@@ -1,15 +1,24 @@
 import {expect} from 'chai';
-import {createSeededRandom} from '@radishgw/core';
+import {createSeededRandom, FailureDomain, HostId, toId, VirtualClock} from '@radishgw/core';
 import {
+  confirmConfig,
+  createConfigView,
   createExtraAttempts,
   createQuotaState,
+  HOST_LOST_MS,
+  HostRecord,
+  PeerClient,
+  QuotaShare,
+  readInstant,
   recordRequest,
   returnQuota,
   takeExtraAttempt,
   takeQuota,
   Team,
 } from '../src/index.js';
-import {TEAM} from './fixtures.js';
+import {QuotaClient, QuotaMessage} from '../src/quota-client.js';
+import {rankByKey} from '../src/rendezvous.js';
+import {makeConfig, TEAM} from './fixtures.js';
 
 const RATE = 47_000;
 const team: Team = {
@@ -18,15 +27,18 @@
   limit: {costPerSecond: RATE, burstCost: RATE, countsTokens: true, plainTokens: 200},
 };
 
+/** The whole limit, with a full bucket at the start. */
+const WHOLE: QuotaShare = {ofRate: 1, ofBurst: 1, ofBurstAtStart: 1, sinceMs: 0};
+
 describe('team quota', () => {
   it('keeps every window of eight seconds within the limit and one request', () => {
     // Guards against overshoot by a team that sends several times its rate.
     const random = createSeededRandom(7);
-    const state = createQuotaState(1);
+    const state = createQuotaState();
     const granted: {atMs: number; cost: number}[] = [];
     for (let nowMs = 0; nowMs < 60_000; nowMs += 20) {
       const cost = 1000 + random.nextInt(40_000);
-      if (takeQuota(state, team, cost, 1, nowMs).granted) granted.push({atMs: nowMs, cost});
+      if (takeQuota(state, team, cost, WHOLE, nowMs).granted) granted.push({atMs: nowMs, cost});
     }
     for (const {atMs} of granted) {
       const window = granted.filter(item => item.atMs >= atMs && item.atMs < atMs + 8000);
@@ -37,31 +49,156 @@
 
   it('admits a request that costs more than the burst', () => {
     // Guards against long prompts that could never be served.
-    const state = createQuotaState(1);
-    expect(takeQuota(state, team, 90_000, 1, 0).granted).to.equal(true);
-    const refused = takeQuota(state, team, 1, 1, 0);
+    const state = createQuotaState();
+    expect(takeQuota(state, team, 90_000, WHOLE, 0).granted).to.equal(true);
+    const refused = takeQuota(state, team, 1, WHOLE, 0);
     expect(refused.granted === false && refused.retryAfterMs).to.be.closeTo(914.9, 1);
   });
 
   it('tells refused clients to come back one after the other', () => {
     // Guards against clients that all come back at the same moment and are refused again.
-    const state = createQuotaState(1);
-    takeQuota(state, team, 60_000, 1, 0);
+    const state = createQuotaState();
+    takeQuota(state, team, 60_000, WHOLE, 0);
     const waits = [1, 2, 3].map(() => {
-      const answer = takeQuota(state, team, 10_000, 1, 0);
+      const answer = takeQuota(state, team, 10_000, WHOLE, 0);
       return answer.granted ? 0 : answer.retryAfterMs;
     });
     expect(waits[1] - waits[0]).to.be.closeTo((10_000 / RATE) * 1000, 1);
     expect(waits[2] - waits[1]).to.be.closeTo((10_000 / RATE) * 1000, 1);
-    expect(takeQuota(state, team, 10_000, 1, waits[0] + 1).granted).to.equal(true);
+    expect(takeQuota(state, team, 10_000, WHOLE, waits[0] + 1).granted).to.equal(true);
   });
 
   it('gives back what a request that has not run was charged', () => {
     // Guards against wrongful refusals after work that failed.
-    const state = createQuotaState(1);
-    takeQuota(state, team, 90_000, 1, 0);
+    const state = createQuotaState();
+    takeQuota(state, team, 90_000, WHOLE, 0);
     returnQuota(state, TEAM, 90_000);
-    expect(takeQuota(state, team, 1, 1, 0).granted).to.equal(true);
+    expect(takeQuota(state, team, 1, WHOLE, 0).granted).to.equal(true);
+  });
+});
+
+/** Hosts that ask each other without a network; the store is cut off from some of them. */
+class QuotaFleet {
+  readonly clock = new VirtualClock();
+  readonly granted: {atMs: number; cost: number}[] = [];
+  private readonly clients = new Map<HostId, QuotaClient>();
+  private readonly records: HostRecord[] = [];
+
+  constructor(count: number) {
+    const view = createConfigView();
+    const config = {...makeConfig(1), teams: new Map([[TEAM, team]])};
+    confirmConfig(view, config, readInstant(this.clock));
+    for (let i = 0; i < count; i++) {
+      const hostId = toId<HostId>(`host-${i}`);
+      const peers = new PeerClient();
+      peers.ask = async <T>(address: string, _path: string, question: unknown) => {
+        const answer = this.clients.get(address as HostId)!.takeOwned(question as QuotaMessage);
+        if (!answer) throw new Error('not the owner');
+        return answer as T;
+      };
+      const log = {write: () => undefined};
+      this.clients.set(hostId, new QuotaClient(hostId, view, this.clock, log, peers));
+      this.records.push({
+        hostId,
+        incarnation: 'x',
+        failureDomain: toId<FailureDomain>('a'),
+        address: hostId,
+        peerAddress: hostId,
+        isReady: true,
+        beat: 1,
+        usage: {},
+      });
+    }
+  }
+
+  get owner(): HostId {
+    const ids = this.records.map(({hostId}) => ({id: hostId, weight: 1}));
+    return rankByKey(TEAM, ids)[0];
+  }
+
+  /** Gives hosts the list of those that `isListed` selects, and takes their records. */
+  read(isReader: (hostId: HostId) => boolean, isListed: (hostId: HostId) => boolean): void {
+    const hosts = this.records.filter(({hostId}) => isListed(hostId));
+    for (const [hostId, client] of this.clients) if (isReader(hostId)) client.setHosts(hosts);
+  }
+
+  renew(isReader: (hostId: HostId) => boolean): void {
+    for (const [hostId, client] of this.clients) {
+      if (isReader(hostId)) client.noteRecord(readInstant(this.clock));
+    }
+  }
+
+  /** Each host asks for a request; those that are granted count. */
+  async ask(cost: number, isServing: (hostId: HostId) => boolean): Promise<void> {
+    for (const [hostId, client] of this.clients) {
+      if (!isServing(hostId)) continue;
+      const answer = await client.take(team, cost);
+      if (answer.granted) this.granted.push({atMs: this.clock.nowMs(), cost});
+    }
+  }
+
+  /** Most that was granted in eight seconds. */
+  mostInWindow(): number {
+    const sums = this.granted.map(({atMs}) =>
+      this.granted
+        .filter(item => item.atMs >= atMs && item.atMs < atMs + 8000)
+        .reduce((sum, item) => sum + item.cost, 0),
+    );
+    return Math.max(...sums);
+  }
+}
+
+describe('quota over hosts', () => {
+  const all = () => true;
+
+  it('stays within the limit when the owner is cut off from the store', async () => {
+    // Guards against two owners that each grant the whole rate, one to the hosts that still know
+    // the old list and one to the others: 4,686,628 of 4,494,203 tokens on a fleet of 74 hosts.
+    const fleet = new QuotaFleet(12);
+    const cut = new Set([fleet.owner, 'host-1', 'host-2', 'host-3'] as HostId[]);
+    const isConnected = (hostId: HostId) => !cut.has(hostId);
+    const cutMs = 10_000;
+    const serveUntilMs = cutMs + 4800;
+    fleet.read(all, all);
+    for (let nowMs = 0; nowMs < 20_000; nowMs += 20) {
+      fleet.clock.runUntil(nowMs);
+      const isCut = nowMs >= cutMs;
+      if (nowMs % 1000 === 0) fleet.renew(isCut ? isConnected : all);
+      if (nowMs === cutMs + HOST_LOST_MS) fleet.read(isConnected, isConnected);
+      await fleet.ask(300, hostId => isConnected(hostId) || nowMs < serveUntilMs);
+    }
+    expect(fleet.mostInWindow()).to.be.at.most(RATE * 8 + RATE);
+    // Without the cut the limit is used up.
+    const before = fleet.granted.filter(({atMs}) => atMs >= 1000 && atMs < 9000);
+    const sum = before.reduce((total, {cost}) => total + cost, 0);
+    expect(sum).to.be.at.least(RATE * 8 * 0.98);
+  });
+
+  it('starts a bucket as full as it would be if its owner had been asked before', async () => {
+    // Guards against refusals of a team that comes back after a pause.
+    const fleet = new QuotaFleet(3);
+    fleet.read(all, all);
+    fleet.clock.runUntil(5000);
+    fleet.renew(all);
+    for (let i = 0; i < 4; i++) await fleet.ask(RATE / 12, all);
+    expect(fleet.granted).to.have.length(12);
+  });
+
+  it('drops the bucket of a team that another host has owned since', async () => {
+    // Guards against a second burst when a host becomes the owner again.
+    const fleet = new QuotaFleet(3);
+    const {owner} = fleet;
+    fleet.read(all, all);
+    fleet.renew(all);
+    await fleet.ask(RATE, all);
+    fleet.read(all, hostId => hostId !== owner);
+    fleet.clock.runUntil(3000);
+    fleet.renew(all);
+    fleet.read(all, all);
+    const count = fleet.granted.length;
+    // A tenth of the burst is there, and each request may overshoot it.
+    for (let i = 0; i < 10; i++) await fleet.ask(RATE / 20, all);
+    expect(fleet.granted.length - count).to.be.at.most(3);
   });
 });
 
