--- a/packages/testkit/src/fault-proxy.ts
+++ b/packages/testkit/src/fault-proxy.ts
@@ -76,6 +76,8 @@
   readonly record: ProxyRecord = {connections: 0, bytesToTarget: 0, bytesToClient: 0, cuts: 0};
   private readonly random: RandomSource;
   private readonly flows = new Set<Flow>();
+  /** Also those whose flows have ended; a half-closed socket would outlive the proxy. */
+  private readonly sockets = new Set<Socket>();
 
   constructor(
     readonly server: Server,
@@ -109,6 +111,7 @@
 
   async stop(): Promise<void> {
     this.cutAll('rst');
+    for (const socket of this.sockets) socket.destroy();
     const closed = once(this.server, 'close');
     this.server.close();
     await closed;
@@ -123,6 +126,10 @@
     }
     const target = connect({...this.target, noDelay: true, allowHalfOpen: true});
     client.setNoDelay(true);
+    for (const socket of [client, target]) {
+      this.sockets.add(socket);
+      socket.once('close', () => this.sockets.delete(socket));
+    }
     target.on('error', () => client.resetAndDestroy());
     this.startFlow('toTarget', client, target);
     this.startFlow('toClient', target, client);
