Move start, log and settings watch of the program to the product

Cause: platform/src/main.ts held the log, the command line and the watch of the settings file, none of which translates. They stand in packages/relay/src/program.ts now; platform/ hands over its adapters.

Conclusion: platform/ keeps names and codecs only.

--- a/platform/src/command-line.ts
+++ b/packages/relay/src/command-line.ts
@@ -12,7 +12,7 @@
 export function parseCommandLine(argv: readonly string[], defaultPath: string): CommandLine {
   const args = yargs(hideBin([...argv]))
     .scriptName('radishgw')
-    .usage('$0 [flags]\n\nEntry host on the users\u2019 platform.')
+    .usage('$0 [flags]\n\nEntry host.')
     .option('settings', {
       type: 'string',
       default: defaultPath,
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -10,6 +10,7 @@
 export * from './lease.js';
 export * from './model.js';
 export * from './peer-client.js';
+export * from './program.js';
 export * from './relay-host.js';
 export * from './route-table.js';
 export * from './settings.js';
--- /dev/null
+++ b/packages/relay/src/program.ts
@@ -0,0 +1,122 @@
+import {statSync} from 'node:fs';
+import {
+  Clock,
+  createBoundedWriter,
+  createEventLog,
+  createSystemRandom,
+  EventLog,
+  RadishError,
+  SystemClock,
+} from '@radishgw/core';
+import type {CommandLine} from './command-line.js';
+import {RelayHost, RelayHostOptions} from './relay-host.js';
+import {RelaySettings} from './settings.js';
+
+/** What a platform adds to the program: its settings file and the ways to what it offers. */
+export interface PlatformBinding<Settings extends {readonly relay: RelaySettings}> {
+  /** Settings file unless the command line names another. */
+  readonly settingsPath: string;
+  /** Reads the settings file; throws a `RadishError` that names the wrong field. */
+  readSettings(path: string): Settings;
+  connect(
+    settings: Settings,
+    log: EventLog,
+  ): Pick<RelayHostOptions, 'store' | 'source' | 'duties' | 'codec' | 'entryCodec'>;
+}
+
+/** The program and its file come before the arguments. */
+const ARGV_START = 2;
+
+/** About ten lines for each request that a host serves in a second at its usual load. */
+const MAX_LOG_LINES_PER_SECOND = 200;
+
+/** The settings file may change without a signal. */
+const SETTINGS_CHECK_MS = 2000;
+
+/** Runs an entry host until it is stopped by a signal. */
+export async function runProgram<Settings extends {readonly relay: RelaySettings}>(
+  binding: PlatformBinding<Settings>,
+): Promise<void> {
+  try {
+    await startProgram(binding);
+  } catch (error) {
+    const detail = error instanceof RadishError ? error.message : (error as Error).stack;
+    process.stderr.write(`${detail ?? String(error)}\n`);
+    process.exit(1);
+  }
+}
+
+async function startProgram<Settings extends {readonly relay: RelaySettings}>(
+  binding: PlatformBinding<Settings>,
+): Promise<void> {
+  const clock = new SystemClock();
+  const log = createLog(clock);
+  const {settingsPath: path, checksOnly} = await readCommandLine(binding.settingsPath);
+  const settings = binding.readSettings(path);
+  if (checksOnly) {
+    process.stdout.write(`${path}: settings of ${settings.relay.hostId} are valid\n`);
+    return;
+  }
+  const host = new RelayHost({
+    settings: settings.relay,
+    clock,
+    random: createSystemRandom(),
+    log,
+    ...binding.connect(settings, log),
+  });
+  const readAgain = () => binding.readSettings(path).relay;
+  process.on('SIGHUP', watchSettings(path, readAgain, clock, log));
+  process.on('SIGTERM', () => void host.stop().then(() => process.exit(0)));
+  await host.start();
+}
+
+function createLog(clock: Clock): EventLog {
+  return createEventLog({
+    format: 'json',
+    minLevel: 'info',
+    writeLine: createBoundedWriter({
+      maxLinesPerSecond: MAX_LOG_LINES_PER_SECOND,
+      nowMs: () => clock.nowMs(),
+      write: line => process.stdout.write(line),
+      isBlocked: () => process.stdout.writableNeedDrain,
+    }),
+  });
+}
+
+/** Arguments are rare on hosts, so that their parser is loaded only when there are any. */
+async function readCommandLine(settingsPath: string): Promise<CommandLine> {
+  if (process.argv.length <= ARGV_START) return {settingsPath, checksOnly: false};
+  const {parseCommandLine} = await import('./command-line.js');
+  return parseCommandLine(process.argv, settingsPath);
+}
+
+/**
+ * Looks for changes of the settings file and logs whether they are valid; addresses and bounds apply
+ * from the next start. Returns what is to be called when a signal tells of a change.
+ */
+export function watchSettings(
+  path: string,
+  readSettings: () => RelaySettings,
+  clock: Clock,
+  log: EventLog,
+): () => void {
+  let modifiedMs = statSync(path).mtimeMs;
+  const reload = (cause: string) => {
+    try {
+      modifiedMs = statSync(path).mtimeMs;
+      log.write('settingsReloaded', {cause, host: readSettings().hostId});
+    } catch (error) {
+      log.write('settingInvalid', {cause, detail: String(error)});
+    }
+  };
+  const check = () => {
+    clock.setTimer(SETTINGS_CHECK_MS, check);
+    try {
+      if (statSync(path).mtimeMs !== modifiedMs) reload('file changed');
+    } catch (error) {
+      log.write('settingInvalid', {cause: 'check', detail: String(error)});
+    }
+  };
+  check();
+  return () => reload('signal');
+}
