Let one host of each failure domain write the records of its hosts

Change: the reader of a domain writes the records of its hosts with its own; a host whose record isn't stored in time writes directly. Records carry a generation and the time at which they were made. A late record counts from when it was made, a first one by its age; quota still reckons with every host that may be alive. After an outage of the store hosts have 1.5 s to write again. An owner that refuses to decide is asked again after 150 ms. The questions to a host's small interfaces leave relay-host.ts.

--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -41,6 +41,11 @@
   entryRejected: {number: 1811, level: 'warn', text: 'entry of a target can not be used'},
   hostsChanged: {number: 1812, level: 'info', text: 'list of ready hosts changed'},
   sharedReadFailed: {number: 1813, level: 'warn', text: 'read of the store not shared'},
+  recordNotRelayed: {
+    number: 1814,
+    level: 'warn',
+    text: 'record of this host not written by another',
+  },
   quotaFallback: {number: 1820, level: 'warn', text: 'quota decided without its owner'},
   leaseAcquired: {number: 1830, level: 'info', text: 'fleet lease acquired'},
   leaseLost: {number: 1831, level: 'warn', text: 'fleet lease lost'},
--- a/packages/relay/src/fleet-duties.ts
+++ b/packages/relay/src/fleet-duties.ts
@@ -2,12 +2,14 @@
 import {CapacityKeeper} from './capacity-keeper.js';
 import {readInstant} from './elapsed-clock.js';
 import {
+  BEAT_MS,
   HostBeat,
   HostRecord,
   HostRegistry,
   joinBeats,
   readyHosts,
   shortenRecord,
+  takeBeat,
   updateHosts,
 } from './host-registry.js';
 import {
@@ -25,10 +27,10 @@
 import {DependencyMonitor, FrozenWindow, SharedState, SharedStore} from './store-sync.js';
 import {sumWindow, windowIndexAt} from './usage-ledger.js';
 
-/** Interval of a host's own record; others count it as lost after three. */
-export const BEAT_MS = 1000;
-
-/** Hosts write their counts each second, so a window is complete this long after its end. */
+/**
+ * A window is complete this long after its end: a host hands on its counts each second, and the host
+ * that writes them needs half a second more.
+ */
 const FREEZE_DELAY_MS = 2500;
 
 /** Windows that are still looked at after their end. */
@@ -52,13 +54,14 @@
   readonly usageWindowMs: number;
   readonly capacity: CapacityKeeper;
   readonly stages: StageKeeper;
-  /** Writes this host's own record. */
-  writeOwn(): Procedure<void>;
+  /** Called with the full records after a direct read. */
+  onRecords(records: readonly HostRecord[]): void;
+  /** Called when the registry has changed. */
   onHosts(): void;
   isStopping(): boolean;
 }
 
-/** Keeps this host's record, the lease and, while it is held, the duties. */
+/** Reads the records of hosts and keeps the lease and, while it is held, the duties. */
 export class FleetDuties {
   readonly lease: LeaseView = createLeaseView();
   lastReadMs = -Infinity;
@@ -75,7 +78,6 @@
   *run(): Procedure<void> {
     for (;;) {
       const startMs = this.parts.clock.nowMs();
-      yield* this.parts.writeOwn();
       yield* this.step();
       const elapsedMs = this.parts.clock.nowMs() - startMs;
       yield* sleep(Math.max(BEAT_MS / 4, BEAT_MS - elapsedMs));
@@ -94,16 +96,19 @@
     const answer = yield* call(() => parts.shared.read());
     if (answer.err) {
       parts.monitor.note(answer.val);
+      parts.registry.hasFailedRead = true;
       this.noteHolder();
       return;
     }
     parts.monitor.note(undefined);
     const state = answer.val;
-    this.lastReadMs = parts.clock.nowMs();
-    updateHosts(parts.registry, state.hosts, this.lastReadMs);
+    const readAt = readInstant(parts.clock);
+    this.lastReadMs = readAt.monotonicMs;
+    updateHosts(parts.registry, state.hosts, readAt);
+    parts.onRecords(state.hosts);
     const hosts = readyHosts(parts.registry, this.lastReadMs);
     parts.reads.publish('hosts', state.hosts.map(shortenRecord), sentAt);
-    parts.reads.publish('beats', state.hosts, sentAt);
+    parts.reads.publish('beats', state.hosts.map(takeBeat), sentAt);
     parts.onHosts();
     const now = readInstant(parts.clock);
     observeLease(this.lease, state.lease?.record, state.lease?.revision ?? 0, now);
@@ -130,7 +135,7 @@
     // Two reads of one reader are as far apart as its own; the way here adds nothing to a silence.
     if (asOfMs > this.lastReadMs) {
       this.lastReadMs = asOfMs;
-      updateHosts(parts.registry, joinBeats(records.value, beats.value), asOfMs);
+      updateHosts(parts.registry, joinBeats(records.value, beats.value), beats.asOf);
       parts.onHosts();
     }
     this.noteHolder();
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -11,6 +11,7 @@
 export * from './model.js';
 export * from './peer-client.js';
 export * from './program.js';
+export * from './record-writer.js';
 export * from './relay-host.js';
 export * from './route-table.js';
 export * from './settings.js';
--- a/packages/relay/src/peer-client.ts
+++ b/packages/relay/src/peer-client.ts
@@ -12,6 +12,13 @@
 /** Longer than the pauses between the questions to one host. */
 const KEEP_ALIVE_MS = 60_000;
 
+/** A host that was reached and didn't give what it was asked for. */
+export class PeerRefusal extends Error {
+  constructor(readonly status: number) {
+    super(`host answered ${status}`);
+  }
+}
+
 /** Asks other hosts. */
 export class PeerClient {
   private readonly pools = new Map<string, Pool>();
@@ -25,7 +32,10 @@
     }
   }
 
-  /** Sends a question; rejects if no answer with status 200 comes within `timeoutMs`. */
+  /**
+   * Sends a question; rejects if no answer with status 200 comes within `timeoutMs`, with a
+   * {@link PeerRefusal} if there is another answer.
+   */
   async ask<T>(address: string, path: string, question: unknown, timeoutMs: number): Promise<T> {
     const answer = await this.findPool(address).request({
       method: 'POST',
@@ -34,7 +44,7 @@
       signal: AbortSignal.timeout(timeoutMs),
     });
     const text = await answer.body.text();
-    if (answer.statusCode !== 200) throw new Error(`host answered ${answer.statusCode}`);
+    if (answer.statusCode !== 200) throw new PeerRefusal(answer.statusCode);
     return JSON.parse(text) as T;
   }
 
--- a/packages/relay/src/quota-client.ts
+++ b/packages/relay/src/quota-client.ts
@@ -3,7 +3,7 @@
 import {Instant, maxElapsedMs, readInstant} from './elapsed-clock.js';
 import {HOST_LOST_MS, HostRecord} from './host-registry.js';
 import {Team} from './model.js';
-import {PeerClient} from './peer-client.js';
+import {PeerClient, PeerRefusal} from './peer-client.js';
 import {rankByKey} from './rendezvous.js';
 import {createQuotaState, QuotaAnswer, returnQuota, takeQuota} from './team-quota.js';
 
@@ -13,6 +13,12 @@
 /** After a failure the owner isn't asked for this long, so that requests don't wait for it. */
 const OWNER_PAUSE_MS = 1000;
 
+/**
+ * The same after the owner was reached and didn't decide: one that has just started does so as soon
+ * as the store has taken its first record, some 100 ms later.
+ */
+const REFUSAL_PAUSE_MS = 150;
+
 /** A new owner starts with this part of the burst: its predecessor may have granted the rest. */
 const OWNER_START_SHARE = 0.1;
 
@@ -107,7 +113,8 @@
     try {
       return await this.ask(owner, TAKE_QUOTA_PATH, {team: team.id, cost});
     } catch (error) {
-      this.pausedUntilMs.set(owner.peerAddress, this.clock.nowMs() + OWNER_PAUSE_MS);
+      const pauseMs = error instanceof PeerRefusal ? REFUSAL_PAUSE_MS : OWNER_PAUSE_MS;
+      this.pausedUntilMs.set(owner.peerAddress, this.clock.nowMs() + pauseMs);
       this.log.write('quotaFallback', {
         team: team.id,
         owner: owner.hostId,
--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -3,7 +3,6 @@
   createHandlers,
   EventLog,
   Procedure,
-  call,
   RandomSource,
   startTask,
   Task,
@@ -17,28 +16,24 @@
 import {DemandMeter} from './demand-meter.js';
 import {createExtraAttempts, ExtraAttempts} from './extra-attempts.js';
 import {FleetDuties} from './fleet-duties.js';
+import {createInterfaces} from './host-interfaces.js';
 import {
   createHostRegistry,
   findDomainReader,
   HostRecord,
   HostRegistry,
+  possibleHosts,
   readyHosts,
 } from './host-registry.js';
 import {RelayMetrics} from './metrics.js';
 import {DutyClient, RelayCodec, RelayConfig, ServiceName} from './model.js';
 import {PeerClient} from './peer-client.js';
-import {QuotaClient, QuotaMessage, RETURN_QUOTA_PATH, TAKE_QUOTA_PATH} from './quota-client.js';
+import {QuotaClient} from './quota-client.js';
+import {RecordWriter} from './record-writer.js';
 import {RelayParts} from './request-context.js';
-import {
-  createPlainServer,
-  listen,
-  PlainAnswer,
-  PlainRequest,
-  stopListening,
-  waitUntilIdle,
-} from './servers.js';
+import {createPlainServer, listen, stopListening, waitUntilIdle} from './servers.js';
 import {RelaySettings} from './settings.js';
-import {SHARED_READ_PATH, SharedReadQuestion, SharedReads} from './shared-reads.js';
+import {SharedReads} from './shared-reads.js';
 import {StageKeeper} from './stage-keeper.js';
 import {
   DependencyMonitor,
@@ -83,15 +78,6 @@
 /** The process ends this long before it would be ended by force. */
 const EXIT_MARGIN_MS = 300;
 
-/** Clients keep the directory's answer for up to three times this; it must fit in the stop. */
-const DIRECTORY_TTL_MS = 1500;
-
-/** Most addresses that the directory names. */
-const MAX_DIRECTORY_ADDRESSES = 64;
-
-const TEXT = 'text/plain; charset=utf-8';
-const JSON_TYPE = 'application/json';
-
 /** A running entry host. */
 export class RelayHost {
   readonly metrics = new RelayMetrics();
@@ -108,13 +94,12 @@
   private readonly clientServer: ClientServer;
   private readonly shared: SharedStore;
   private readonly duties: FleetDuties;
+  private readonly records: RecordWriter;
   private readonly servers;
   private readonly tasks: Task<void>[] = [];
   private readonly monitor: DependencyMonitor;
   private stopAtMs: number | undefined;
-  private beat = 0;
-  private hasOwnHistory = false;
-  private readyIds = '';
+  private knownIds = '';
 
   constructor(private readonly options: RelayHostOptions) {
     const {settings, clock, random, log} = options;
@@ -126,15 +111,27 @@
     this.shared = new SharedStore(options.store, log);
     this.monitor = new DependencyMonitor('store', clock, log);
     this.duties = this.createDuties();
+    this.records = this.createRecords();
     const onError = (error: unknown) =>
       log.write('dependencyLost', {
         dependency: 'caller of a small interface',
         cause: String(error),
       });
+    const interfaces = createInterfaces({
+      settings,
+      entryCodec: options.entryCodec,
+      quota: this.quota,
+      reads: this.reads,
+      records: this.records,
+      isReady: () => this.isReady,
+      isStopping: () => this.stopAtMs !== undefined,
+      listReady: () => this.listReady(),
+      formatMetrics: () => this.formatMetrics(),
+    });
     this.servers = {
-      readiness: createPlainServer(request => this.answerReadiness(request), onError),
-      directory: createPlainServer(request => this.answerDirectory(request), onError),
-      peer: createPlainServer(request => this.answerPeer(request), onError),
+      readiness: createPlainServer(interfaces.readiness, onError),
+      directory: createPlainServer(interfaces.directory, onError),
+      peer: createPlainServer(interfaces.peer, onError),
     };
   }
 
@@ -160,6 +157,7 @@
       directoryAddress && listen(this.servers.directory, directoryAddress),
     ]);
     startLoop(this.duties.run());
+    startLoop(this.records.run());
     log.write('hostStarted', {host: settings.hostId, incarnation: this.incarnation});
   }
 
@@ -171,7 +169,7 @@
     this.stopAtMs = startMs + settings.graceMs - EXIT_MARGIN_MS;
     log.write('hostStopping', {host: settings.hostId, inFlight: this.clientServer.inFlight});
     const handlers = createHandlers(clock);
-    void startTask(this.writeOwn(), handlers).done;
+    void startTask(this.records.writeNow(), handlers).done;
     const acceptUntilMs = this.stopAtMs - LAST_REQUEST_MS;
     await waitUntilIdle(clock, () => false, acceptUntilMs);
     stopListening(this.clientServer.server);
@@ -223,7 +221,7 @@
       extraAttempts: this.extraAttempts,
       extraAttemptSettings: settings.extraAttempts,
       revokeMs: settings.revokeMs - REVOKE_MARGIN_MS,
-      countHosts: () => Math.max(1, this.listReady().length),
+      countHosts: () => Math.max(1, this.listPossible().length),
       isStopping: () => this.stopAtMs !== undefined,
       isTooLateToServe: () =>
         this.stopAtMs !== undefined && clock.nowMs() > this.stopAtMs - LAST_REQUEST_MS,
@@ -246,6 +244,22 @@
     });
   }
 
+  private createRecords(): RecordWriter {
+    const {settings, clock, log} = this.options;
+    return new RecordWriter({
+      hostId: settings.hostId,
+      clock,
+      log,
+      peers: this.peers,
+      shared: this.shared,
+      monitor: this.monitor,
+      findReader: () => findDomainReader(this.listReady(), settings.failureDomain),
+      makeRecord: (generation, beat) => this.makeRecord(generation, beat),
+      onStored: madeAt => this.quota.noteRecord(madeAt),
+      isStopping: () => this.stopAtMs !== undefined,
+    });
+  }
+
   private createDuties(): FleetDuties {
     const {settings, clock, log, duties} = this.options;
     return new FleetDuties({
@@ -260,7 +274,7 @@
       reads: this.reads,
       leaseTimes: settings.leaseTimes,
       usageWindowMs: settings.usageWindowMs,
-      writeOwn: () => this.writeOwn(),
+      onRecords: records => this.takeHistory(records),
       onHosts: () => this.applyHosts(),
       isStopping: () => this.stopAtMs !== undefined,
       capacity: new CapacityKeeper({
@@ -302,106 +316,58 @@
     }
   }
 
+  private listPossible(): readonly HostRecord[] {
+    return possibleHosts(this.registry, this.duties.lastReadMs);
+  }
+
   private listReady(): readonly HostRecord[] {
     return readyHosts(this.registry, this.duties.lastReadMs);
   }
 
   private applyHosts(): void {
-    const ready = this.listReady();
+    const possible = this.listPossible();
     // While records can't be written all hosts seem lost; those known before are a better answer.
-    if (ready.length === 0) return;
-    const ids = ready
-      .map(host => `${host.hostId}/${host.incarnation}`)
-      .sort()
-      .join(' ');
-    if (ids === this.readyIds) return;
-    this.readyIds = ids;
-    this.peers.keepOnly(new Set(ready.map(host => host.peerAddress)));
-    this.quota.setHosts(ready);
-    this.options.log.write('hostsChanged', {ready: ready.map(host => host.hostId)});
+    if (possible.length === 0) return;
+    const ready = this.listReady();
+    const ids = [possible, ready].map(hosts => hosts.map(toIncarnation).sort().join(' ')).join('|');
+    if (ids === this.knownIds) return;
+    this.knownIds = ids;
+    this.peers.keepOnly(new Set(possible.map(host => host.peerAddress)));
+    this.quota.setHosts(possible);
+    const unsure = possible.filter(host => !ready.includes(host));
+    this.options.log.write('hostsChanged', {
+      ready: ready.map(host => host.hostId),
+      unsure: unsure.map(host => host.hostId),
+    });
   }
 
-  /** Writes this host's record, after the counts of its earlier incarnation were read once. */
-  private *writeOwn(): Procedure<void> {
-    const {settings, store} = this.options;
-    if (!this.hasOwnHistory) {
-      const earlier = yield* call(() => store.get(`radishgw/host.${settings.hostId}`));
-      if (earlier.ok) {
-        const record = JSON.parse(earlier.val.value) as HostRecord;
-        mergeCounts(this.usage, record.usage);
-      } else if (earlier.val.kind !== 'notFound') {
-        this.monitor.note(earlier.val);
-        return;
-      }
-      this.hasOwnHistory = true;
-    }
-    this.beat++;
-    const sentAt = readInstant(this.options.clock);
+  private makeRecord(generation: number, beat: number): HostRecord {
+    const {settings, clock} = this.options;
     const {clientAddress, peerAddress, failureDomain, hostId} = settings;
-    const answer = yield* call(() =>
-      this.shared.writeHost({
-        hostId,
-        incarnation: this.incarnation,
-        failureDomain,
-        address: `${clientAddress.host}:${clientAddress.port}`,
-        peerAddress: `${peerAddress.host}:${peerAddress.port}`,
-        isReady: this.canServe,
-        beat: this.beat,
-        usage: Object.fromEntries(this.usage.windows),
-        demand: this.demand.levels(this.options.clock.nowMs()),
-      }),
-    );
-    if (answer.ok) this.quota.noteRecord(sentAt);
-    else this.monitor.note(answer.val);
-  }
-
-  private answerReadiness({path}: PlainRequest): PlainAnswer {
-    if (!this.options.entryCodec.isReadinessPath(path)) {
-      return {status: 404, contentType: TEXT, body: ''};
-    }
-    return {status: this.isReady ? 200 : 503, contentType: TEXT, body: ''};
-  }
-
-  private answerDirectory({path}: PlainRequest): PlainAnswer {
-    const {entryCodec, settings} = this.options;
-    if (!entryCodec.isDirectoryPath(path)) return {status: 404, contentType: TEXT, body: ''};
-    const addresses = this.listReady()
-      .filter(host => host.hostId !== settings.hostId)
-      .map(host => host.address);
-    const {host, port} = settings.clientAddress;
-    if (this.isReady) addresses.push(`${host}:${port}`);
-    if (addresses.length === 0) return {status: 503, contentType: TEXT, body: ''};
-    const ttlMs = Math.min(DIRECTORY_TTL_MS, settings.directoryTtlMs);
-    const body = entryCodec.writeDirectory(addresses.slice(0, MAX_DIRECTORY_ADDRESSES), ttlMs);
-    return {status: 200, contentType: JSON_TYPE, body};
+    return {
+      hostId,
+      incarnation: this.incarnation,
+      generation,
+      failureDomain,
+      address: `${clientAddress.host}:${clientAddress.port}`,
+      peerAddress: `${peerAddress.host}:${peerAddress.port}`,
+      isReady: this.canServe,
+      beat,
+      madeMs: Math.round(clock.nowMs()),
+      madeWallMs: clock.now().getTime(),
+      usage: Object.fromEntries(this.usage.windows),
+      demand: this.demand.levels(clock.nowMs()),
+    };
   }
 
-  private answerPeer({path, body}: PlainRequest): PlainAnswer {
-    const handler = this.peerHandlers[path as keyof typeof this.peerHandlers];
-    if (!handler) return {status: 404, contentType: TEXT, body: ''};
-    return handler(body);
+  /** A host goes on with the counts of its earlier incarnation, which nobody else reports. */
+  private takeHistory(records: readonly HostRecord[]): void {
+    if (this.records.hasBegun) return;
+    const earlier = records.find(record => record.hostId === this.options.settings.hostId);
+    if (earlier) mergeCounts(this.usage, earlier.usage);
+    this.records.begin(earlier);
   }
 
-  private readonly peerHandlers = {
-    [TAKE_QUOTA_PATH]: (body: string): PlainAnswer => {
-      const answer = this.quota.takeOwned(JSON.parse(body) as QuotaMessage);
-      if (!answer) return {status: 409, contentType: TEXT, body: ''};
-      return {status: 200, contentType: JSON_TYPE, body: JSON.stringify(answer)};
-    },
-    [RETURN_QUOTA_PATH]: (body: string): PlainAnswer => {
-      this.quota.returnOwned(JSON.parse(body) as QuotaMessage);
-      return {status: 200, contentType: JSON_TYPE, body: '{}'};
-    },
-    [SHARED_READ_PATH]: (body: string): PlainAnswer => {
-      const question = JSON.parse(body) as SharedReadQuestion;
-      // A host that stops hands over its role at once: its reads end before its process does.
-      const answer = this.stopAtMs === undefined ? this.reads.answer(question) : undefined;
-      if (!answer) return {status: 404, contentType: TEXT, body: ''};
-      return {status: 200, contentType: JSON_TYPE, body: JSON.stringify(answer)};
-    },
-    '/metrics': (): PlainAnswer => ({status: 200, contentType: TEXT, body: this.formatMetrics()}),
-  };
-
   private formatMetrics(): string {
     let opened = 0;
     for (const target of this.targets.all()) opened += target.connections.openedCount;
@@ -413,3 +379,7 @@
     return this.metrics.format() + gauges.join('\n') + '\n';
   }
 }
+
+function toIncarnation({hostId, incarnation}: HostRecord): string {
+  return `${hostId}/${incarnation}`;
+}
--- a/packages/relay/src/shared-reads.ts
+++ b/packages/relay/src/shared-reads.ts
@@ -44,8 +44,8 @@
   },
   beats: {
     maxAgeMs: 2500,
-    split: value => (value as readonly HostBeat[]).map(({hostId, beat}) => [hostId, beat]),
-    join: entries => [...entries].map(([hostId, beat]) => ({hostId, beat})),
+    split: value => (value as readonly HostBeat[]).map(beat => [beat.hostId, beat]),
+    join: entries => [...entries.values()],
   },
 };
 
--- a/packages/relay/src/store-sync.ts
+++ b/packages/relay/src/store-sync.ts
@@ -1,7 +1,7 @@
 import {Clock, EventLog, Procedure, sleep} from '@radishgw/core';
 import {ObjectStore, PlatformAnswer, PlatformError} from '@radishgw/coordination';
 import {confirmConfig, ConfigView} from './config-view.js';
-import {HostRecord} from './host-registry.js';
+import {HostRecord, pickNewest} from './host-registry.js';
 import {LeaseRecord} from './lease.js';
 import {RelayConfig, TargetEntry, WindowCounts} from './model.js';
 import {DatedValue, SharedReads} from './shared-reads.js';
@@ -113,8 +113,16 @@
   readonly counts: WindowCounts;
 }
 
+/** What a host writes to the store. */
+export interface HostObject {
+  readonly record: HostRecord;
+  /** Records of the hosts of its failure domain that it writes for. */
+  readonly members: readonly HostRecord[];
+}
+
 /** The hosts' own objects in the store. */
 export interface SharedState {
+  /** The newest record of each host. */
   readonly hosts: readonly HostRecord[];
   readonly lease: {readonly record: LeaseRecord; readonly revision: number} | undefined;
   readonly frozen: ReadonlyMap<number, FrozenWindow>;
@@ -142,7 +150,7 @@
         try {
           const record: unknown = JSON.parse(value);
           if (key === LEASE_KEY) lease = {record: record as LeaseRecord, revision};
-          else if (key.startsWith(HOST_PREFIX)) hosts.push(record as HostRecord);
+          else if (key.startsWith(HOST_PREFIX)) hosts.push(...listRecords(record as HostObject));
           else if (key.startsWith(WINDOW_PREFIX)) {
             const window = record as FrozenWindow;
             frozen.set(window.windowIndex, window);
@@ -151,12 +159,12 @@
           this.log.write('entryRejected', {key, cause: String(error)});
         }
       }
-      return {hosts, lease, frozen};
+      return {hosts: pickNewest(hosts), lease, frozen};
     });
   }
 
-  writeHost(record: HostRecord): PlatformAnswer<number> {
-    return this.store.put(HOST_PREFIX + record.hostId, JSON.stringify(record));
+  writeHost(object: HostObject): PlatformAnswer<number> {
+    return this.store.put(HOST_PREFIX + object.record.hostId, JSON.stringify(object));
   }
 
   writeLease(record: LeaseRecord, ifRevision: number): PlatformAnswer<number> {
@@ -173,3 +181,7 @@
     return this.store.remove(WINDOW_PREFIX + windowIndex);
   }
 }
+
+function listRecords({record, members}: HostObject): HostRecord[] {
+  return [record, ...members];
+}
--- a/packages/relay/test/quota.test.ts
+++ b/packages/relay/test/quota.test.ts
@@ -8,6 +8,7 @@
   HOST_LOST_MS,
   HostRecord,
   PeerClient,
+  PeerRefusal,
   QuotaShare,
   readInstant,
   recordRequest,
@@ -81,7 +82,7 @@
 class QuotaFleet {
   readonly clock = new VirtualClock();
   readonly granted: {atMs: number; cost: number}[] = [];
-  private readonly clients = new Map<HostId, QuotaClient>();
+  readonly clients = new Map<HostId, QuotaClient>();
   private readonly records: HostRecord[] = [];
 
   constructor(count: number) {
@@ -93,7 +94,7 @@
       const peers = new PeerClient();
       peers.ask = async <T>(address: string, _path: string, question: unknown) => {
         const answer = this.clients.get(address as HostId)!.takeOwned(question as QuotaMessage);
-        if (!answer) throw new Error('not the owner');
+        if (!answer) throw new PeerRefusal(409);
         return answer as T;
       };
       const log = {write: () => undefined};
@@ -101,11 +102,14 @@
       this.records.push({
         hostId,
         incarnation: 'x',
+        generation: 1,
         failureDomain: toId<FailureDomain>('a'),
         address: hostId,
         peerAddress: hostId,
         isReady: true,
         beat: 1,
+        madeMs: 0,
+        madeWallMs: 0,
         usage: {},
       });
     }
@@ -184,6 +188,22 @@
     expect(fleet.granted).to.have.length(12);
   });
 
+  it('asks an owner that has just started again as soon as it decides', async () => {
+    // Guards against wrongful refusals for a second after all hosts were restarted: the owner is
+    // reached and has no record in the store yet.
+    const fleet = new QuotaFleet(6);
+    fleet.read(all, all);
+    const other = [...fleet.clients.keys()].find(hostId => hostId !== fleet.owner)!;
+    const onlyOther = (hostId: HostId) => hostId === other;
+    await fleet.ask(10, onlyOther);
+    fleet.clock.runUntil(200);
+    fleet.renew(all);
+    const before = fleet.granted.length;
+    // A fifth of the rate; this host would grant less than a tenth by itself.
+    for (let i = 0; i < 10; i++) await fleet.ask(RATE / 50, onlyOther);
+    expect(fleet.granted.length - before).to.equal(10);
+  });
+
   it('drops the bucket of a team that another host has owned since', async () => {
     // Guards against a second burst when a host becomes the owner again.
     const fleet = new QuotaFleet(3);
--- a/packages/relay/test/shared-reads.test.ts
+++ b/packages/relay/test/shared-reads.test.ts
@@ -35,11 +35,14 @@
   return {
     hostId: toId<HostId>(id),
     incarnation: 'x',
+    generation: 1,
     failureDomain: toId<FailureDomain>(domain),
     address: `${id}:80`,
     peerAddress: `${id}:90`,
     isReady: true,
     beat,
+    madeMs: beat,
+    madeWallMs: beat,
     usage: {},
   };
 }
@@ -206,7 +209,7 @@
       // Every other read comes from the reader, up to 600 ms old.
       const isShared = nowMs % 1000 === 0;
       const read = isShared ? joinBeats(records.map(shortenRecord), records) : records;
-      updateHosts(registry, read, nowMs);
+      updateHosts(registry, read, {monotonicMs: nowMs, wallMs: nowMs});
       const ready = readyHosts(registry, nowMs).map(host => host.hostId);
       expect(ready).to.include('1');
       if (ready.includes(lost.hostId)) listedUntilMs = nowMs;
