Let ordinary targets go as cheap ones come

Cheap ones were ordered 2.5 s after the first target was seen and changed their stages when traffic began.

Change: each cheap target that is there replaces an ordinary one down to what is needed; cheap ones are ordered after 0.9 s. A holder that finds cheap targets keeps what its predecessor left until it knows the demand.

--- a/packages/relay/src/capacity-policy.ts
+++ b/packages/relay/src/capacity-policy.ts
@@ -5,7 +5,7 @@
 export interface CapacitySettings {
   /**
    * Prompt tokens that an engine is counted on to read in a second. A decode engine reads 30,000
-   * beside its other work; a fifth is kept for bursts, and most of a prompt is often shared.
+   * beside its other work; a third is kept for bursts, and most of a prompt is often shared.
    */
   readonly tokensPerEngine: number;
   /** Capacity before demand is known, relative to what was there at the start. */
@@ -14,8 +14,10 @@
   readonly maxCheapPriceRatio: number;
   /** Ordinary targets kept in each failure domain for when the cheap ones are withdrawn. */
   readonly ordinaryPerDomain: number;
+  /** Cheap targets are ordered this soon after the first target was seen: they take long to come. */
+  readonly firstOrderMs: number;
   /**
-   * Orders wait this long after the first target was seen: targets register themselves within
+   * Other orders wait this long after the first target was seen: targets register themselves within
    * seconds of their start, and what is there at the start isn't known before.
    */
   readonly settleMs: number;
@@ -24,10 +26,11 @@
 }
 
 export const DEFAULT_CAPACITY_SETTINGS: CapacitySettings = {
-  tokensPerEngine: 24_000,
+  tokensPerEngine: 20_000,
   startFactor: 1.5,
   maxCheapPriceRatio: 0.6,
   ordinaryPerDomain: 1,
+  firstOrderMs: 900,
   settleMs: 2500,
   repeatMs: 3000,
 };
@@ -36,8 +39,10 @@
 export interface CapacityState {
   /** When this holder first saw a target of the service. */
   readonly firstSeenMs: number;
-  /** Most targets seen before demand was known. */
+  /** Most ordinary targets seen by a holder without a predecessor. */
   startCount: number;
+  /** Targets that a predecessor left; 0 without one. */
+  inheritedCount: number;
   /** Failure domains in which targets were seen. */
   readonly domains: Set<FailureDomain>;
   /** Last order by domain and kind. */
@@ -50,6 +55,7 @@
   return {
     firstSeenMs: nowMs,
     startCount: 0,
+    inheritedCount: 0,
     domains: new Set(),
     lastOrders: new Map(),
     wantedTotal: 0,
@@ -72,12 +78,13 @@
   const {scaling} = service;
   if (!scaling || !service.engine) return [];
   for (const entry of entries) state.domains.add(entry.failureDomain);
-  const ready = entries.filter(entry => !entry.isDraining).length;
-  if (state.wantedTotal === 0) state.startCount = Math.max(state.startCount, ready);
-  if (nowMs - state.firstSeenMs < settings.settleMs) return [];
+  const seenForMs = nowMs - state.firstSeenMs;
+  if (seenForMs < settings.firstOrderMs) return [];
   const fromDemand = Math.ceil(demandPerSecond / settings.tokensPerEngine);
+  noteInitial(state, entries);
   const fromStart = Math.ceil(state.startCount * settings.startFactor);
-  state.wantedTotal = Math.max(state.wantedTotal, fromDemand > 0 ? fromDemand : fromStart);
+  const wanted = fromDemand > 0 ? fromDemand : fromStart;
+  state.wantedTotal = Math.max(state.wantedTotal, state.inheritedCount, wanted);
   const usesCheap =
     scaling.cheapPriceRatio !== undefined && scaling.cheapPriceRatio <= settings.maxCheapPriceRatio;
   const domains = sortByPrice([...state.domains], scaling);
@@ -85,20 +92,35 @@
   domains.forEach((failureDomain, index) => {
     const share = splitEvenly(state.wantedTotal, domains.length, index);
     const total = Math.min(scaling.maxCount, Math.max(scaling.minCount, share));
-    const ordinary = usesCheap
+    const kept = usesCheap
       ? Math.min(total, Math.max(scaling.minCount, settings.ordinaryPerDomain))
       : total;
     const present = countReady(entries, failureDomain);
     const order = (isCheap: boolean, desiredCount: number) =>
       orders.push({service: service.name, failureDomain, isCheap, desiredCount});
-    if (usesCheap) order(true, Math.min(total - ordinary, scaling.maxCount - ordinary));
-    // Ordinary targets leave when what replaces them is ready.
-    const isReplaced = present.cheap >= total - ordinary;
-    if (present.ordinary <= ordinary || isReplaced) order(false, ordinary);
+    if (usesCheap) order(true, Math.min(total - kept, scaling.maxCount - kept));
+    // What is there at the start isn't known before targets had time to register.
+    if (seenForMs < settings.settleMs) return;
+    // Ordinary targets leave as what replaces them is ready.
+    const needed = Math.max(kept, total - present.cheap);
+    order(false, usesCheap ? Math.max(kept, Math.min(present.ordinary, needed)) : needed);
   });
   return orders.filter(order => isDue(state, order, entries, settings, nowMs));
 }
 
+/**
+ * Notes what was there before this holder ordered anything. Cheap targets show that a predecessor
+ * has ordered what is needed; its knowledge of demand may be lost, as after a restart of all hosts.
+ */
+function noteInitial(state: CapacityState, entries: readonly TargetEntry[]): void {
+  const ready = entries.filter(entry => !entry.isDraining);
+  const ordinary = ready.filter(entry => !entry.isCheap);
+  if (state.inheritedCount === 0) state.startCount = Math.max(state.startCount, ordinary.length);
+  if (state.lastOrders.size > 0 || ordinary.length === ready.length) return;
+  state.inheritedCount = Math.max(state.inheritedCount, ready.length);
+  state.startCount = 0;
+}
+
 interface Present {
   readonly cheap: number;
   readonly ordinary: number;
