--- /dev/null
+++ b/packages/relay/test/stage-orders.test.ts
@@ -0,0 +1,112 @@
+import {createServer, Server} from 'node:http';
+import {AddressInfo} from 'node:net';
+import {expect} from 'chai';
+import {createHandlers, HostId, SILENT_LOG, startTask, SystemClock, toId} from '@radishgw/core';
+import {confirmConfig, createConfigView, RelayCodec} from '../src/index.js';
+import {readInstant} from '../src/elapsed-clock.js';
+import {StageKeeper} from '../src/stage-keeper.js';
+import {TargetPool} from '../src/target-pool.js';
+import {ENGINES, makeConfig, makeEntry} from './fixtures.js';
+
+const REPORT_PATH = '/report';
+const ORDER_PATH = '/order';
+
+interface Order {
+  readonly stage: string;
+  readonly token: number;
+  readonly expected: number;
+}
+
+/** What the keeper needs of a codec, in a form of this test's own. */
+const CODEC = {
+  reportPath: REPORT_PATH,
+  readAcceptedOrders: (body: Buffer) => Number(body.toString()),
+  stageOrder: (stage: string, _holder: string, token: number, expected: number) => ({
+    path: ORDER_PATH,
+    body: JSON.stringify({stage, token, expected} satisfies Order),
+  }),
+  writeControlHeaders: () => [],
+  readAnswer: () => ({requestId: undefined, seal: undefined, notRun: false, load: undefined}),
+} as unknown as RelayCodec;
+
+/** An engine that carries out an order only if it has accepted as many as the order says. */
+class Engine {
+  accepted = 0;
+  readonly orders: Order[] = [];
+  readonly statuses: number[] = [];
+  private readonly server: Server = createServer((request, response) => {
+    let text = '';
+    request.on('data', chunk => (text += String(chunk)));
+    request.on('end', () => {
+      if (request.url === REPORT_PATH) {
+        response.end(String(this.accepted));
+        return;
+      }
+      response.statusCode = this.take(JSON.parse(text) as Order);
+      response.end();
+    });
+  });
+
+  async start(): Promise<string> {
+    await new Promise<void>(resolve => this.server.listen(0, '127.0.0.1', resolve));
+    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  take(order: Order): number {
+    this.orders.push(order);
+    const status = order.expected === this.accepted ? 202 : 409;
+    if (status === 202) this.accepted++;
+    this.statuses.push(status);
+    return status;
+  }
+
+  stop(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+}
+
+describe('stage orders', () => {
+  const clock = new SystemClock();
+  let engine: Engine;
+  let pool: TargetPool;
+  let keeper: StageKeeper;
+
+  beforeEach(async () => {
+    engine = new Engine();
+    const address = await engine.start();
+    const config = makeConfig(1);
+    const view = createConfigView();
+    const engineTraits = {cacheTokens: 1, handleTtlMs: 1, stageSwitchMs: 1};
+    const service = {name: ENGINES, connectionLimit: 8, engine: engineTraits, scaling: undefined};
+    const services = new Map([[ENGINES, service]]);
+    confirmConfig(view, {...config, services}, readInstant(clock));
+    pool = new TargetPool(clock, SILENT_LOG);
+    pool.update([{...makeEntry('i-1'), service: ENGINES, address, stage: 'prefill'}]);
+    const parts = {clock, log: SILENT_LOG, codec: CODEC, configView: view, targets: pool};
+    keeper = new StageKeeper({...parts, hostId: toId<HostId>('host-1')});
+  });
+
+  afterEach(() => {
+    pool.update([]);
+    engine.stop();
+  });
+
+  const step = (term: () => number | undefined) =>
+    startTask(keeper.step(term), createHandlers(clock)).done;
+
+  it('have no effect when they are carried out late', async () => {
+    // Guards against a copy of an order that turns an engine back after a newer one.
+    engine.accepted = 3;
+    await step(() => 7);
+    expect(engine.orders).to.deep.equal([{stage: 'decode', token: 7, expected: 3}]);
+    expect(engine.take(engine.orders[0])).to.equal(409);
+  });
+
+  it('are not sent by a host that has lost the lease meanwhile', async () => {
+    // Guards against orders of two holders: the lease may end while the report is read.
+    const terms = [undefined];
+    await step(() => terms.shift());
+    expect(engine.orders).to.deep.equal([]);
+  });
+});
