Count on 15,000 prompt tokens a second of an engine

Cheap engines are bounded there, so that the number that is wanted decides how many ordinary ones stay.

Change: 15,000 instead of 20,000 tokens an engine.

--- a/packages/relay/src/capacity-policy.ts
+++ b/packages/relay/src/capacity-policy.ts
@@ -5,7 +5,7 @@
 export interface CapacitySettings {
   /**
    * Prompt tokens that an engine is counted on to read in a second. A decode engine reads 30,000
-   * beside its other work; a third is kept for bursts, and most of a prompt is often shared.
+   * beside its other work; half is kept for bursts, and most of a prompt is often shared.
    */
   readonly tokensPerEngine: number;
   /** Capacity before demand is known, relative to what was there at the start. */
@@ -26,7 +26,7 @@
 }
 
 export const DEFAULT_CAPACITY_SETTINGS: CapacitySettings = {
-  tokensPerEngine: 20_000,
+  tokensPerEngine: 15_000,
   startFactor: 1.5,
   maxCheapPriceRatio: 0.6,
   ordinaryPerDomain: 1,
