Log the age of the list of targets with each call to a target

Requests now log their calls with listAgeMs, targetsChanged logs the age of the list and the targets that are kept, and the ages of all calls are a histogram. No decision changes.

--- a/packages/relay/src/prefill-prompt.ts
+++ b/packages/relay/src/prefill-prompt.ts
@@ -4,7 +4,7 @@
 import {StreamState} from './stream-state.js';
 import {readCompleteAnswer, statesNotRun} from './target-answer.js';
 import {PooledTarget} from './target-pool.js';
-import {writeTargetRequest} from './target-request.js';
+import {sendToTarget, writeTargetRequest} from './target-request.js';
 import {recordLoad, recordParts} from './target-state.js';
 import {recordWait} from './wait-calibration.js';
 
@@ -53,7 +53,7 @@
   });
   const removePending = addPendingTokens(target, state);
   const sentMs = deps.clock.nowMs();
-  const sent = deps.targets.send(target, outgoing, true);
+  const sent = sendToTarget(deps, request, target, outgoing, true);
   try {
     const timeoutMs = prefillTimeoutMs(state, times.waitMs);
     const answer = yield* readCompleteAnswer(sent.attempt, deps.codec, timeoutMs);
--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -311,7 +311,7 @@
       configView: this.configView,
       monitor: this.monitor,
       onConfig: config => this.applyConfig(config),
-      onTargets: (entries, asOfMs) => this.targets.update(entries, asOfMs),
+      onTargets: (entries, asOfMs, isShared) => this.targets.update(entries, asOfMs, isShared),
     };
   }
 
--- a/packages/relay/src/request-context.ts
+++ b/packages/relay/src/request-context.ts
@@ -1,4 +1,4 @@
-import {Clock, EventLog, HostId, RandomSource, TeamId} from '@radishgw/core';
+import {Clock, EventLog, HostId, RandomSource, TargetId, TeamId} from '@radishgw/core';
 import {ClientExchange} from './client-exchange.js';
 import {ConfigView} from './config-view.js';
 import {DemandMeter} from './demand-meter.js';
@@ -64,4 +64,14 @@
   readonly steps: string[];
   /** Placements of the prompt with their inputs, for the log. */
   readonly placements: Readonly<Record<string, unknown>>[];
+  /** Calls to targets in the order in which they were sent, for the log. */
+  readonly calls: TargetCall[];
+}
+
+/** A call to a target and the age of the list of targets by which it was sent. */
+export interface TargetCall {
+  readonly target: TargetId;
+  /** Time since the request arrived. */
+  readonly atMs: number;
+  readonly listAgeMs: number;
 }
--- a/packages/relay/src/serve-call.ts
+++ b/packages/relay/src/serve-call.ts
@@ -10,7 +10,7 @@
   CompleteAnswer,
 } from './target-answer.js';
 import {PooledAttempt} from './target-pool.js';
-import {writeTargetRequest} from './target-request.js';
+import {sendToTarget, writeTargetRequest} from './target-request.js';
 import {recordLoad} from './target-state.js';
 
 /** Multiple of its objective after which a repeatable call is retried at another target. */
@@ -39,7 +39,8 @@
     const mayHaveRunBefore = progress.mayHaveRun;
     progress.mayHaveRun = true;
     progress.attempts++;
-    const sent = deps.targets.send(target, writeTargetRequest(deps, request, target), mayRepeat);
+    const outgoing = writeTargetRequest(deps, request, target);
+    const sent = sendToTarget(deps, request, target, outgoing, mayRepeat);
     let result: AttemptResult;
     try {
       const timeoutMs = attemptTimeoutMs(deps, request);
--- a/packages/relay/src/serve-request.ts
+++ b/packages/relay/src/serve-request.ts
@@ -107,6 +107,7 @@
       firstEventMs: undefined,
       steps: [],
       placements: [],
+      calls: [],
     },
   };
 }
@@ -207,6 +208,7 @@
     promptTokens: request?.meta.promptTokens,
     steps: request?.progress.steps,
     placements: request?.progress.placements,
+    calls: request?.progress.calls,
     ...('inputs' in outcome && outcome.inputs),
   });
 }
--- a/packages/relay/src/serve-stream.ts
+++ b/packages/relay/src/serve-stream.ts
@@ -14,7 +14,7 @@
 import {mayRetry, ServeOutcome, takeFromAttemptBudget} from './serve-outcome.js';
 import {RunResult, StreamState} from './stream-state.js';
 import {PooledTarget} from './target-pool.js';
-import {writeTargetRequest} from './target-request.js';
+import {sendToTarget, writeTargetRequest} from './target-request.js';
 import {estimateCachedTokens, recordParts} from './target-state.js';
 import {recordWait} from './wait-calibration.js';
 
@@ -150,7 +150,7 @@
   progress.attempts++;
   const removePending = source ? () => undefined : addPendingTokens(target, state);
   if (source) recordParts(target, request.meta.promptParts, deps.clock.nowMs());
-  const sent = deps.targets.send(target, outgoing, state.mayRepeat);
+  const sent = sendToTarget(deps, request, target, outgoing, state.mayRepeat);
   let isSourceUsed = false;
   try {
     const sentMs = deps.clock.nowMs();
--- a/packages/relay/src/store-sync.ts
+++ b/packages/relay/src/store-sync.ts
@@ -65,8 +65,11 @@
   readonly configView: ConfigView;
   readonly monitor: DependencyMonitor;
   onConfig(config: RelayConfig): void;
-  /** `asOfMs` is the monotonic time at which the entries were current in the store. */
-  onTargets(entries: readonly TargetEntry[], asOfMs: number): void;
+  /**
+   * `asOfMs` is the monotonic time at which the entries were current in the store; `isShared` says
+   * whether another host read them.
+   */
+  onTargets(entries: readonly TargetEntry[], asOfMs: number, isShared: boolean): void;
 }
 
 /** Ignores shared reads, as they don't show that this host itself can reach the store. */
@@ -104,7 +107,8 @@
     const answer = yield* deps.reads.read('targets', () => deps.source.readTargets());
     if (answer.ok) {
       recordReadSuccess(deps, answer.val);
-      deps.onTargets(answer.val.value, answer.val.asOf.monotonicMs);
+      const {value, asOf, isShared} = answer.val;
+      deps.onTargets(value, asOf.monotonicMs, isShared);
       yield* sleep(intervalAfter(answer.val));
       continue;
     }
--- a/packages/relay/src/target-pool.ts
+++ b/packages/relay/src/target-pool.ts
@@ -40,8 +40,17 @@
     return this.view.readAtMs > -Infinity;
   }
 
-  /** Applies a complete read of the list of targets, which was current in the store at `asOfMs`. */
-  update(entries: readonly TargetEntry[], asOfMs = this.clock.nowMs()): void {
+  /** Time since the list of targets was current in the store. */
+  listAgeMs(): number {
+    return this.clock.nowMs() - this.view.readAtMs;
+  }
+
+  /**
+   * Applies a complete read of the list of targets, which was current in the store at `asOfMs`.
+   * `isShared` says whether another host read it.
+   */
+  update(entries: readonly TargetEntry[], asOfMs = this.clock.nowMs(), isShared = false): void {
+    const previousAgeMs = this.listAgeMs();
     const changes = updateTargets(this.view, entries, asOfMs);
     for (const entry of changes.gone) {
       const target = this.targets.get(entry.id);
@@ -59,15 +68,19 @@
       if (sameService) sameService.push(target);
       else this.byService.set(entry.service, [target]);
     }
-    const {added, draining, gone} = changes;
-    if (added.length + draining.length + gone.length === 0) return;
+    const {added, draining, gone, kept} = changes;
+    if (added.length + draining.length + gone.length + kept.length === 0) return;
     const ids = (list: readonly TargetEntry[]) =>
       list.map(entry => `${entry.id} ${entry.stage ?? ''}${entry.isCheap ? ' cheap' : ''}`);
     this.log.write('targetsChanged', {
       added: ids(added),
       draining: ids(draining),
       gone: ids(gone),
+      kept: ids(kept),
       known: this.targets.size,
+      isShared,
+      listAgeMs: Math.round(this.listAgeMs()),
+      previousAgeMs: Number.isFinite(previousAgeMs) ? Math.round(previousAgeMs) : undefined,
     });
   }
 
--- a/packages/relay/src/target-request.ts
+++ b/packages/relay/src/target-request.ts
@@ -1,7 +1,7 @@
 import {AdmittedRequest, RelayDependencies} from './request-context.js';
 import {CacheSource} from './model.js';
 import {OutgoingRequest} from './target-connections.js';
-import {PooledTarget} from './target-pool.js';
+import {PooledAttempt, PooledTarget} from './target-pool.js';
 
 /** Fields that differ between the attempts of one request. */
 export interface AttemptFields {
@@ -10,6 +10,24 @@
   readonly lastEventId?: string;
 }
 
+/** Sends a request to a target; records the age of the list of targets by which it is sent. */
+export function sendToTarget(
+  deps: RelayDependencies,
+  request: AdmittedRequest,
+  target: PooledTarget,
+  outgoing: OutgoingRequest,
+  mayRepeat: boolean,
+): PooledAttempt {
+  const listAgeMs = deps.targets.listAgeMs();
+  request.progress.calls.push({
+    target: target.entry.id,
+    atMs: Math.round(request.exchange.ageMs()),
+    listAgeMs: Math.round(listAgeMs),
+  });
+  deps.metrics.observeMs('target_list_age_ms', `route="${request.route.name}"`, listAgeMs);
+  return deps.targets.send(target, outgoing, mayRepeat);
+}
+
 /** Creates the request that is sent to a target. */
 export function writeTargetRequest(
   deps: RelayDependencies,
--- a/packages/relay/src/target-view.ts
+++ b/packages/relay/src/target-view.ts
@@ -16,6 +16,8 @@
   readAtMs: number;
   /** Until this time, entries that are missing from the list are retained. */
   graceUntilMs: number;
+  /** Entries that are missing from the latest read. */
+  missing: Set<TargetId>;
 }
 
 /** Changes made by a read of the list. */
@@ -23,10 +25,17 @@
   readonly added: readonly TargetEntry[];
   readonly draining: readonly TargetEntry[];
   readonly gone: readonly TargetEntry[];
+  /** Entries that are missing from this read for the first time and are retained for now. */
+  readonly kept: readonly TargetEntry[];
 }
 
 export function createTargetView(): TargetView {
-  return {targets: new Map(), readAtMs: -Infinity, graceUntilMs: -Infinity};
+  return {
+    targets: new Map(),
+    readAtMs: -Infinity,
+    graceUntilMs: -Infinity,
+    missing: new Set(),
+  };
 }
 
 /** Whether two entries describe the same incarnation of a target. */
@@ -43,17 +52,24 @@
   entries: readonly TargetEntry[],
   nowMs: number,
 ): TargetChanges {
-  if (nowMs < view.readAtMs) return {added: [], draining: [], gone: []};
+  if (nowMs < view.readAtMs) return {added: [], draining: [], gone: [], kept: []};
   const wasUnavailable = nowMs - view.readAtMs > OUTAGE_GAP_MS && view.readAtMs > -Infinity;
   if (wasUnavailable) view.graceUntilMs = nowMs + REAPPEARANCE_GRACE_MS;
   view.readAtMs = nowMs;
   const next = new Map(entries.map(entry => [entry.id, entry]));
   const gone: TargetEntry[] = [];
+  const kept: TargetEntry[] = [];
+  const missing = new Set<TargetId>();
   for (const [id, old] of view.targets) {
     const entry = next.get(id);
     if (entry && isSameIncarnation(old, entry)) continue;
-    if (!entry && nowMs < view.graceUntilMs) next.set(id, old);
-    else gone.push(old);
+    if (entry || nowMs >= view.graceUntilMs) {
+      gone.push(old);
+      continue;
+    }
+    next.set(id, old);
+    missing.add(id);
+    if (!view.missing.has(id)) kept.push(old);
   }
   const added: TargetEntry[] = [];
   const draining: TargetEntry[] = [];
@@ -63,5 +79,6 @@
     if (entry.isDraining && !old?.isDraining) draining.push(entry);
   }
   view.targets = next;
-  return {added, draining, gone};
+  view.missing = missing;
+  return {added, draining, gone, kept};
 }
--- a/packages/relay/test/views.test.ts
+++ b/packages/relay/test/views.test.ts
@@ -59,8 +59,11 @@
     updateTargets(view, [makeEntry('a'), makeEntry('b')], 0);
     const back = updateTargets(view, [], 5000);
     expect(back.gone).to.have.length(0);
+    expect(back.kept.map(entry => entry.id)).to.deep.equal(['a', 'b']);
     for (let nowMs = 5600; nowMs < 5000 + REAPPEARANCE_GRACE_MS; nowMs += 600) {
-      expect(updateTargets(view, [makeEntry('a')], nowMs).gone).to.have.length(0);
+      const changes = updateTargets(view, [makeEntry('a')], nowMs);
+      expect(changes.gone).to.have.length(0);
+      expect(changes.kept).to.have.length(0);
     }
     const later = updateTargets(view, [makeEntry('a')], 5000 + REAPPEARANCE_GRACE_MS);
     expect(later.gone.map(entry => entry.id)).to.deep.equal(['b']);
