Choose the decode engine again once the prompt has been prefilled

Callers' streams were sent to an engine that had said seconds before that it leaves (DRAIN).

Cause: a staged placement names both engines before the prompt is prefilled, and the run was sent to the second one without another look at the list of targets.

The decode engine is now confirmed when its call is due. If it has left, or can't be connected to, another engine fetches the same cache, so that the prompt isn't prefilled again.

Evidence: platform/test/leaving-targets.test.ts "receive no run that was placed before its engine ..." failed twice before the change (one POST at the leaving engine, for a draining and for a removed entry) and passes with it.

--- a/packages/relay/src/engine-placement.ts
+++ b/packages/relay/src/engine-placement.ts
@@ -88,13 +88,16 @@
 /** Engines at which a prompt is prefilled and decoded. */
 export type EnginePlacement =
   | ({readonly type: 'direct'; readonly decode: TargetState} & PlacementTimes)
-  | ({
-      readonly type: 'staged';
-      readonly prefill: TargetState;
-      readonly decode: TargetState;
-    } & PlacementTimes)
+  | StagedPlacement
   | {readonly type: 'none'};
 
+/** A prompt that is prefilled at one engine and decoded at another. */
+export interface StagedPlacement extends PlacementTimes {
+  readonly type: 'staged';
+  readonly prefill: TargetState;
+  readonly decode: TargetState;
+}
+
 /** Estimated times of a placement. */
 export interface PlacementTimes {
   /** Time until the prompt is prefilled and its cache has reached the decode engine. */
@@ -204,7 +207,7 @@
 function chooseDecode(
   targets: readonly TargetState[],
   prefillEngine: TargetState,
-  context: PlacementContext,
+  context: Pick<PlacementContext, 'nowMs' | 'estimates'>,
 ): TargetState | undefined {
   let best: TargetState | undefined;
   let bestLoad = Infinity;
@@ -253,6 +256,24 @@
   return {...direct, type: 'direct', decode: direct.target};
 }
 
+/**
+ * Returns the decode engine of a staged placement if it may still be called, otherwise the best of
+ * the others that haven't been tried; undefined if there is none. The placement may be outdated by
+ * the time the prompt has been prefilled.
+ */
+export function confirmDecode(
+  all: Iterable<TargetState>,
+  placement: StagedPlacement,
+  tried: ReadonlySet<TargetId>,
+  nowMs: number,
+  estimates: EngineEstimates,
+): TargetState | undefined {
+  const isUsable = (target: TargetState) =>
+    !tried.has(target.entry.id) && isAvailable(target, nowMs) && stageOf(target) === 'decode';
+  if (isUsable(placement.decode)) return placement.decode;
+  return chooseDecode([...all].filter(isUsable), placement.prefill, {nowMs, estimates});
+}
+
 function countTokens(parts: readonly PromptPart[]): number {
   return parts.reduce((sum, part) => sum + part.tokens, 0);
 }
--- a/packages/relay/src/serve-stream.ts
+++ b/packages/relay/src/serve-stream.ts
@@ -1,9 +1,11 @@
 import {Procedure, TargetId} from '@radishgw/core';
 import {
+  confirmDecode,
   DEFAULT_ENGINE_ESTIMATES,
   EnginePlacement,
   placePrompt,
   sharedPrefix,
+  StagedPlacement,
 } from './engine-placement.js';
 import {recordRequest} from './attempt-budget.js';
 import {CacheSource, ServiceName} from './model.js';
@@ -15,7 +17,7 @@
 import {RunResult, StreamState} from './stream-state.js';
 import {PooledTarget} from './target-pool.js';
 import {sendToTarget, writeTargetRequest} from './target-request.js';
-import {estimateCachedTokens, recordParts} from './target-state.js';
+import {estimateCachedTokens, recordParts, TargetState} from './target-state.js';
 import {recordWait} from './wait-calibration.js';
 
 /**
@@ -54,11 +56,12 @@
       return {type: 'refused', refusal: 'overloaded', retryAfterMs};
     }
     recordPlacement(state, placement);
-    let source: CacheSource | undefined;
-    if (placement.type === 'staged') {
+    let result: RunResult;
+    if (placement.type === 'direct') result = yield* runOnEngine(state, placement);
+    else {
       const isExtra = state.hasPrefilled;
       if (isExtra && !takeFromAttemptBudget(deps, service)) return failStream(state, 'overloaded');
-      source = yield* prefillPrompt(state, placement.prefill as PooledTarget, placement);
+      const source = yield* prefillPrompt(state, placement.prefill as PooledTarget, placement);
       if (!source) {
         // Another prefill is an extra attempt; prefilling a long prompt at a decode engine instead
         // would stall its streams.
@@ -66,8 +69,8 @@
         if (!mayRetry(deps, request, true, false)) return failStream(state, 'overloaded');
         continue;
       }
+      result = yield* runPrefilled(state, placement, source);
     }
-    const result = yield* runOnEngine(state, placement, source);
     if (result.type === 'done') return result.outcome;
     // The cache could not be fetched from this engine, so that another one has to prefill.
     if (placement.type === 'staged') tried.add(placement.prefill.entry.id);
@@ -126,16 +129,59 @@
   });
 }
 
+/** Records for the log that another engine runs a prefilled prompt. */
+function recordReplacement(
+  {request}: StreamState,
+  {decode: placed}: StagedPlacement,
+  decode: TargetState,
+): void {
+  request.progress.placements.push({
+    type: 'replaced',
+    decode: decode.entry.id,
+    placed: placed.entry.id,
+    isDraining: placed.entry.isDraining,
+    atMs: Math.round(request.exchange.ageMs()),
+  });
+}
+
 function failStream({request}: StreamState, refusal: 'noTarget' | 'overloaded'): ServeOutcome {
   if (request.exchange.hasStarted) return {type: 'brokenOff'};
   return {type: 'refused', refusal: request.progress.mayHaveRun ? 'outcomeUnknown' : refusal};
 }
 
+/**
+ * Runs a prefilled request at a decode engine. Another engine fetches the same cache if the chosen
+ * one has left since the placement or could not be reached.
+ */
+function* runPrefilled(
+  state: StreamState,
+  placement: StagedPlacement,
+  source: CacheSource,
+): Procedure<RunResult> {
+  const {deps, request, tried} = state;
+  let isSourceUsed = false;
+  try {
+    for (;;) {
+      const targets = deps.targets.forService(request.service);
+      const nowMs = deps.clock.nowMs();
+      const decode = confirmDecode(targets, placement, tried, nowMs, DEFAULT_ENGINE_ESTIMATES);
+      if (!decode) return {type: 'notRun', isUnsent: true};
+      if (decode !== placement.decode) recordReplacement(state, placement, decode);
+      const result = yield* runOnEngine(state, {...placement, decode}, source);
+      isSourceUsed = result.type === 'done' || request.progress.hasCountedUsage;
+      if (result.type !== 'notRun' || !result.isUnsent) return result;
+      if (!mayRetry(deps, request, state.mayRepeat, true)) return result;
+    }
+  } finally {
+    if (!isSourceUsed) releaseHandle(state, placement.prefill as PooledTarget, source);
+  }
+}
+
 /** Runs the request at an engine and forwards its events. */
 function* runOnEngine(
   state: StreamState,
   placement: Exclude<EnginePlacement, {type: 'none'}>,
-  source: CacheSource | undefined,
+  source?: CacheSource,
 ): Procedure<RunResult> {
   const {deps, request} = state;
   const {progress} = request;
@@ -151,7 +197,6 @@
   const removePending = source ? () => undefined : addPendingTokens(target, state);
   if (source) recordParts(target, request.meta.promptParts, deps.clock.nowMs());
   const sent = sendToTarget(deps, request, target, outgoing, state.mayRepeat);
-  let isSourceUsed = false;
   try {
     const sentMs = deps.clock.nowMs();
     const onFirstEvent = () => {
@@ -161,14 +206,10 @@
       recordWait(deps.calibration, 'decode', request.urgency, placement.uncalibratedMs, actualMs);
     };
     const result = yield* relayStream(state, sent, placement.waitMs, onFirstEvent);
-    isSourceUsed = result.type === 'done' || progress.hasCountedUsage;
     if (result.type === 'notRun') Object.assign(progress, progressBefore);
     return result;
   } finally {
     removePending();
     sent.finish('cancelled');
-    if (source && !isSourceUsed && placement.type === 'staged') {
-      releaseHandle(state, placement.prefill as PooledTarget, source);
-    }
   }
 }
