Don't send a request over a connection that opens after its target left

A request may reach a target that has said that it leaves (DRAIN) although its host knows it by then: a connection may take 400 ms to open, and the request was written whenever it did.

A target's connections are now retired when it drains or is gone: those that are still opening fail as unsent, so that the request goes to another target, idle ones are closed, and busy ones are closed when their answer is complete instead of after 8 s of idleness.

Evidence: target-connections.test.ts "sends nothing to a target that leaves while the connection opens" got the answer (head) before the change; "... closes its connection then" took 8,054 ms before it and takes 60 ms now.

--- a/packages/relay/src/target-connections.ts
+++ b/packages/relay/src/target-connections.ts
@@ -153,6 +153,8 @@
 /** How the end of an answer's body is determined. */
 type BodyFraming = 'length' | 'chunks' | 'connection';
 
+const LEFT_DETAIL = 'target left before the connection was established';
+
 /** An empty line, which servers ignore before a request. */
 const PROBE = '\r\n';
 
@@ -178,6 +180,8 @@
   isConnected = false;
   isClosed = false;
   lastUsedMs: number;
+  private cancelConnect: ((error: Error) => void) | undefined;
+  private isCancelled = false;
 
   constructor(
     address: string,
@@ -195,8 +199,8 @@
       keepAliveTimeout: timeouts.idleTimeoutMs,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
       connect: (_options, callback) => {
-        if (this.hasOpened) {
-          callback(new Error('connection was closed'), null);
+        if (this.hasOpened || this.isCancelled) {
+          callback(new Error(this.isCancelled ? LEFT_DETAIL : 'connection was closed'), null);
           return;
         }
         this.hasOpened = true;
@@ -225,6 +229,7 @@
           () => settle(new Error('connect timeout')),
           timeouts.connectTimeoutMs,
         );
+        this.cancelConnect = settle;
         socket.once('connect', () => settle(undefined));
         socket.on('error', error => {
           this.wasReset = true;
@@ -261,6 +266,13 @@
     else this.framing = names.includes('content-length') ? 'length' : 'connection';
   }
 
+  /** Fails the request of this connection unless the connection is established. */
+  cancelOpening(): void {
+    if (this.isConnected) return;
+    this.isCancelled = true;
+    this.cancelConnect?.(new Error(LEFT_DETAIL));
+  }
+
   /** Closes the connection immediately. */
   destroy(): void {
     this.isClosed = true;
@@ -273,6 +285,7 @@
 export class TargetConnections {
   private readonly idle: TargetConnection[] = [];
   private readonly busy = new Set<TargetConnection>();
+  private isRetired = false;
   /** Number of connections opened since the start. */
   openedCount = 0;
 
@@ -303,9 +316,14 @@
     return attempt;
   }
 
-  /** Closes the idle connections; those in use stay open until they are idle for too long. */
-  close(): void {
+  /**
+   * Called when the target leaves. Requests whose connection isn't established yet fail as unsent;
+   * each connection is closed as soon as it is idle. Later requests use connections of their own.
+   */
+  retire(): void {
+    this.isRetired = true;
     for (const connection of this.idle.splice(0)) connection.destroy();
+    for (const connection of this.busy) connection.cancelOpening();
   }
 
   private takeIdle(mayRepeat: boolean): TargetConnection | undefined {
@@ -345,7 +363,9 @@
     connection.lastUsedMs = this.clock.nowMs();
     // The socket may be closed in the same turn of the event loop, as after `Connection: close`.
     setImmediate(() => {
-      if (connection.isClosed || !connection.isConnected || connection.client.destroyed) {
+      const isUsable =
+        connection.isConnected && !connection.isClosed && !connection.client.destroyed;
+      if (this.isRetired || !isUsable) {
         connection.destroy();
         return;
       }
--- a/packages/relay/src/target-pool.ts
+++ b/packages/relay/src/target-pool.ts
@@ -56,7 +56,7 @@
       const target = this.targets.get(entry.id);
       if (!target || !isSameIncarnation(target.entry, entry)) continue;
       target.entry = {...entry, isDraining: true};
-      target.connections.close();
+      target.connections.retire();
       this.targets.delete(entry.id);
     }
     this.byService.clear();
@@ -69,6 +69,7 @@
       else this.byService.set(entry.service, [target]);
     }
     const {added, draining, gone, kept} = changes;
+    for (const {id} of draining) this.targets.get(id)?.connections.retire();
     if (added.length + draining.length + gone.length + kept.length === 0) return;
     const ids = (list: readonly TargetEntry[]) =>
       list.map(entry => `${entry.id} ${entry.stage ?? ''}${entry.isCheap ? ' cheap' : ''}`);
--- a/packages/relay/test/target-connections.test.ts
+++ b/packages/relay/test/target-connections.test.ts
@@ -48,6 +48,41 @@
 
   const types = (events: readonly AttemptEvent[]) => events.map(event => event.type);
 
+  it('sends nothing to a target that leaves while the connection opens', async () => {
+    // Guards against requests that reach a target later than it may be called.
+    let count = 0;
+    const connections = await serve(socket => {
+      count++;
+      socket.write('HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n');
+    });
+    const attempt = connections.send(REQUEST, true);
+    connections.retire();
+    const event = await attempt.next(1000);
+    expect(event).to.include({type: 'failed', wasSent: false});
+    expect(count).to.equal(0);
+  });
+
+  it('completes an answer of a target that leaves, and closes its connection then', async () => {
+    // Guards against answers that are lost when their target leaves.
+    let socketCount = 0;
+    const connections = await serve((socket, count) => {
+      socketCount = count + 1;
+      setTimeout(() => socket.write('HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'), 50);
+    });
+    const closed = new Promise<void>(resolve =>
+      server!.once('connection', socket => socket.once('close', resolve)),
+    );
+    const attempt = connections.send(REQUEST, true);
+    while (socketCount === 0) await new Promise(resolve => setTimeout(resolve, 5));
+    connections.retire();
+    for (const type of ['head', 'data', 'end']) {
+      expect((await attempt.next(1000)).type).to.equal(type);
+    }
+    const startMs = Date.now();
+    await closed;
+    expect(Date.now() - startMs).to.be.lessThan(1000);
+  });
+
   it('fails an answer without a length that ends with a reset', async () => {
     // Guards against delivering a truncated answer as complete.
     const connections = await serve(socket => {
