Take only failed reads for an outage of the store

Cause: two reads of the list of targets that were more than 1.5 s apart counted as an outage, after which missing entries are kept for 2 s. Slow reads of a busy host, or of its reader, have such gaps while the store is available, and each further gap prolonged the time.

The existing test of the grace period now has a failed read in it, without which its gap of 5 s is no outage; its expectations are unchanged.

Evidence: views.test.ts "removes a missing entry after slow reads of a store that is available" failed before ("expected [] to have a length of 1").

--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -311,6 +311,7 @@
       configView: this.configView,
       monitor: this.monitor,
       onConfig: config => this.applyConfig(config),
+      onTargetsUnavailable: () => this.targets.recordFailedRead(),
       onTargets: (entries, asOfMs, isShared) => this.targets.update(entries, asOfMs, isShared),
     };
   }
--- a/packages/relay/src/store-sync.ts
+++ b/packages/relay/src/store-sync.ts
@@ -70,6 +70,8 @@
    * whether another host read them.
    */
   onTargets(entries: readonly TargetEntry[], asOfMs: number, isShared: boolean): void;
+  /** Called when the list of targets could not be read. */
+  onTargetsUnavailable(): void;
 }
 
 /** Ignores shared reads, as they don't show that this host itself can reach the store. */
@@ -113,6 +115,7 @@
       continue;
     }
     deps.monitor.recordOutcome(answer.val);
+    deps.onTargetsUnavailable();
     yield* sleep(RETRY_DELAY_MS);
   }
 }
--- a/packages/relay/src/target-pool.ts
+++ b/packages/relay/src/target-pool.ts
@@ -85,6 +85,11 @@
     });
   }
 
+  /** Records that the list could not be read from the store. */
+  recordFailedRead(): void {
+    this.view.hasFailedRead = true;
+  }
+
   forService(service: ServiceName): readonly PooledTarget[] {
     return this.byService.get(service) ?? [];
   }
--- a/packages/relay/src/target-view.ts
+++ b/packages/relay/src/target-view.ts
@@ -7,8 +7,12 @@
  */
 export const REAPPEARANCE_GRACE_MS = 2000;
 
-/** A longer gap between two successful reads is treated as a store outage. */
-export const OUTAGE_GAP_MS = 1500;
+/**
+ * A longer gap between two successful reads, with a failed one in between, is a store outage. In a
+ * shorter one no entry expires: targets write theirs about every 1.2 s, and the store removes an
+ * entry after three missed writes.
+ */
+export const MIN_OUTAGE_MS = 2000;
 
 /** This host's view of the list of targets. */
 export interface TargetView {
@@ -18,6 +22,8 @@
   graceUntilMs: number;
   /** Entries that are missing from the latest read. */
   missing: Set<TargetId>;
+  /** Whether a read has failed since the latest successful one. */
+  hasFailedRead: boolean;
 }
 
 /** Changes made by a read of the list. */
@@ -35,6 +41,7 @@
     readAtMs: -Infinity,
     graceUntilMs: -Infinity,
     missing: new Set(),
+    hasFailedRead: false,
   };
 }
 
@@ -53,9 +60,10 @@
   nowMs: number,
 ): TargetChanges {
   if (nowMs < view.readAtMs) return {added: [], draining: [], gone: [], kept: []};
-  const wasUnavailable = nowMs - view.readAtMs > OUTAGE_GAP_MS && view.readAtMs > -Infinity;
+  const wasUnavailable = view.hasFailedRead && nowMs - view.readAtMs > MIN_OUTAGE_MS;
   if (wasUnavailable) view.graceUntilMs = nowMs + REAPPEARANCE_GRACE_MS;
   view.readAtMs = nowMs;
+  view.hasFailedRead = false;
   const next = new Map(entries.map(entry => [entry.id, entry]));
   const gone: TargetEntry[] = [];
   const kept: TargetEntry[] = [];
--- a/packages/relay/test/views.test.ts
+++ b/packages/relay/test/views.test.ts
@@ -57,6 +57,7 @@
     // Guards against sending no requests to live targets whose entries expired during the outage.
     const view = createTargetView();
     updateTargets(view, [makeEntry('a'), makeEntry('b')], 0);
+    view.hasFailedRead = true;
     const back = updateTargets(view, [], 5000);
     expect(back.gone).to.have.length(0);
     expect(back.kept.map(entry => entry.id)).to.deep.equal(['a', 'b']);
@@ -77,6 +78,21 @@
     expect(updateTargets(view, [], 600).gone).to.have.length(1);
   });
 
+  it('removes a missing entry after an outage too short for entries to expire', () => {
+    // Guards against requests to a target that has left, after a single call without an answer.
+    const view = createTargetView();
+    updateTargets(view, [makeEntry('a')], 0);
+    view.hasFailedRead = true;
+    expect(updateTargets(view, [], 1900).gone).to.have.length(1);
+  });
+
+  it('removes a missing entry after slow reads of a store that is available', () => {
+    // Guards against requests to a target that has left, from a host whose reads are slow.
+    const view = createTargetView();
+    updateTargets(view, [makeEntry('a')], 0);
+    expect(updateTargets(view, [], 2500).gone).to.have.length(1);
+  });
+
   it('treats a restarted target as a new one', () => {
     // Guards against connections and cached parts that outlive a restart.
     const view = createTargetView();
