Keep a draining target draining until it restarts

A target that has said that it leaves could receive requests again (DRAIN): a host took over whatever the newest entry says, and an earlier write of the target that is carried out late says that it is ready.

An incarnation that was draining now stays so; one with another start time is a new target.

Evidence: views.test.ts "does not take back that a target is draining" failed before ("expected [ false ] to deeply equal [ true ]").

--- a/packages/relay/src/target-view.ts
+++ b/packages/relay/src/target-view.ts
@@ -83,8 +83,13 @@
   const draining: TargetEntry[] = [];
   for (const [id, entry] of next) {
     const old = view.targets.get(id);
-    if (!old || !isSameIncarnation(old, entry)) added.push(entry);
-    if (entry.isDraining && !old?.isDraining) draining.push(entry);
+    const isKnown = old !== undefined && isSameIncarnation(old, entry);
+    if (!isKnown) added.push(entry);
+    if (entry.isDraining && !(isKnown && old.isDraining)) draining.push(entry);
+    // An incarnation never returns from draining; a late write of its entry may say so.
+    if (isKnown && old.isDraining && entry.bornMs !== undefined) {
+      next.set(id, {...entry, isDraining: true});
+    }
   }
   view.targets = next;
   view.missing = missing;
--- a/packages/relay/test/views.test.ts
+++ b/packages/relay/test/views.test.ts
@@ -93,6 +93,16 @@
     expect(updateTargets(view, [], 2500).gone).to.have.length(1);
   });
 
+  it('does not take back that a target is draining', () => {
+    // Guards against requests to a leaving target whose earlier write is carried out late.
+    const view = createTargetView();
+    updateTargets(view, [makeEntry('a', {isDraining: true})], 0);
+    updateTargets(view, [makeEntry('a')], 600);
+    expect([...view.targets.values()].map(entry => entry.isDraining)).to.deep.equal([true]);
+    updateTargets(view, [makeEntry('a', {bornMs: 2})], 1200);
+    expect([...view.targets.values()].map(entry => entry.isDraining)).to.deep.equal([false]);
+  });
+
   it('treats a restarted target as a new one', () => {
     // Guards against connections and cached parts that outlive a restart.
     const view = createTargetView();
