Order lists of targets by the revision of the store

A target that had left could come back into a host's list and receive requests (DRAIN). Reads were ordered by the time at which they were sent. A slow direct read that saw the leaving, followed by a shared one that was sent later but carried out earlier, brings the target back; the time of a shared read is an estimate besides.

Lists now carry the revision at which the store answered, also when a reader shares them, and an older revision is ignored.

--- a/packages/relay/src/model.ts
+++ b/packages/relay/src/model.ts
@@ -116,6 +116,13 @@
   readonly isCheap: boolean;
 }
 
+/** The entries of all targets, as read from the store. */
+export interface TargetList {
+  /** Revision of the store at which the list was current. */
+  readonly revision: number;
+  readonly entries: readonly TargetEntry[];
+}
+
 /** A part of a prompt; requests with the same leading parts share their cache entries. */
 export interface PromptPart {
   readonly id: PromptPartId;
--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -189,7 +189,7 @@
       server.close();
       server.closeAllConnections();
     }
-    this.targets.update([]);
+    this.targets.close();
     await this.peers.close();
   }
 
@@ -312,7 +312,7 @@
       monitor: this.monitor,
       onConfig: config => this.applyConfig(config),
       onTargetsUnavailable: () => this.targets.recordFailedRead(),
-      onTargets: (entries, asOfMs, isShared) => this.targets.update(entries, asOfMs, isShared),
+      onTargets: (list, asOfMs, isShared) => this.targets.update(list, asOfMs, isShared),
     };
   }
 
--- a/packages/relay/src/shared-reads.ts
+++ b/packages/relay/src/shared-reads.ts
@@ -3,7 +3,7 @@
 
 import {Instant, maxElapsedMs, readInstant} from './instant.js';
 import {HostHeartbeat, HostRecord} from './host-registry.js';
-import {TargetEntry} from './model.js';
+import {TargetList} from './model.js';
 import {PeerClient} from './peer-client.js';
 
 /** Path at which a reader shares what it has read with other hosts. */
@@ -20,7 +20,9 @@
    */
   readonly maxAgeMs: number;
   split(value: unknown): readonly (readonly [string, unknown])[];
-  join(entries: ReadonlyMap<string, unknown>): unknown;
+  join(entries: ReadonlyMap<string, unknown>, revision: number | undefined): unknown;
+  /** Revision of the store at which a value was read, where the value has one. */
+  revisionOf?(value: unknown): number;
 }
 
 /** Key of the single entry of a configuration. */
@@ -34,8 +36,9 @@
   },
   targets: {
     maxAgeMs: 1000,
-    split: value => (value as readonly TargetEntry[]).map(entry => [entry.id, entry]),
-    join: entries => [...entries.values()],
+    split: value => (value as TargetList).entries.map(entry => [entry.id, entry]),
+    join: (entries, revision) => ({entries: [...entries.values()], revision}),
+    revisionOf: value => (value as TargetList).revision,
   },
   hosts: {
     maxAgeMs: 2500,
@@ -80,6 +83,8 @@
   readonly version: SharedVersion;
   /** Time since the read of the store was sent. */
   readonly ageMs: number;
+  /** Revision of the store at which the value was read, where the value has one. */
+  readonly revision?: number;
   /** Whether `changed` contains all entries. */
   readonly isWhole: boolean;
   /** Key and JSON content of each changed entry. */
@@ -107,6 +112,7 @@
   value: unknown;
   number: number;
   readAt: Instant;
+  revision: number | undefined;
   readonly entries: Map<string, PublishedEntry>;
   /** Numbers of the versions in which entries were removed, oldest first. */
   readonly removed: Map<string, number>;
@@ -117,6 +123,7 @@
 interface Received {
   version: SharedVersion;
   readonly entries: Map<string, unknown>;
+  revision: number | undefined;
   value: unknown;
 }
 
@@ -189,6 +196,7 @@
       this.published.set(kind, published);
     }
     published.readAt = readAt;
+    published.revision = KINDS[kind].revisionOf?.(value);
     if (published.value === value) return;
     published.value = value;
     updatePublished(published, KINDS[kind].split(value));
@@ -199,12 +207,13 @@
     const published = this.published.get(kind);
     if (!published) return undefined;
     const {incarnation, clock} = this.deps;
-    const {number, entries, removed, prunedThroughVersion, readAt} = published;
+    const {number, entries, removed, prunedThroughVersion, readAt, revision} = published;
     const isWhole = version?.incarnation !== incarnation || version.number < prunedThroughVersion;
     const since = isWhole ? -Infinity : version.number;
     return {
       version: {incarnation, number},
       ageMs: maxElapsedMs(readAt, readInstant(clock)),
+      revision,
       isWhole,
       changed: [...entries]
         .filter(([, entry]) => entry.changedInVersion > since)
@@ -214,17 +223,19 @@
   }
 
   private applyAnswer<T>(kind: SharedKind, answer: SharedReadAnswer): T {
-    const {version, isWhole, changed, removed} = answer;
+    const {version, isWhole, changed, removed, revision} = answer;
     let received = this.received.get(kind);
-    if (received && !isWhole && changed.length + removed.length === 0) return received.value as T;
+    const isSame = !isWhole && changed.length + removed.length === 0;
+    if (received && isSame && received.revision === revision) return received.value as T;
     if (!received || isWhole) {
-      received = {version, entries: new Map(), value: undefined};
+      received = {version, entries: new Map(), revision, value: undefined};
       this.received.set(kind, received);
     }
     for (const key of removed) received.entries.delete(key);
     for (const [key, content] of changed) received.entries.set(key, decodeShared(content));
     received.version = version;
-    received.value = KINDS[kind].join(received.entries);
+    received.revision = revision;
+    received.value = KINDS[kind].join(received.entries, revision);
     return received.value as T;
   }
 }
@@ -235,6 +246,7 @@
     value: undefined,
     number: 0,
     readAt,
+    revision: undefined,
     entries,
     removed: new Map(),
     prunedThroughVersion: 0,
--- a/packages/relay/src/store-sync.ts
+++ b/packages/relay/src/store-sync.ts
@@ -3,14 +3,14 @@
 import {confirmConfig, ConfigView} from './config-view.js';
 import {HostRecord, selectNewestRecords} from './host-registry.js';
 import {LeaseRecord} from './lease.js';
-import {RelayConfig, TargetEntry, WindowCounts} from './model.js';
+import {RelayConfig, TargetList, WindowCounts} from './model.js';
 import {DatedValue, SharedReads} from './shared-reads.js';
 
 /** Reads the objects that other processes write to the store. All reads are linearizable. */
 export interface FleetSource {
   readConfig(): PlatformAnswer<RelayConfig>;
   /** Returns the entries that can be decoded. */
-  readTargets(): PlatformAnswer<readonly TargetEntry[]>;
+  readTargets(): PlatformAnswer<TargetList>;
 }
 
 /**
@@ -66,10 +66,10 @@
   readonly monitor: DependencyMonitor;
   onConfig(config: RelayConfig): void;
   /**
-   * `asOfMs` is the monotonic time at which the entries were current in the store; `isShared` says
-   * whether another host read them.
+   * `asOfMs` is the monotonic time at which the list was current in the store; `isShared` says
+   * whether another host read it.
    */
-  onTargets(entries: readonly TargetEntry[], asOfMs: number, isShared: boolean): void;
+  onTargets(list: TargetList, asOfMs: number, isShared: boolean): void;
   /** Called when the list of targets could not be read. */
   onTargetsUnavailable(): void;
 }
--- a/packages/relay/src/target-pool.ts
+++ b/packages/relay/src/target-pool.ts
@@ -7,7 +7,7 @@
   recordHealthOutcome,
   recordHealthProgress,
 } from '@radishgw/scheduling';
-import {ServiceName, TargetEntry} from './model.js';
+import {ServiceName, TargetEntry, TargetList} from './model.js';
 import {Attempt, OutgoingRequest, TargetConnections} from './target-connections.js';
 import {createTargetState, TargetState} from './target-state.js';
 import {createTargetView, isSameIncarnation, updateTargets} from './target-view.js';
@@ -49,9 +49,9 @@
    * Applies a complete read of the list of targets, which was current in the store at `asOfMs`.
    * `isShared` says whether another host read it.
    */
-  update(entries: readonly TargetEntry[], asOfMs = this.clock.nowMs(), isShared = false): void {
+  update(list: TargetList, asOfMs = this.clock.nowMs(), isShared = false): void {
     const previousAgeMs = this.listAgeMs();
-    const changes = updateTargets(this.view, entries, asOfMs);
+    const changes = updateTargets(this.view, list, asOfMs);
     for (const entry of changes.gone) {
       const target = this.targets.get(entry.id);
       if (!target || !isSameIncarnation(target.entry, entry)) continue;
@@ -71,8 +71,8 @@
     const {added, draining, gone, kept} = changes;
     for (const {id} of draining) this.targets.get(id)?.connections.retire();
     if (added.length + draining.length + gone.length + kept.length === 0) return;
-    const ids = (list: readonly TargetEntry[]) =>
-      list.map(entry => `${entry.id} ${entry.stage ?? ''}${entry.isCheap ? ' cheap' : ''}`);
+    const ids = (entries: readonly TargetEntry[]) =>
+      entries.map(entry => `${entry.id} ${entry.stage ?? ''}${entry.isCheap ? ' cheap' : ''}`);
     this.log.write('targetsChanged', {
       added: ids(added),
       draining: ids(draining),
@@ -80,11 +80,17 @@
       kept: ids(kept),
       known: this.targets.size,
       isShared,
+      revision: list.revision,
       listAgeMs: Math.round(this.listAgeMs()),
       previousAgeMs: Number.isFinite(previousAgeMs) ? Math.round(previousAgeMs) : undefined,
     });
   }
 
+  /** Closes the connections to all targets. */
+  close(): void {
+    for (const target of this.targets.values()) target.connections.retire();
+  }
+
   /** Records that the list could not be read from the store. */
   recordFailedRead(): void {
     this.view.hasFailedRead = true;
--- a/packages/relay/src/target-view.ts
+++ b/packages/relay/src/target-view.ts
@@ -1,5 +1,5 @@
 import {TargetId} from '@radishgw/core';
-import {TargetEntry} from './model.js';
+import {TargetEntry, TargetList} from './model.js';
 
 /**
  * Time for which entries that are missing after a store outage are retained. The store may expire
@@ -17,6 +17,8 @@
 /** This host's view of the list of targets. */
 export interface TargetView {
   targets: Map<TargetId, TargetEntry>;
+  /** Revision of the store at which the list was read. */
+  revision: number;
   readAtMs: number;
   /** Until this time, entries that are missing from the list are retained. */
   graceUntilMs: number;
@@ -38,6 +40,7 @@
 export function createTargetView(): TargetView {
   return {
     targets: new Map(),
+    revision: -Infinity,
     readAtMs: -Infinity,
     graceUntilMs: -Infinity,
     missing: new Set(),
@@ -51,18 +54,20 @@
 }
 
 /**
- * Applies a complete read of the list, which was current in the store at `nowMs`. A read that is
- * older than the previous one is ignored; reads shared by another host may be older.
+ * Applies a complete read of the list, which was current in the store at `nowMs`. A list that is
+ * older than the previous one is ignored. Its revision decides: a read that was sent earlier may
+ * have been carried out later.
  */
 export function updateTargets(
   view: TargetView,
-  entries: readonly TargetEntry[],
+  {revision, entries}: TargetList,
   nowMs: number,
 ): TargetChanges {
-  if (nowMs < view.readAtMs) return {added: [], draining: [], gone: [], kept: []};
+  if (revision < view.revision) return {added: [], draining: [], gone: [], kept: []};
   const wasUnavailable = view.hasFailedRead && nowMs - view.readAtMs > MIN_OUTAGE_MS;
   if (wasUnavailable) view.graceUntilMs = nowMs + REAPPEARANCE_GRACE_MS;
-  view.readAtMs = nowMs;
+  view.readAtMs = Math.max(view.readAtMs, nowMs);
+  view.revision = revision;
   view.hasFailedRead = false;
   const next = new Map(entries.map(entry => [entry.id, entry]));
   const gone: TargetEntry[] = [];
--- a/packages/relay/test/shared-reads.test.ts
+++ b/packages/relay/test/shared-reads.test.ts
@@ -26,7 +26,7 @@
   SharedReadQuestion,
   SharedReads,
   omitVolatileFields,
-  TargetEntry,
+  TargetList,
   updateHosts,
 } from '../src/index.js';
 import {makeConfig, makeEntry} from './fixtures.js';
@@ -88,7 +88,9 @@
   const never = (): PlatformAnswer<never> => {
     throw new Error('unexpected direct read');
   };
-  const targets = (...ids: string[]) => readValue(ids.map(id => makeEntry(id)));
+  let revision = 0;
+  const targets = (...ids: string[]) =>
+    readValue<TargetList>({revision: ++revision, entries: ids.map(id => makeEntry(id))});
   const config = (version: number) => readValue(makeConfig(version));
 
   it('need calls to the store by the reader only', async () => {
@@ -114,10 +116,9 @@
     const sent: string[][] = [];
     for (const ids of lists) {
       await pair.run(pair.reader.read('targets', targets(...ids)));
-      const answer = (await pair.run(
-        pair.follower.read<TargetEntry[]>('targets', never),
-      ))!.unwrap();
-      expect(answer.value.map(entry => entry.id).sort()).to.deep.equal([...ids].sort());
+      const answer = (await pair.run(pair.follower.read<TargetList>('targets', never)))!.unwrap();
+      expect(answer.value.entries.map(entry => entry.id).sort()).to.deep.equal([...ids].sort());
+      expect(answer.value.revision).to.equal(revision);
       sent.push(pair.answers.at(-1)!.changed.map(([key]) => key));
     }
     expect(sent).to.deep.equal([['a', 'b'], ['c'], [], [], ['b']]);
@@ -130,8 +131,8 @@
     await pair.run(pair.reader.read('targets', targets('a', ...many)));
     await pair.run(pair.follower.read('targets', never));
     await pair.run(pair.reader.read('targets', targets('a')));
-    const answer = (await pair.run(pair.follower.read<TargetEntry[]>('targets', never)))!.unwrap();
-    expect(answer.value.map(entry => entry.id)).to.deep.equal(['a']);
+    const answer = (await pair.run(pair.follower.read<TargetList>('targets', never)))!.unwrap();
+    expect(answer.value.entries.map(entry => entry.id)).to.deep.equal(['a']);
     expect(pair.answers.at(-1)!.isWhole).to.equal(true);
   });
 
--- a/packages/relay/test/stage-orders.test.ts
+++ b/packages/relay/test/stage-orders.test.ts
@@ -82,13 +82,14 @@
     const services = new Map([[ENGINES, service]]);
     confirmConfig(view, {...config, services}, readInstant(clock));
     pool = new TargetPool(clock, SILENT_LOG);
-    pool.update([{...makeEntry('i-1'), service: ENGINES, address, stage: 'prefill'}]);
+    const entry = makeEntry('i-1', {service: ENGINES, address, stage: 'prefill'});
+    pool.update({revision: 1, entries: [entry]});
     const parts = {clock, log: SILENT_LOG, codec: CODEC, configView: view, targets: pool};
     controller = new StageController({...parts, hostId: toId<HostId>('host-1')});
   });
 
   afterEach(() => {
-    pool.update([]);
+    pool.close();
     engine.stop();
   });
 
--- a/packages/relay/test/views.test.ts
+++ b/packages/relay/test/views.test.ts
@@ -7,6 +7,8 @@
   Instant,
   isConfigFresh,
   REAPPEARANCE_GRACE_MS,
+  TargetEntry,
+  TargetView,
   updateTargets,
 } from '../src/index.js';
 import {makeConfig, makeEntry, makeRoute} from './fixtures.js';
@@ -53,20 +55,27 @@
 });
 
 describe('target view', () => {
+  const update = (
+    view: TargetView,
+    entries: readonly TargetEntry[],
+    readAtMs: number,
+    revision = readAtMs,
+  ) => updateTargets(view, {revision, entries}, readAtMs);
+
   it('keeps entries that are missing after an outage during the grace period', () => {
     // Guards against sending no requests to live targets whose entries expired during the outage.
     const view = createTargetView();
-    updateTargets(view, [makeEntry('a'), makeEntry('b')], 0);
+    update(view, [makeEntry('a'), makeEntry('b')], 0);
     view.hasFailedRead = true;
-    const back = updateTargets(view, [], 5000);
+    const back = update(view, [], 5000);
     expect(back.gone).to.have.length(0);
     expect(back.kept.map(entry => entry.id)).to.deep.equal(['a', 'b']);
     for (let nowMs = 5600; nowMs < 5000 + REAPPEARANCE_GRACE_MS; nowMs += 600) {
-      const changes = updateTargets(view, [makeEntry('a')], nowMs);
+      const changes = update(view, [makeEntry('a')], nowMs);
       expect(changes.gone).to.have.length(0);
       expect(changes.kept).to.have.length(0);
     }
-    const later = updateTargets(view, [makeEntry('a')], 5000 + REAPPEARANCE_GRACE_MS);
+    const later = update(view, [makeEntry('a')], 5000 + REAPPEARANCE_GRACE_MS);
     expect(later.gone.map(entry => entry.id)).to.deep.equal(['b']);
     expect([...view.targets.keys()]).to.deep.equal(['a']);
   });
@@ -74,40 +83,49 @@
   it('removes a missing entry while the store is available', () => {
     // Guards against new requests to a target that has left.
     const view = createTargetView();
-    updateTargets(view, [makeEntry('a')], 0);
-    expect(updateTargets(view, [], 600).gone).to.have.length(1);
+    update(view, [makeEntry('a')], 0);
+    expect(update(view, [], 600).gone).to.have.length(1);
   });
 
   it('removes a missing entry after an outage too short for entries to expire', () => {
     // Guards against requests to a target that has left, after a single call without an answer.
     const view = createTargetView();
-    updateTargets(view, [makeEntry('a')], 0);
+    update(view, [makeEntry('a')], 0);
     view.hasFailedRead = true;
-    expect(updateTargets(view, [], 1900).gone).to.have.length(1);
+    expect(update(view, [], 1900).gone).to.have.length(1);
   });
 
   it('removes a missing entry after slow reads of a store that is available', () => {
     // Guards against requests to a target that has left, from a host whose reads are slow.
     const view = createTargetView();
-    updateTargets(view, [makeEntry('a')], 0);
-    expect(updateTargets(view, [], 2500).gone).to.have.length(1);
+    update(view, [makeEntry('a')], 0);
+    expect(update(view, [], 2500).gone).to.have.length(1);
   });
 
   it('does not take back that a target is draining', () => {
     // Guards against requests to a leaving target whose earlier write is carried out late.
     const view = createTargetView();
-    updateTargets(view, [makeEntry('a', {isDraining: true})], 0);
-    updateTargets(view, [makeEntry('a')], 600);
+    update(view, [makeEntry('a', {isDraining: true})], 0);
+    update(view, [makeEntry('a')], 600);
     expect([...view.targets.values()].map(entry => entry.isDraining)).to.deep.equal([true]);
-    updateTargets(view, [makeEntry('a', {bornMs: 2})], 1200);
+    update(view, [makeEntry('a', {bornMs: 2})], 1200);
     expect([...view.targets.values()].map(entry => entry.isDraining)).to.deep.equal([false]);
   });
 
+  it('ignores a list that is older than one from a read that was sent earlier', () => {
+    // Guards against a target that returns because a slow read saw its leaving before a fast one.
+    const view = createTargetView();
+    update(view, [], 0, 20);
+    expect(update(view, [makeEntry('a')], 100, 10).added).to.have.length(0);
+    expect(update(view, [makeEntry('a')], 50, 30).added).to.have.length(1);
+    expect(view.readAtMs).to.equal(50);
+  });
+
   it('treats a restarted target as a new one', () => {
     // Guards against connections and cached parts that outlive a restart.
     const view = createTargetView();
-    updateTargets(view, [makeEntry('a', {bornMs: 1})], 0);
-    const changes = updateTargets(view, [makeEntry('a', {bornMs: 2})], 600);
+    update(view, [makeEntry('a', {bornMs: 1})], 0);
+    const changes = update(view, [makeEntry('a', {bornMs: 2})], 600);
     expect(changes.gone).to.have.length(1);
     expect(changes.added).to.have.length(1);
   });
