--- a/packages/relay/src/peer-client.ts
+++ b/packages/relay/src/peer-client.ts
@@ -36,17 +36,30 @@
    * {@link PeerStatusError} if the answer has another status.
    */
   async ask<T>(address: string, path: string, message: unknown, timeoutMs: number): Promise<T> {
-    const answer = await this.getPool(address).request({
-      method: 'POST',
-      path,
-      body: JSON.stringify(message),
-      signal: AbortSignal.timeout(timeoutMs),
-    });
-    const text = await answer.body.text();
-    if (answer.statusCode !== 200) throw new PeerStatusError(answer.statusCode);
+    const {statusCode, text} = await this.send(address, path, JSON.stringify(message), timeoutMs);
+    if (statusCode !== 200) throw new PeerStatusError(statusCode);
     return JSON.parse(text) as T;
   }
 
+  private async send(
+    address: string,
+    path: string,
+    body: string,
+    timeoutMs: number,
+  ): Promise<{readonly statusCode: number; readonly text: string}> {
+    const pool = this.getPool(address);
+    try {
+      const signal = AbortSignal.timeout(timeoutMs);
+      const answer = await pool.request({method: 'POST', path, body, signal});
+      return {statusCode: answer.statusCode, text: await answer.body.text()};
+    } catch (error) {
+      // The other open connection may be as silent as this one was.
+      if (this.pools.get(address) === pool) this.pools.delete(address);
+      void pool.close().catch(() => undefined); // Rejects only if it is closed already.
+      throw error;
+    }
+  }
+
   async close(): Promise<void> {
     await Promise.all([...this.pools.values()].map(pool => pool.destroy()));
     this.pools.clear();
--- /dev/null
+++ b/packages/relay/test/peer-client.test.ts
@@ -0,0 +1,43 @@
+import {createServer, Server} from 'node:http';
+import {AddressInfo, Socket} from 'node:net';
+import {expect} from 'chai';
+import {PeerClient} from '../src/index.js';
+
+const TIMEOUT_MS = 200;
+
+describe('peer client', () => {
+  const peers = new PeerClient();
+  const sockets = new Set<Socket>();
+  let silentSockets = new Set<Socket>();
+  let server: Server;
+  let address: string;
+
+  before(async () => {
+    server = createServer((request, response) => {
+      request.resume();
+      if (silentSockets.has(request.socket)) return;
+      setTimeout(() => response.end('1'), 20);
+    });
+    server.on('connection', socket => sockets.add(socket));
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+    address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  });
+
+  after(async () => {
+    await peers.close();
+    server.close();
+    server.closeAllConnections();
+  });
+
+  const ask = () => peers.ask<number>(address, '/x', {}, TIMEOUT_MS);
+
+  it('opens a new connection once a request on an open one got no answer', async () => {
+    // Guards against requests that fail in turn on each connection that has gone silent.
+    await Promise.all(Array.from({length: 12}, ask));
+    expect(sockets.size).to.equal(2);
+    silentSockets = new Set(sockets);
+    const failure = await ask().catch((error: unknown) => error);
+    expect(failure).to.be.instanceOf(Error);
+    expect(await Promise.all(Array.from({length: 12}, ask))).to.deep.equal(Array(12).fill(1));
+  });
+});
