Tell an outage of the store from reads that only this host can't make

A host kept sending requests to targets that had left (DRAIN) when reads failed for it alone: a saturated link, or a store that turns it away.

Cause: a failed read and a gap count as an outage, though entries only expire if their targets can't write. The revision of the store tells: it increases with each write. If it has increased at about the usual rate over the gap, targets could write, and a missing entry is gone.

Evidence: views.test.ts "removes a missing entry if the store took writes while this host could not read it" failed before.

--- a/packages/relay/src/target-view.ts
+++ b/packages/relay/src/target-view.ts
@@ -1,5 +1,11 @@
 import {TargetId} from '@radishgw/core';
 import {TargetEntry, TargetList} from './model.js';
+import {
+  createRevisionRate,
+  RevisionRate,
+  tookUsualWrites,
+  updateRevisionRate,
+} from './revision-rate.js';
 
 /**
  * Time for which entries that are missing after a store outage are retained. The store may expire
@@ -8,9 +14,8 @@
 export const REAPPEARANCE_GRACE_MS = 2000;
 
 /**
- * A longer gap between two successful reads, with a failed one in between, is a store outage. In a
- * shorter one no entry expires: targets write theirs about every 1.2 s, and the store removes an
- * entry after three missed writes.
+ * Minimum duration of an outage in which entries expire: targets write theirs about every 1.2 s,
+ * and the store removes an entry after three missed writes.
  */
 export const MIN_OUTAGE_MS = 2000;
 
@@ -24,6 +29,8 @@
   graceUntilMs: number;
   /** Entries that are missing from the latest read. */
   missing: Set<TargetId>;
+  /** Rate of the revisions while no read fails. */
+  readonly rate: RevisionRate;
   /** Whether a read has failed since the latest successful one. */
   hasFailedRead: boolean;
 }
@@ -44,6 +51,7 @@
     readAtMs: -Infinity,
     graceUntilMs: -Infinity,
     missing: new Set(),
+    rate: createRevisionRate(),
     hasFailedRead: false,
   };
 }
@@ -53,6 +61,17 @@
   return a.id === b.id && a.bornMs === b.bornMs && a.address === b.address;
 }
 
+/** Whether the store was unavailable between the previous list and one of `revision`. */
+function detectOutage(view: TargetView, revision: number, nowMs: number): boolean {
+  const gapMs = nowMs - view.readAtMs;
+  const revisions = revision - view.revision;
+  if (!view.hasFailedRead) {
+    if (Number.isFinite(gapMs) && gapMs > 0) updateRevisionRate(view.rate, revisions, gapMs);
+    return false;
+  }
+  return gapMs > MIN_OUTAGE_MS && !tookUsualWrites(view.rate, revisions, gapMs);
+}
+
 /**
  * Applies a complete read of the list, which was current in the store at `nowMs`. A list that is
  * older than the previous one is ignored. Its revision decides: a read that was sent earlier may
@@ -64,8 +83,7 @@
   nowMs: number,
 ): TargetChanges {
   if (revision < view.revision) return {added: [], draining: [], gone: [], kept: []};
-  const wasUnavailable = view.hasFailedRead && nowMs - view.readAtMs > MIN_OUTAGE_MS;
-  if (wasUnavailable) view.graceUntilMs = nowMs + REAPPEARANCE_GRACE_MS;
+  if (detectOutage(view, revision, nowMs)) view.graceUntilMs = nowMs + REAPPEARANCE_GRACE_MS;
   view.readAtMs = Math.max(view.readAtMs, nowMs);
   view.revision = revision;
   view.hasFailedRead = false;
--- a/packages/relay/test/views.test.ts
+++ b/packages/relay/test/views.test.ts
@@ -95,6 +95,18 @@
     expect(update(view, [], 1900).gone).to.have.length(1);
   });
 
+  it('removes a missing entry if the store took writes while this host could not read it', () => {
+    // Guards against requests to a target that has left, from a host that the store turns away.
+    const view = createTargetView();
+    for (let nowMs = 0; nowMs <= 6000; nowMs += 600) {
+      update(view, [makeEntry('a'), makeEntry('b')], nowMs, nowMs / 50);
+    }
+    view.hasFailedRead = true;
+    expect(update(view, [makeEntry('a')], 11_000, 11_000 / 50).gone).to.have.length(1);
+    view.hasFailedRead = true;
+    expect(update(view, [], 16_000, 11_000 / 50 + 40).kept).to.have.length(1);
+  });
+
   it('removes a missing entry after slow reads of a store that is available', () => {
     // Guards against requests to a target that has left, from a host whose reads are slow.
     const view = createTargetView();
