Keep sharing reads of targets while another kind of read is late

Lists of targets were late, and leaving targets called too long (DRAIN), on hosts whose reader was slow with something else.

Cause: after a late answer of any kind a host read all kinds directly for a second, which takes its link and processor from the lists.

The time is now kept for each kind.

Evidence: shared-reads.test.ts "of one kind go on when the reader has no fresh value of another" failed before ("unexpected direct read").

--- a/packages/relay/src/shared-reads.ts
+++ b/packages/relay/src/shared-reads.ts
@@ -146,7 +146,8 @@
 export class SharedReads {
   private readonly published = new Map<SharedKind, Published>();
   private readonly received = new Map<SharedKind, Received>();
-  private retryAtMs = -Infinity;
+  /** Times before which the store is read directly. */
+  private readonly retryAtMs = new Map<SharedKind, number>();
 
   constructor(private readonly deps: SharedReadsDependencies) {}
 
@@ -174,7 +175,8 @@
   *fetch<T>(kind: SharedKind): Procedure<DatedValue<T> | undefined> {
     const {clock, hostId, peers, log} = this.deps;
     const reader = this.deps.findReader();
-    if (!reader || reader.hostId === hostId || clock.nowMs() < this.retryAtMs) return undefined;
+    if (!reader || reader.hostId === hostId) return undefined;
+    if (clock.nowMs() < (this.retryAtMs.get(kind) ?? -Infinity)) return undefined;
     const sentAt = readInstant(clock);
     const question: SharedReadQuestion = {kind, version: this.received.get(kind)?.version};
     const answer = yield* call(() => ask(peers, reader.peerAddress, question));
@@ -182,7 +184,7 @@
       const value = this.applyAnswer<T>(kind, answer.val);
       return {value, asOf: subtractMs(sentAt, answer.val.ageMs), isShared: true};
     }
-    this.retryAtMs = clock.nowMs() + READER_BACKOFF_MS;
+    this.retryAtMs.set(kind, clock.nowMs() + READER_BACKOFF_MS);
     const cause = answer.ok ? `read is ${Math.round(answer.val.ageMs)} ms old` : answer.val;
     log.write('sharedReadFailed', {kind, reader: reader.hostId, cause});
     return undefined;
--- a/packages/relay/test/shared-reads.test.ts
+++ b/packages/relay/test/shared-reads.test.ts
@@ -136,6 +136,15 @@
     expect(pair.answers.at(-1)!.isWhole).to.equal(true);
   });
 
+  it('of one kind go on when the reader has no fresh value of another', async () => {
+    // Guards against lists of targets that are late because a configuration is slow to read.
+    const pair = new Pair();
+    await pair.run(pair.reader.read('targets', targets('a')));
+    await pair.run(pair.follower.read('config', config(1)));
+    const answer = (await pair.run(pair.follower.read('targets', never)))!.unwrap();
+    expect(answer.isShared).to.equal(true);
+  });
+
   it('stop at once when the reader has no fresh value, and resume after the backoff', async () => {
     // Guards against a host that keeps using stale entries while its reader is disconnected.
     const pair = new Pair();
