Send hosts the changes of a configuration, not the whole

Hosts learned late of leaving targets, and went on calling them (DRAIN).

Cause: a configuration was one entry of a shared read. A change of one key sent all of it to each of 16 hosts, over a link of 10 Mbit/s and with a timeout of 400 ms.

Routes, services, teams and keys are now entries of their own. A change that is too large to send is withheld, which isn't a failure of the reader, and a host that has read it directly names its version, so that the reader only confirms it.

Evidence: shared-reads.test.ts "send the changes of a large configuration, but not the whole" failed before (the whole was sent).

--- a/packages/relay/src/shared-reads.ts
+++ b/packages/relay/src/shared-reads.ts
@@ -3,8 +3,9 @@
 
 import {Instant, maxElapsedMs, readInstant} from './instant.js';
 import {HostHeartbeat, HostRecord} from './host-registry.js';
-import {TargetList} from './model.js';
+import {RelayConfig, TargetList} from './model.js';
 import {PeerClient} from './peer-client.js';
+import {joinConfig, splitConfig} from './shared-config.js';
 
 /** Path at which a reader shares what it has read with other hosts. */
 export const SHARED_READ_PATH = '/reads';
@@ -21,18 +22,25 @@
   readonly maxAgeMs: number;
   split(value: unknown): readonly (readonly [string, unknown])[];
   join(entries: ReadonlyMap<string, unknown>, revision: number | undefined): unknown;
-  /** Revision of the store at which a value was read, where the value has one. */
+  /** Revision of a value, where it has one; a newer value has no lower one. */
   revisionOf?(value: unknown): number;
+  /** Whether values with the same revision are the same. */
+  readonly isIdentifiedByRevision?: boolean;
+  /**
+   * Maximum length of the changed entries that a reader sends, in characters. Sending more to each
+   * host of the failure domain would take longer than the timeout of a small reader's followers.
+   */
+  readonly maxChangedChars?: number;
 }
 
-/** Key of the single entry of a configuration. */
-const CONFIG_KEY = 'only';
-
 const KINDS: Readonly<Record<SharedKind, KindHandler>> = {
   config: {
     maxAgeMs: 1000,
-    split: value => [[CONFIG_KEY, value]],
-    join: entries => entries.get(CONFIG_KEY),
+    split: value => splitConfig(value as RelayConfig),
+    join: entries => joinConfig(entries),
+    revisionOf: value => (value as RelayConfig).version,
+    isIdentifiedByRevision: true,
+    maxChangedChars: 16 * 1024,
   },
   targets: {
     maxAgeMs: 1000,
@@ -76,14 +84,21 @@
 export interface SharedReadQuestion {
   readonly kind: SharedKind;
   readonly version: SharedVersion | undefined;
+  /** Revision of a value that the host has read directly since it got `version`. */
+  readonly directRevision?: number;
 }
 
 /** Answer of a reader. */
 export interface SharedReadAnswer {
   readonly version: SharedVersion;
+  /**
+   * `changes`: the changed entries; `known`: the value is the one that the host has read directly;
+   * `withheld`: the host must read directly, as the reader's value is older or too large to send.
+   */
+  readonly content: 'changes' | 'known' | 'withheld';
   /** Time since the read of the store was sent. */
   readonly ageMs: number;
-  /** Revision of the store at which the value was read, where the value has one. */
+  /** Revision of the value, where it has one. */
   readonly revision?: number;
   /** Whether `changed` contains all entries. */
   readonly isWhole: boolean;
@@ -146,6 +161,8 @@
 export class SharedReads {
   private readonly published = new Map<SharedKind, Published>();
   private readonly received = new Map<SharedKind, Received>();
+  /** Values that were read directly since the latest one was received. */
+  private readonly direct = new Map<SharedKind, unknown>();
   /** Times before which the store is read directly. */
   private readonly retryAtMs = new Map<SharedKind, number>();
 
@@ -167,6 +184,7 @@
     const asOf = readInstant(this.deps.clock);
     const answer = yield* call(readDirectly);
     if (answer.err) return answer;
+    if (KINDS[kind].isIdentifiedByRevision) this.direct.set(kind, answer.val);
     this.publish(kind, answer.val, asOf);
     return Ok({value: answer.val, asOf, isShared: false});
   }
@@ -178,9 +196,9 @@
     if (!reader || reader.hostId === hostId) return undefined;
     if (clock.nowMs() < (this.retryAtMs.get(kind) ?? -Infinity)) return undefined;
     const sentAt = readInstant(clock);
-    const question: SharedReadQuestion = {kind, version: this.received.get(kind)?.version};
-    const answer = yield* call(() => ask(peers, reader.peerAddress, question));
+    const answer = yield* call(() => ask(peers, reader.peerAddress, this.createQuestion(kind)));
     if (answer.ok && answer.val.ageMs <= KINDS[kind].maxAgeMs) {
+      if (answer.val.content === 'withheld') return undefined;
       const value = this.applyAnswer<T>(kind, answer.val);
       return {value, asOf: subtractMs(sentAt, answer.val.ageMs), isShared: true};
     }
@@ -205,27 +223,41 @@
   }
 
   /** Answers another host; undefined if this host hasn't read a value of that kind. */
-  answer({kind, version}: SharedReadQuestion): SharedReadAnswer | undefined {
-    const published = this.published.get(kind);
+  answer(question: SharedReadQuestion): SharedReadAnswer | undefined {
+    const published = this.published.get(question.kind);
     if (!published) return undefined;
     const {incarnation, clock} = this.deps;
-    const {number, entries, removed, prunedThroughVersion, readAt, revision} = published;
-    const isWhole = version?.incarnation !== incarnation || version.number < prunedThroughVersion;
-    const since = isWhole ? -Infinity : version.number;
+    const {number, readAt, revision} = published;
     return {
       version: {incarnation, number},
       ageMs: maxElapsedMs(readAt, readInstant(clock)),
       revision,
-      isWhole,
-      changed: [...entries]
-        .filter(([, entry]) => entry.changedInVersion > since)
-        .map(([key, entry]) => [key, entry.content]),
-      removed: isWhole ? [] : [...removed].filter(([, at]) => at > since).map(([key]) => key),
+      ...selectContent(published, question, incarnation),
+    };
+  }
+
+  private createQuestion(kind: SharedKind): SharedReadQuestion {
+    const direct = this.direct.get(kind);
+    return {
+      kind,
+      version: this.received.get(kind)?.version,
+      directRevision: direct === undefined ? undefined : KINDS[kind].revisionOf?.(direct),
     };
   }
 
+  /** Continues from the value that was read directly, which the reader has as `version`. */
+  private adoptDirectValue(kind: SharedKind, version: SharedVersion): void {
+    const value = this.direct.get(kind);
+    if (value === undefined) return;
+    const {split, revisionOf} = KINDS[kind];
+    const entries = new Map(split(value));
+    this.received.set(kind, {version, entries, revision: revisionOf?.(value), value});
+  }
+
   private applyAnswer<T>(kind: SharedKind, answer: SharedReadAnswer): T {
     const {version, isWhole, changed, removed, revision} = answer;
+    if (answer.content === 'known') this.adoptDirectValue(kind, version);
+    this.direct.delete(kind);
     let received = this.received.get(kind);
     const isSame = !isWhole && changed.length + removed.length === 0;
     if (received && isSame && received.revision === revision) return received.value as T;
@@ -242,6 +274,32 @@
   }
 }
 
+/** Selects what a reader sends to a host. */
+function selectContent(
+  {entries, removed, prunedThroughVersion, revision}: Published,
+  {kind, version, directRevision}: SharedReadQuestion,
+  incarnation: string,
+): Pick<SharedReadAnswer, 'content' | 'isWhole' | 'changed' | 'removed'> {
+  const none = {isWhole: false, changed: [], removed: []};
+  if (directRevision !== undefined && revision !== undefined) {
+    if (directRevision === revision) return {content: 'known', ...none};
+    if (directRevision > revision) return {content: 'withheld', ...none};
+  }
+  const isWhole = version?.incarnation !== incarnation || version.number < prunedThroughVersion;
+  const since = isWhole ? -Infinity : version.number;
+  const changed = [...entries]
+    .filter(([, entry]) => entry.changedInVersion > since)
+    .map(([key, entry]) => [key, entry.content] as const);
+  const chars = changed.reduce((sum, [key, content]) => sum + key.length + content.length, 0);
+  if (chars > (KINDS[kind].maxChangedChars ?? Infinity)) return {content: 'withheld', ...none};
+  return {
+    content: 'changes',
+    isWhole,
+    changed,
+    removed: isWhole ? [] : [...removed].filter(([, at]) => at > since).map(([key]) => key),
+  };
+}
+
 function createPublished(readAt: Instant): Published {
   const entries = new Map<string, PublishedEntry>();
   return {
--- a/packages/relay/test/shared-reads.test.ts
+++ b/packages/relay/test/shared-reads.test.ts
@@ -22,6 +22,7 @@
   PeerClient,
   readyHosts,
   RelayConfig,
+  RouteName,
   SharedReadAnswer,
   SharedReadQuestion,
   SharedReads,
@@ -29,7 +30,7 @@
   TargetList,
   updateHosts,
 } from '../src/index.js';
-import {makeConfig, makeEntry} from './fixtures.js';
+import {makeConfig, makeEntry, makeRoute, TEAM} from './fixtures.js';
 
 function makeHost(id: string, domain: string, beat = 1): HostRecord {
   return {
@@ -136,6 +137,30 @@
     expect(pair.answers.at(-1)!.isWhole).to.equal(true);
   });
 
+  it('send the changes of a large configuration, but not the whole', async () => {
+    // Guards against a reader whose link is saturated by a configuration that no host gets in time.
+    const pair = new Pair();
+    const routes = Array.from({length: 1000}, (_, i) =>
+      makeRoute({name: toId<RouteName>(`r-${i}`), pathPrefix: `/${i}/`}),
+    );
+    const large = {...makeConfig(2, routes), teamsByKey: new Map([['key', TEAM]])};
+    const changed = {...large, version: 3, teamsByKey: new Map()};
+    const readShared = (readDirectly: () => PlatformAnswer<RelayConfig>) =>
+      pair.run(pair.follower.read('config', readDirectly));
+    const sentChars = () => JSON.stringify(pair.answers.at(-1)).length;
+    await pair.run(pair.reader.read('config', config(1)));
+    await readShared(never);
+    await pair.run(pair.reader.read('config', readValue(large)));
+    expect((await readShared(readValue(large)))!.unwrap().isShared).to.equal(false);
+    expect(sentChars()).to.be.lessThan(1000);
+    expect((await readShared(never))!.unwrap().value).to.deep.equal(large);
+    expect(sentChars()).to.be.lessThan(1000);
+    await pair.run(pair.reader.read('config', readValue(changed)));
+    expect((await readShared(never))!.unwrap().value).to.deep.equal(changed);
+    expect(sentChars()).to.be.lessThan(1000);
+    expect(pair.events).to.deep.equal([]);
+  });
+
   it('of one kind go on when the reader has no fresh value of another', async () => {
     // Guards against lists of targets that are late because a configuration is slow to read.
     const pair = new Pair();
