Let the largest host of a failure domain read the store for the others

Lists of targets were late for a whole failure domain, and leaving targets were called too long (DRAIN), when its reader was a small host.

Cause: the reader was chosen by hashing only. It is now chosen among the ready hosts with the most processor capacity, which each host tells in its record. Where all are equal, as on the small sites, the choice is the same as before.

Evidence: shared-reads.test.ts "are the hosts with the most processor capacity, as long as there are any" failed before ("expected 0.3 to equal 1.3").

--- a/packages/relay/src/host-registry.ts
+++ b/packages/relay/src/host-registry.ts
@@ -15,6 +15,8 @@
   /** Address for other hosts. */
   readonly peerAddress: string;
   readonly isReady: boolean;
+  /** Share of a processor that the host may use; above 1 with several. Missing if unknown. */
+  readonly processorCapacity?: number;
   /** Increases with each record of an incarnation. */
   readonly beat: number;
   /** Time at which the record was created, on the monotonic clock of the incarnation. */
@@ -131,12 +133,18 @@
 /** Rendezvous hashing key for the choice of readers. */
 const READER_KEY = 'reader';
 
-/** The ready host that reads the store for its failure domain. */
+/**
+ * The ready host that reads the store for its failure domain: one of those with the most processor
+ * capacity, as the others wait for it.
+ */
 export function findDomainReader(
   ready: readonly HostRecord[],
   domain: FailureDomain,
 ): HostRecord | undefined {
-  const candidates = ready.filter(host => host.failureDomain === domain);
+  const capacityOf = (host: HostRecord) => host.processorCapacity ?? 0;
+  const inDomain = ready.filter(host => host.failureDomain === domain);
+  const maxCapacity = Math.max(...inDomain.map(capacityOf));
+  const candidates = inDomain.filter(host => capacityOf(host) === maxCapacity);
   const [first] = rankByKey(
     READER_KEY,
     candidates.map(host => ({id: host.hostId, weight: 1})),
--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -352,7 +352,7 @@
 
   private makeRecord(generation: number, beat: number): HostRecord {
     const {settings, clock} = this.options;
-    const {clientAddress, peerAddress, failureDomain, hostId} = settings;
+    const {clientAddress, peerAddress, failureDomain, hostId, processorCapacity} = settings;
     return {
       hostId,
       incarnation: this.incarnation,
@@ -361,6 +361,7 @@
       address: `${clientAddress.host}:${clientAddress.port}`,
       peerAddress: `${peerAddress.host}:${peerAddress.port}`,
       isReady: this.canServe,
+      processorCapacity,
       beat,
       madeMs: Math.round(clock.nowMs()),
       madeWallMs: clock.now().getTime(),
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -18,6 +18,8 @@
   readonly directoryAddress: ListenAddress | undefined;
   /** Address for other hosts and for metrics. */
   readonly peerAddress: ListenAddress;
+  /** Share of a processor that the host may use, above 1 with several; undefined if unknown. */
+  readonly processorCapacity?: number;
   /** Maximum time between the revocation of an API key and its last use. */
   readonly revokeMs: number;
   /** Time between the stop signal and the forced end of the process. */
--- a/packages/relay/test/shared-reads.test.ts
+++ b/packages/relay/test/shared-reads.test.ts
@@ -231,6 +231,22 @@
     expect(findDomainReader([], domain)).to.equal(undefined);
   });
 
+  it('are the hosts with the most processor capacity, as long as there are any', () => {
+    // Guards against lists that are late for a whole failure domain because its reader is small.
+    const sizes = [0.3, 1.3, 0.3, 1.3, undefined];
+    const hosts = sizes.map((processorCapacity, i) => ({
+      ...makeHost(String(i), 'a'),
+      processorCapacity,
+    }));
+    const domain = toId<FailureDomain>('a');
+    const reader = findDomainReader(hosts, domain)!;
+    expect(reader.processorCapacity).to.equal(1.3);
+    const others = hosts.filter(host => host !== reader);
+    expect(findDomainReader(others, domain)!.processorCapacity).to.equal(1.3);
+    const small = hosts.filter(host => host.processorCapacity !== 1.3);
+    expect(findDomainReader(small, domain)!.processorCapacity).to.equal(0.3);
+  });
+
   it('do not delay the detection of a lost host by a follower', () => {
     // Guards against directories that list hosts long after they stopped. It happens when a
     // follower adopts the ready hosts of a reader that has just started and hasn't seen their
