Bound the time and the memory of answers that never end

A target that sends bytes without end, in a head or a body, could end a host: its process took 506 MB with 24 such answers at once and 1.0 GB with 240, where the smallest hosts have 250 MB. Callers got their final answer up to 3.5 s after the request with a deadline of 1.5 s, and the holder of the lease waited for a report for ever, so that nothing was ordered or reported any more.

Causes, one for each path: - the timeout of an answer was one for each piece of it; - a stream was buffered until its next blank line, whatever its size, and any byte counted as progress; - answers were bounded by 16 MiB each, not together; - answers of the store and of other hosts had no size; - undici makes an error of each header field beyond its limit in what it got from the socket, 150 ms for each connection, which stalled all others.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,3 +1,5 @@
+export * from './answer-memory.js';
+export * from './bound-reads.js';
 export * from './clock.js';
 export * from './errors.js';
 export * from './events.js';
@@ -6,4 +8,6 @@
 export * from './invariants.js';
 export * from './procedure.js';
 export * from './random.js';
+export * from './read-text.js';
+export * from './read-text.js';
 export * from './result.js';
--- a/packages/relay/src/client-exchange.ts
+++ b/packages/relay/src/client-exchange.ts
@@ -67,6 +67,12 @@
     if (this.isFinished) listener();
   }
 
+  /** Calls `listener` when the answer has been sent or the connection is closed. */
+  onClose(listener: () => void): void {
+    if (this.response.closed) listener();
+    else this.response.once('close', listener);
+  }
+
   /** Cancels the work on the request: the client disconnected or has its final answer. */
   cancel(): void {
     this.cancelListener?.();
--- a/packages/relay/src/events.ts
+++ b/packages/relay/src/events.ts
@@ -13,9 +13,9 @@
   private remainder: Buffer = Buffer.alloc(0);
   private scannedBytes = 0;
 
-  /** Whether bytes of an incomplete event are buffered. */
-  get hasPartialEvent(): boolean {
-    return this.remainder.length > 0;
+  /** Number of buffered bytes of an incomplete event. */
+  get pendingBytes(): number {
+    return this.remainder.length;
   }
 
   /** Adds bytes and returns the events that they complete. */
--- a/packages/relay/src/peer-client.ts
+++ b/packages/relay/src/peer-client.ts
@@ -1,3 +1,4 @@
+import {readText} from '@radishgw/core';
 import {Pool} from 'undici';
 
 const CONNECTIONS_PER_HOST = 2;
@@ -11,6 +12,9 @@
 /** Idle time of a connection; longer than the interval between requests to one host. */
 const KEEP_ALIVE_MS = 60_000;
 
+/** Maximum size of an answer; the largest are the entries of all targets. */
+const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+
 /** Error of a request that another host answered with a status other than 200. */
 export class PeerStatusError extends Error {
   constructor(readonly status: number) {
@@ -51,7 +55,8 @@
     try {
       const signal = AbortSignal.timeout(timeoutMs);
       const answer = await pool.request({method: 'POST', path, body, signal});
-      return {statusCode: answer.statusCode, text: await answer.body.text()};
+      const text = await readText(answer.body, MAX_ANSWER_BYTES);
+      return {statusCode: answer.statusCode, text};
     } catch (error) {
       // The other open connection may be as silent as this one was.
       if (this.pools.get(address) === pool) this.pools.delete(address);
--- a/packages/relay/src/prefill-prompt.ts
+++ b/packages/relay/src/prefill-prompt.ts
@@ -4,7 +4,7 @@
 import {StreamState} from './stream-state.js';
 import {readCompleteAnswer, statesNotRun} from './target-answer.js';
 import {PooledTarget} from './target-pool.js';
-import {sendToTarget, writeTargetRequest} from './target-request.js';
+import {createAnswerReader, sendToTarget, writeTargetRequest} from './target-request.js';
 import {recordLoad, recordParts} from './target-state.js';
 import {recordWait} from './wait-calibration.js';
 
@@ -56,7 +56,8 @@
   const sent = sendToTarget(deps, request, target, outgoing, true);
   try {
     const timeoutMs = prefillTimeoutMs(state, times.waitMs);
-    const answer = yield* readCompleteAnswer(sent.attempt, deps.codec, timeoutMs);
+    const reader = createAnswerReader(deps, request);
+    const answer = yield* readCompleteAnswer(sent.attempt, reader, timeoutMs);
     if (answer.type !== 'answer') {
       const wasSent = answer.type === 'silent' || answer.wasSent;
       sent.finish(answer.type === 'silent' ? 'timeout' : wasSent ? 'failed' : 'unreachable');
--- a/packages/relay/src/relay-stream.ts
+++ b/packages/relay/src/relay-stream.ts
@@ -4,6 +4,7 @@
 import {findAnswerFault, readCompleteAnswer, statesNotRun} from './target-answer.js';
 import {AttemptEvent} from './target-connections.js';
 import {PooledAttempt} from './target-pool.js';
+import {createAnswerReader} from './target-request.js';
 import {recordLoad} from './target-state.js';
 
 /** Multiple of the expected wait or allowed gap after which a resumable stream is moved. */
@@ -12,6 +13,15 @@
 /** Minimum timeout before a stream is moved: fully loaded engines cause shorter gaps. */
 const MIN_EVENT_TIMEOUT_MS = 1000;
 
+/** Maximum size of an event; those of engines have a few tokens. */
+const MAX_EVENT_BYTES = 256 * 1024;
+
+/** Events that a stream may have besides those of its tokens. */
+const EXTRA_EVENTS = 64;
+
+/** Timeout of the rest of an error answer, after which a resumable stream is moved. */
+const ERROR_ANSWER_TIMEOUT_MS = 500;
+
 /** Waits for the head of an engine's answer and forwards its events to the client. */
 export function* relayStream(
   state: StreamState,
@@ -25,8 +35,10 @@
   const splitter = new EventSplitter();
   let head: Extract<AttemptEvent, {type: 'head'}> | undefined;
   let hasEvents = false;
+  const nextDueMs = () => deps.clock.nowMs() + eventTimeoutMs(state, hasEvents, waitMs);
+  let dueMs = nextDueMs();
   for (;;) {
-    const timeoutMs = eventTimeoutMs(state, hasEvents, waitMs);
+    const timeoutMs = Math.max(0, dueMs - deps.clock.nowMs());
     const event: AttemptEvent = yield* call(() => sent.attempt.next(timeoutMs));
     if (event.type === 'silent') {
       recordStep('silent');
@@ -49,6 +61,7 @@
       }
       if (meta.load) recordLoad(sent.target, meta.load, deps.clock.nowMs());
       head = event;
+      dueMs = nextDueMs();
       continue;
     }
     if (!head) {
@@ -56,15 +69,36 @@
       return {type: 'broken'};
     }
     if (event.type === 'data') {
-      for (const streamEvent of splitter.push(event.chunk)) {
-        if (!hasEvents) {
-          hasEvents = true;
-          sent.recordProgress();
-          onFirstEvent();
-          recordFirstEvent(state);
-        }
-        yield* forwardEvent(state, head, streamEvent);
+      const events = splitter.push(event.chunk);
+      if (
+        splitter.pendingBytes > MAX_EVENT_BYTES ||
+        !request.buffer.resize(splitter.pendingBytes)
+      ) {
+        recordStep('event is too large');
+        sent.finish('failed');
+        return {type: 'broken'};
+      }
+      // Bytes that complete no event are no progress.
+      if (events.length === 0 && deps.clock.nowMs() >= dueMs) {
+        recordStep('silent');
+        sent.finish('timeout');
+        return {type: 'broken'};
+      }
+      if (events.length === 0) continue;
+      if (!hasEvents) {
+        hasEvents = true;
+        sent.recordProgress();
+        onFirstEvent();
+        recordFirstEvent(state);
+      }
+      state.eventCount += events.length;
+      if (state.eventCount > maxEvents(state)) {
+        recordStep('too many events');
+        sent.finish('failed');
+        return {type: 'done', outcome: {type: 'brokenOff'}};
       }
+      yield* forwardEvents(state, head, events);
+      dueMs = nextDueMs();
       continue;
     }
     const remainder = splitter.takeRemainder();
@@ -92,15 +126,15 @@
   if (team) deps.countUsage(team.id);
 }
 
-function* forwardEvent(
+function* forwardEvents(
   state: StreamState,
   head: Extract<AttemptEvent, {type: 'head'}>,
-  event: StreamEvent,
+  events: readonly StreamEvent[],
 ): Procedure<void> {
   const {exchange} = state.request;
   if (!exchange.hasStarted) startAnswer(state, head);
-  if (event.id !== undefined) state.lastEventId = event.id;
-  const drained = exchange.write(event.bytes);
+  for (const {id} of events) state.lastEventId = id ?? state.lastEventId;
+  const drained = exchange.write(Buffer.concat(events.map(({bytes}) => bytes)));
   if (drained) yield* call(() => drained);
 }
 
@@ -113,7 +147,9 @@
   const {deps, request} = state;
   const {progress, exchange} = request;
   const leftMs = Math.max(1, request.deadlineAtMs - deps.clock.nowMs());
-  const answer = yield* readCompleteAnswer(sent.attempt, deps.codec, leftMs, head);
+  const timeoutMs = state.mayRepeat ? Math.min(leftMs, ERROR_ANSWER_TIMEOUT_MS) : leftMs;
+  const reader = createAnswerReader(deps, request);
+  const answer = yield* readCompleteAnswer(sent.attempt, reader, timeoutMs, head);
   const recordStep = (text: string) => progress.steps.push(`${sent.target.entry.id}:${text}`);
   if (answer.type !== 'answer') {
     recordStep(answer.type);
@@ -139,6 +175,12 @@
   return {type: 'done', outcome: {...answer, type: 'answered'}};
 }
 
+/** Maximum number of events of a stream; an event has a token or more, but for a few. */
+function maxEvents({request}: StreamState): number {
+  const {maxOutputTokens} = request.meta;
+  return maxOutputTokens === undefined ? Infinity : 2 * maxOutputTokens + EXTRA_EVENTS;
+}
+
 function eventTimeoutMs(state: StreamState, hasEvents: boolean, waitMs: number): number {
   const {route, deadlineAtMs: endMs} = state.request;
   const leftMs = Math.max(1, endMs - state.deps.clock.nowMs());
--- a/packages/relay/src/request-context.ts
+++ b/packages/relay/src/request-context.ts
@@ -1,4 +1,12 @@
-import {Clock, EventLog, HostId, RandomSource, TargetId, TeamId} from '@radishgw/core';
+import {
+  AnswerBuffer,
+  Clock,
+  EventLog,
+  HostId,
+  RandomSource,
+  TargetId,
+  TeamId,
+} from '@radishgw/core';
 import {ClientExchange} from './client-exchange.js';
 import {ConfigView} from './config-view.js';
 import {DemandMeter} from './demand-meter.js';
@@ -49,6 +57,8 @@
   /** Monotonic time at which the final answer is due. */
   readonly deadlineAtMs: number;
   readonly progress: RequestProgress;
+  /** Holds the bytes of answers until the client has them. */
+  readonly buffer: AnswerBuffer;
 }
 
 /** Progress of a request across all of its attempts. */
--- a/packages/relay/src/serve-call.ts
+++ b/packages/relay/src/serve-call.ts
@@ -10,7 +10,7 @@
   CompleteAnswer,
 } from './target-answer.js';
 import {PooledAttempt} from './target-pool.js';
-import {sendToTarget, writeTargetRequest} from './target-request.js';
+import {createAnswerReader, sendToTarget, writeTargetRequest} from './target-request.js';
 import {recordLoad} from './target-state.js';
 
 /** Multiple of its objective after which a repeatable call is retried at another target. */
@@ -48,7 +48,7 @@
         deps,
         request,
         sent,
-        yield* readCompleteAnswer(sent.attempt, deps.codec, timeoutMs),
+        yield* readCompleteAnswer(sent.attempt, createAnswerReader(deps, request), timeoutMs),
       );
     } finally {
       // Has an effect only if the procedure was cancelled, as when the client disconnects;
--- a/packages/relay/src/serve-request.ts
+++ b/packages/relay/src/serve-request.ts
@@ -37,6 +37,7 @@
     finish(deps, exchange, undefined, admitted);
     return;
   }
+  exchange.onClose(() => admitted.buffer.resize(0));
   const timer = deps.clock.setTimer(admitted.deadlineAtMs - deps.clock.nowMs(), () =>
     expire(deps, admitted),
   );
@@ -109,6 +110,7 @@
       placements: [],
       calls: [],
     },
+    buffer: deps.targets.openBuffer(),
   };
 }
 
--- a/packages/relay/src/serve-stream.ts
+++ b/packages/relay/src/serve-stream.ts
@@ -43,6 +43,7 @@
     mayRepeat,
     tried,
     lastEventId: meta.lastEventId,
+    eventCount: 0,
     hasPrefilled: false,
   };
   recordRequest(deps.attemptBudgets.get(service)!, deps.clock.nowMs());
--- a/packages/relay/src/stage-controller.ts
+++ b/packages/relay/src/stage-controller.ts
@@ -82,14 +82,21 @@
     path: string,
     body: Buffer | undefined,
   ): Procedure<{readonly code: number; readonly body: Buffer} | undefined> {
-    const headers = this.deps.codec.writeControlHeaders(target.entry);
-    const sent = this.deps.targets.send(target, {method, path, headers, body}, method === 'GET');
+    const {clock, codec, targets} = this.deps;
+    const headers = codec.writeControlHeaders(target.entry);
+    const buffer = targets.openBuffer();
+    const sent = targets.send(target, {method, path, headers, body}, method === 'GET');
     try {
-      const answer = yield* readCompleteAnswer(sent.attempt, this.deps.codec, CALL_TIMEOUT_MS);
+      const answer = yield* readCompleteAnswer(
+        sent.attempt,
+        {clock, codec, buffer},
+        CALL_TIMEOUT_MS,
+      );
       if (answer.type !== 'answer') return undefined; // The caller logs a failed order.
       sent.finish('finished');
       return {code: answer.status, body: answer.body};
     } finally {
+      buffer.resize(0);
       sent.finish('cancelled');
     }
   }
--- a/packages/relay/src/stream-state.ts
+++ b/packages/relay/src/stream-state.ts
@@ -17,6 +17,8 @@
   readonly mayRepeat: boolean;
   readonly tried: Set<TargetId>;
   lastEventId: string | undefined;
+  /** Number of events received, over all runs. */
+  eventCount: number;
   /** Whether the prompt has been prefilled once; another prefill is an extra attempt. */
   hasPrefilled: boolean;
 }
--- a/packages/relay/src/target-answer.ts
+++ b/packages/relay/src/target-answer.ts
@@ -1,4 +1,4 @@
-import {call, Procedure} from '@radishgw/core';
+import {AnswerBuffer, call, Clock, Procedure} from '@radishgw/core';
 import {AnswerMeta, RawHeaders, RelayCodec} from './model.js';
 import {Attempt, AttemptEvent} from './target-connections.js';
 
@@ -42,24 +42,35 @@
   return undefined;
 }
 
-/** Reads a complete answer; `timeoutMs` limits the wait for each event. */
+/** What is needed to read an answer. */
+export interface AnswerReader {
+  readonly clock: Clock;
+  readonly codec: RelayCodec;
+  /** Holds the body; it stays in use when the answer has been read. */
+  readonly buffer: AnswerBuffer;
+}
+
+/** Reads a complete answer, which must end within `timeoutMs`. */
 export function* readCompleteAnswer(
   attempt: Attempt,
-  codec: RelayCodec,
+  {clock, codec, buffer}: AnswerReader,
   timeoutMs: number,
   firstEvent?: AttemptEvent,
 ): Procedure<CompleteAnswer> {
-  let event = firstEvent ?? (yield* call(() => attempt.next(timeoutMs)));
+  const endMs = clock.nowMs() + timeoutMs;
+  const next = () => call(() => attempt.next(Math.max(0, endMs - clock.nowMs())));
+  let event = firstEvent ?? (yield* next());
   if (event.type === 'silent' || event.type === 'failed') return event;
   if (event.type !== 'head') return {type: 'failed', wasSent: true, detail: 'answer has no head'};
   const {status, headers} = event;
   const chunks: Buffer[] = [];
   let bytes = 0;
   for (;;) {
-    event = yield* call(() => attempt.next(timeoutMs));
+    event = yield* next();
     if (event.type === 'data') {
       bytes += event.chunk.length;
-      if (bytes > MAX_ANSWER_BYTES) {
+      if (clock.nowMs() >= endMs) return {type: 'silent'};
+      if (bytes > MAX_ANSWER_BYTES || !buffer.resize(bytes)) {
         return {type: 'failed', wasSent: true, detail: 'answer is too large'};
       }
       chunks.push(event.chunk);
--- a/packages/relay/src/target-connections.ts
+++ b/packages/relay/src/target-connections.ts
@@ -1,5 +1,5 @@
 import {connect, Socket} from 'node:net';
-import {Clock} from '@radishgw/core';
+import {boundReads, Clock} from '@radishgw/core';
 import {Client, Dispatcher} from 'undici';
 import {RawHeaders} from './model.js';
 
@@ -44,12 +44,16 @@
   | {readonly type: 'silent'};
 
 /** Bytes of an answer that are buffered for a slow client before reading is paused. */
-const MAX_BUFFERED_BYTES = 256 * 1024;
+const MAX_BUFFERED_BYTES = 64 * 1024;
+
+/** Maximum number of interim answers (status 1xx) before the answer. */
+const MAX_INTERIM_ANSWERS = 16;
 
 /** One request that is sent to a target. */
 export class Attempt {
   private readonly events: AttemptEvent[] = [];
   private bufferedBytes = 0;
+  private interimAnswers = 0;
   private wakeReader: (() => void) | undefined;
   private abortRequest: ((error?: Error) => void) | undefined;
   /** Resumes a paused body; undefined while the body isn't paused. */
@@ -90,7 +94,13 @@
         if (this.isFinished) abort();
       },
       onHeaders: (status, rawHeaders, resume) => {
-        if (status < 200) return true;
+        if (status < 200) {
+          if (++this.interimAnswers > MAX_INTERIM_ANSWERS) {
+            this.fail(connection, 'too many interim answers');
+            this.abortRequest?.(new Error('too many interim answers'));
+          }
+          return true;
+        }
         this.resumeBody = resume;
         const headers = rawHeaders.map(value => value.toString('latin1'));
         connection.recordFraming(headers);
@@ -223,7 +233,7 @@
           }
           this.isConnected = true;
           onConnected();
-          callback(null, socket);
+          callback(null, boundReads(socket));
         };
         const timer = setTimeout(
           () => settle(new Error('connect timeout')),
--- a/packages/relay/src/target-pool.ts
+++ b/packages/relay/src/target-pool.ts
@@ -1,4 +1,4 @@
-import {Clock, EventLog, TargetId} from '@radishgw/core';
+import {AnswerBuffer, AnswerMemory, Clock, EventLog, TargetId} from '@radishgw/core';
 import {
   AttemptOutcome,
   DEFAULT_HEALTH_SETTINGS,
@@ -29,6 +29,7 @@
   private readonly view = createTargetView();
   private readonly targets = new Map<TargetId, PooledTarget>();
   private readonly byService = new Map<ServiceName, PooledTarget[]>();
+  private readonly answerMemory = new AnswerMemory();
   private attemptCount = 0;
 
   constructor(
@@ -86,6 +87,11 @@
     });
   }
 
+  /** Opens a buffer for the answers to one request; it must be emptied by `resize(0)`. */
+  openBuffer(): AnswerBuffer {
+    return this.answerMemory.open();
+  }
+
   /** Closes the connections to all targets. */
   close(): void {
     for (const target of this.targets.values()) target.connections.retire();
--- a/packages/relay/src/target-request.ts
+++ b/packages/relay/src/target-request.ts
@@ -1,5 +1,6 @@
 import {AdmittedRequest, RelayDependencies} from './request-context.js';
 import {CacheSource} from './model.js';
+import {AnswerReader} from './target-answer.js';
 import {OutgoingRequest} from './target-connections.js';
 import {PooledAttempt, PooledTarget} from './target-pool.js';
 
@@ -28,6 +29,14 @@
   return deps.targets.send(target, outgoing, mayRepeat);
 }
 
+/** Returns what is needed to read an answer to a request. */
+export function createAnswerReader(
+  {clock, codec}: RelayDependencies,
+  {buffer}: AdmittedRequest,
+): AnswerReader {
+  return {clock, codec, buffer};
+}
+
 /** Creates the request that is sent to a target. */
 export function writeTargetRequest(
   deps: RelayDependencies,
--- a/packages/relay/test/peer-client.test.ts
+++ b/packages/relay/test/peer-client.test.ts
@@ -1,6 +1,7 @@
 import {createServer, Server} from 'node:http';
 import {AddressInfo, Socket} from 'node:net';
 import {expect} from 'chai';
+import {BodyTooLargeError} from '@radishgw/core';
 import {PeerClient} from '../src/index.js';
 
 const TIMEOUT_MS = 200;
@@ -29,6 +30,27 @@
     server.closeAllConnections();
   });
 
+  it('gives up an answer that never ends before it fills the memory', async () => {
+    // Guards against a host that ends because of an answer of another one.
+    let writtenBytes = 0;
+    const endless = createServer((_request, response) => {
+      const chunk = Buffer.alloc(64 * 1024);
+      const fill = () => {
+        while (!response.destroyed && response.write(chunk)) writtenBytes += chunk.length;
+      };
+      response.on('drain', fill);
+      fill();
+    });
+    await new Promise<void>(resolve => endless.listen(0, '127.0.0.1', resolve));
+    const {port} = endless.address() as AddressInfo;
+    const failure = await peers
+      .ask(`127.0.0.1:${port}`, '/x', {}, 10_000)
+      .catch((error: unknown) => error);
+    expect(failure).to.be.instanceOf(BodyTooLargeError);
+    expect(writtenBytes).to.be.lessThan(64 * 1024 * 1024);
+    endless.close();
+  });
+
   const ask = () => peers.ask<number>(address, '/x', {}, TIMEOUT_MS);
 
   it('opens a new connection once a request on an open one got no answer', async () => {
--- a/packages/relay/test/stage-orders.test.ts
+++ b/packages/relay/test/stage-orders.test.ts
@@ -11,6 +11,9 @@
 const REPORT_PATH = '/report';
 const ORDER_PATH = '/order';
 
+/** Time within which the holder of the lease must be able to renew it. */
+const MAX_STEP_MS = 3000;
+
 interface Order {
   readonly stage: string;
   readonly token: number;
@@ -32,12 +35,19 @@
 /** An engine that accepts an order only if the order states the current number of accepted ones. */
 class Engine {
   accepted = 0;
+  /** Whether a report is sent byte by byte and never ends. */
+  isReportEndless = false;
   readonly orders: Order[] = [];
   readonly statuses: number[] = [];
   private readonly server: Server = createServer((request, response) => {
     let text = '';
     request.on('data', chunk => (text += String(chunk)));
     request.on('end', () => {
+      if (request.url === REPORT_PATH && this.isReportEndless) {
+        const timer = setInterval(() => response.write('1'), 50);
+        response.once('close', () => clearInterval(timer));
+        return;
+      }
       if (request.url === REPORT_PATH) {
         response.end(String(this.accepted));
         return;
@@ -104,6 +114,15 @@
     expect(engine.accept(engine.orders[0])).to.equal(409);
   });
 
+  it('go on when the report of an engine never ends', async () => {
+    // Guards against duties that wait for one engine for ever.
+    engine.isReportEndless = true;
+    const startMs = Date.now();
+    await step(() => 7);
+    expect(Date.now() - startMs).to.be.lessThan(MAX_STEP_MS);
+    expect(engine.orders).to.deep.equal([]);
+  });
+
   it('are not sent by a host that has lost the lease in the meantime', async () => {
     // Guards against orders from two lease holders: the lease may expire while the report is read.
     const terms = [undefined];
--- /dev/null
+++ b/packages/testkit/src/endless-server.ts
@@ -0,0 +1,117 @@
+import {createServer, Server, Socket} from 'node:net';
+import {AddressInfo} from 'node:net';
+
+/** Bytes that a server sends in answer to a request: a start, then a part that repeats. */
+export interface EndlessAnswer {
+  readonly start: string;
+  readonly repeated: string;
+  /** Time between repetitions; without it, they are sent as fast as the client reads. */
+  readonly intervalMs?: number;
+}
+
+/** Header fields of a request, by lower-case name. */
+export type RequestFields = Readonly<Record<string, string>>;
+
+/** Size of a write of repeated bytes. */
+const WRITE_BYTES = 64 * 1024;
+
+/** Answers that never end in their heads, by description. */
+export const ENDLESS_HEADS: Readonly<Record<string, EndlessAnswer>> = {
+  'a status line': {start: 'HTTP/1.1 200 ', repeated: 'a'},
+  'a header': {start: 'HTTP/1.1 200 OK\r\nx-a: ', repeated: 'a'},
+  headers: {start: 'HTTP/1.1 200 OK\r\n', repeated: 'x-a: b\r\n'},
+  'interim answers': {start: '', repeated: 'HTTP/1.1 102 Processing\r\n\r\n'},
+  'a slow header': {start: 'HTTP/1.1 200 OK\r\nx-a: ', repeated: 'a', intervalMs: 50},
+};
+
+/** Creates answers that never end in their bodies, by description. */
+export function createEndlessBodies(
+  fields: readonly string[],
+): Readonly<Record<string, EndlessAnswer>> {
+  const start = (status: string, ...more: string[]) =>
+    [`HTTP/1.1 ${status}`, ...fields, ...more, '', ''].join('\r\n');
+  const chunked = start('200 OK', 'transfer-encoding: chunked');
+  return {
+    'a body without a length': {start: start('200 OK'), repeated: 'a'},
+    'a body with a length': {
+      start: start('200 OK', 'content-length: 1000000000000'),
+      repeated: 'a',
+    },
+    chunks: {start: chunked, repeated: `1000\r\n${'a'.repeat(0x1000)}\r\n`},
+    'a chunk extension': {start: `${chunked}5;`, repeated: 'a'},
+    trailers: {start: `${chunked}0\r\n`, repeated: 'x-a: b\r\n'},
+    lines: {start: start('200 OK'), repeated: 'data: a\n'},
+    events: {start: start('200 OK'), repeated: 'id: 1\ndata: a\n\n'},
+    'an error': {start: start('500 Internal Server Error'), repeated: 'a'},
+    'a slow body': {start: start('200 OK'), repeated: 'a', intervalMs: 50},
+    'a slow error': {start: start('503 Service Unavailable'), repeated: 'a', intervalMs: 50},
+    'bytes after the end': {start: `${start('200 OK', 'content-length: 2')}ok`, repeated: 'a'},
+  };
+}
+
+/** HTTP server whose answers never end. */
+export class EndlessServer {
+  readonly sockets = new Set<Socket>();
+  /** Number of requests received. */
+  requestCount = 0;
+  /** Returns the answer to a request; a `repeated` part that is empty ends it. */
+  answer: (fields: RequestFields) => EndlessAnswer = () => ({start: '', repeated: ''});
+  private readonly server: Server = createServer(socket => this.handle(socket));
+
+  /** Starts to listen; returns the address. */
+  async start(): Promise<string> {
+    await new Promise<void>(resolve => this.server.listen(0, '127.0.0.1', resolve));
+    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  stop(): void {
+    this.server.close();
+    for (const socket of this.sockets) socket.destroy();
+  }
+
+  private handle(socket: Socket): void {
+    this.sockets.add(socket);
+    socket.once('close', () => this.sockets.delete(socket));
+    socket.on('error', () => undefined); // A `close` event follows.
+    let received = '';
+    socket.on('data', data => {
+      received += data.toString('latin1');
+      for (;;) {
+        const end = received.indexOf('\r\n\r\n');
+        if (end < 0) return;
+        const fields = parseFields(received.slice(0, end));
+        const length = end + 4 + Number(fields['content-length'] ?? 0);
+        if (received.length < length) return;
+        received = received.slice(length);
+        this.requestCount++;
+        send(socket, this.answer(fields));
+      }
+    });
+  }
+}
+
+function parseFields(head: string): RequestFields {
+  const lines = head.split('\r\n').slice(1);
+  return Object.fromEntries(
+    lines.map(line => {
+      const colon = line.indexOf(':');
+      return [line.slice(0, colon).toLowerCase(), line.slice(colon + 1).trim()];
+    }),
+  );
+}
+
+function send(socket: Socket, {start, repeated, intervalMs}: EndlessAnswer): void {
+  socket.write(start);
+  if (repeated === '') return;
+  if (intervalMs !== undefined) {
+    const timer = setInterval(() => socket.write(repeated), intervalMs);
+    socket.once('close', () => clearInterval(timer));
+    return;
+  }
+  const block = Buffer.from(repeated.repeat(Math.ceil(WRITE_BYTES / repeated.length)));
+  const fill = () => {
+    while (!socket.destroyed && socket.write(block));
+  };
+  socket.on('drain', fill);
+  fill();
+}
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -7,3 +7,4 @@
 export * from './service/service-server.js';
 export * from './child.js';
 export * from './deployment.js';
+export * from './endless-server.js';
