Bound answers of targets that never end in the gateway as well

A load report that never ends stopped the polling of all targets, as each round waits for all reports, and was kept in memory without a limit. A completion that is collected for a caller without a stream was kept without a limit until the deadline. An endless error of an engine was reported at the deadline only. State reports of engines, answers of the platform and of hosts to radishctl had no size.

Load reports, reports of engines, answers of the platform and of hosts now have a size and a total time; the content of completions comes from one memory; an error ends when its part that is kept is full. Connections to targets hand few bytes at a time to the parser, as in the relay.

--- a/packages/coordination/src/http-platform.ts
+++ b/packages/coordination/src/http-platform.ts
@@ -1,4 +1,4 @@
-import {Err, Ok, Result} from '@radishgw/core';
+import {Err, Ok, readText, Result} from '@radishgw/core';
 import {Agent, errors, request} from 'undici';
 import {z} from 'zod';
 import {
@@ -39,6 +39,9 @@
 const reservationSchema = z.object({startDelayMs: z.number(), bytesPerSecond: z.number()});
 const anySchema = z.unknown();
 
+/** Maximum size of an answer; the largest are lists of all objects of a kind. */
+const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+
 type Method = 'GET' | 'PUT' | 'DELETE' | 'POST';
 
 interface Call<T> {
@@ -158,7 +161,7 @@
         body: call.body === undefined ? null : JSON.stringify(call.body),
         signal: AbortSignal.timeout(timeoutMs),
       });
-      const text = await response.body.text();
+      const text = await readText(response.body, MAX_ANSWER_BYTES);
       return readAnswer(response.statusCode, text, call.schema);
     } catch (error) {
       return Err(classifyFailure(error));
--- a/packages/ctl/src/hosts.ts
+++ b/packages/ctl/src/hosts.ts
@@ -1,8 +1,12 @@
 import {Platform} from '@radishgw/coordination';
+import {readText} from '@radishgw/core';
 import {request} from 'undici';
 import {z} from 'zod';
 import {unwrapResult} from './platform-errors.js';
 
+/** Maximum size of a host's answer. */
+const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+
 const sessionSchema = z.looseObject({
   hostId: z.string(),
   failureDomain: z.string(),
@@ -48,7 +52,7 @@
       bodyTimeout: CALL_TIMEOUT_MS,
       signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
     });
-    const text = await response.body.text();
+    const text = await readText(response.body, MAX_ANSWER_BYTES);
     return response.statusCode === 200 ? JSON.parse(text || '{}') : undefined;
   } catch {
     return undefined;
--- a/packages/fleet/src/http-engine-control.ts
+++ b/packages/fleet/src/http-engine-control.ts
@@ -1,4 +1,4 @@
-import {Err, Ok, OrderId, Result, TargetId} from '@radishgw/core';
+import {boundReads, Err, Ok, OrderId, readText, Result, TargetId} from '@radishgw/core';
 import {buildConnector, Client} from 'undici';
 import {z} from 'zod';
 import {EngineControl, EngineOrder, EngineState, SendError} from './engine-control.js';
@@ -24,6 +24,7 @@
 });
 
 const STALE_STATUS = 409;
+const MAX_ANSWER_BYTES = 1_048_576;
 
 class UnauthorisedError extends Error {}
 
@@ -82,7 +83,7 @@
         body: exchange.body ?? null,
         signal: timeout,
       });
-      const text = await response.body.text();
+      const text = await readText(response.body, MAX_ANSWER_BYTES);
       if (response.statusCode >= 200 && response.statusCode < 300) return Ok(text);
       return Err(classifyStatus(response.statusCode, text));
     } catch (error) {
@@ -109,7 +110,7 @@
     connect(options, (...args) => {
       const [error, socket] = args;
       if (error) return callback(error, null);
-      if (authorise()) return callback(null, socket);
+      if (authorise()) return callback(null, boundReads(socket));
       socket.destroy();
       callback(new UnauthorisedError('authority lost before sending'), null);
     });
--- a/packages/gateway/src/dispatch/load-poller.ts
+++ b/packages/gateway/src/dispatch/load-poller.ts
@@ -1,11 +1,12 @@
 import {ConfigStore, TargetConfig} from '@radishgw/config';
-import {call, Clock, Procedure, sleep, TargetId, toId} from '@radishgw/core';
+import {call, Clock, Procedure, readText, sleep, TargetId, toId} from '@radishgw/core';
 import {LoadReport} from '@radishgw/scheduling';
 import {Dispatcher as HttpDispatcher} from 'undici';
 import {z} from 'zod';
 
 const POLL_INTERVAL_MS = 1000;
 const CALL_TIMEOUT_MS = 1000;
+const MAX_REPORT_BYTES = 65_536;
 const ENGINE_LOAD_PATH = '/v1/load';
 /** Polling rounds after which a target without a usable load report is polled again. */
 const BACKOFF_ROUNDS = 10;
@@ -63,10 +64,9 @@
       origin: new URL(target.url).origin,
       path: findLoadPath(target) ?? ENGINE_LOAD_PATH,
       method: 'GET',
-      headersTimeout: CALL_TIMEOUT_MS,
-      bodyTimeout: CALL_TIMEOUT_MS,
+      signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
     });
-    const text = await response.body.text();
+    const text = await readText(response.body, MAX_REPORT_BYTES);
     if (response.statusCode !== 200) return false;
     const load = loadSchema.parse(JSON.parse(text));
     dependencies.recordLoadReport(target.pool, toId<TargetId>(target.targetId), {
--- a/packages/gateway/src/engine/engine-stream.ts
+++ b/packages/gateway/src/engine/engine-stream.ts
@@ -1,5 +1,6 @@
 import {AttemptId, Clock, Timer} from '@radishgw/core';
 import {Client, Dispatcher as HttpDispatcher} from 'undici';
+import {createBoundedConnector} from '../bounded-connector.js';
 import {EngineEvent, EventDecoder} from './event-decoder.js';
 
 /** Failure of an attempt to run a request on an engine. */
@@ -28,7 +29,10 @@
   readonly progressTimeoutMs: number;
   /** Limit on consecutive failed resumptions; the engine counts as lost after one more. */
   readonly maxFailedResumes: number;
-  /** Receives the data of each event once and in order; throws if it is malformed. */
+  /**
+   * Receives the data of each event once and in order; throws if it is malformed, or an
+   * {@link EngineError} if the engine must not be asked again.
+   */
   onEvent(data: string): void;
   /** Called after the events of each read; reading pauses until the promise, if any, settles. */
   onBatch(): Promise<unknown> | undefined;
@@ -173,17 +177,17 @@
     chunk: Uint8Array,
   ): void {
     if (!this.isCurrent(connection)) return;
-    this.lastActivityMs = this.call.clock.nowMs();
     if (connection.statusCode !== 200) {
-      if (connection.errorBody.length < MAX_ERROR_BODY_BYTES) {
-        connection.errorBody += Buffer.from(chunk).toString('utf8');
-      }
+      connection.errorBody += Buffer.from(chunk).toString('utf8');
+      if (connection.errorBody.length >= MAX_ERROR_BODY_BYTES) this.handleErrorAnswer(connection);
       return;
     }
+    this.lastActivityMs = this.call.clock.nowMs();
     try {
       decoder.feed(chunk);
     } catch (error) {
-      this.resume((error as Error).message, true);
+      if (error instanceof EngineError) this.fail(error);
+      else this.resume((error as Error).message, true);
       return;
     }
     // The last events are sent to the caller together with the end of the response.
@@ -224,8 +228,13 @@
     if (!this.isCurrent(connection)) return;
     if (connection.statusCode === 200) {
       this.resume('connection ended before the answer was whole', true);
-      return;
+    } else {
+      this.handleErrorAnswer(connection);
     }
+  }
+
+  /** Handles an answer with a status other than 200, whose body may have been cut off. */
+  private handleErrorAnswer(connection: Connection): void {
     const {statusCode, errorBody, notRun} = connection;
     if (!connection.client) {
       this.fail(new EngineError(`status ${statusCode}`, !notRun, statusCode, errorBody));
@@ -272,7 +281,7 @@
   /** Opens a new connection, because pooled ones may be as unresponsive as the replaced one. */
   private reconnect(): void {
     const {attemptId, progressTimeoutMs} = this.call;
-    const client = new Client(this.origin, {connect: {timeout: progressTimeoutMs}});
+    const client = new Client(this.origin, {connect: createBoundedConnector(progressTimeoutMs)});
     this.connect(client, client, {
       path: `/v1/streams/${encodeURIComponent(attemptId)}?after=${this.lastSequence}`,
       method: 'GET',
--- a/packages/gateway/src/request/completion-relay.ts
+++ b/packages/gateway/src/request/completion-relay.ts
@@ -1,4 +1,5 @@
 import {once} from 'node:events';
+import {AnswerBuffer} from '@radishgw/core';
 import {
   Chunk,
   ChunkChoice,
@@ -6,6 +7,7 @@
   parseChunk,
   TokenUsage,
 } from '../engine/completion.js';
+import {EngineError} from '../engine/engine-stream.js';
 import {buildContinuation} from '../engine/continuation.js';
 import {MODEL_REQUEST_KINDS, ModelRequest, ModelRequestPath} from './body.js';
 import {RequestContext} from './context.js';
@@ -17,6 +19,8 @@
   private firstChunk: Chunk | undefined;
   private deliveredText = '';
   private tokenCount = 0;
+  /** Length of the content that is kept. */
+  private contentChars = 0;
   /** Tokens delivered by earlier attempts, which the current attempt got as part of its prompt. */
   private earlierAttemptTokens = 0;
   private isTextOnly = true;
@@ -32,6 +36,8 @@
     /** Limit on the output tokens of each choice. */
     private readonly maxTokens: number,
     private readonly estimatedPromptTokens: number,
+    /** Holds the parts of the completion that are needed later. */
+    private readonly buffer: AnswerBuffer,
   ) {
     this.builder = this.createBuilder();
   }
@@ -56,6 +62,7 @@
       if (!this.isTextOnly && this.request.stream) return undefined;
       this.builder = this.createBuilder();
       this.tokenCount = 0;
+      this.contentChars = 0;
       return JSON.stringify({...this.request, ...this.buildTokenLimit(), ...stream});
     }
     if (!this.isTextOnly) return undefined;
@@ -65,9 +72,18 @@
     return body && JSON.stringify({...body, ...stream});
   }
 
-  /** Adds the data of one event; throws if it is not a valid chunk. */
+  /**
+   * Adds the data of one event. Throws if it is not a valid chunk, or an {@link EngineError} if the
+   * completion is too large.
+   */
   add(data: string): void {
     const chunk = parseChunk(data);
+    for (const {text, delta} of chunk.choices ?? []) {
+      this.contentChars += (text?.length ?? 0) + (delta ? JSON.stringify(delta).length : 0);
+    }
+    if (!this.buffer.resize(this.contentChars)) {
+      throw new EngineError('completion is too large', true);
+    }
     if (chunk.usage) this.usage = this.adjustUsage(chunk.usage);
     if (!this.request.stream) {
       this.builder.add(chunk);
--- a/packages/gateway/src/request/serve-model.ts
+++ b/packages/gateway/src/request/serve-model.ts
@@ -1,5 +1,6 @@
 import {ClassRule, ConfigStore, ModelConfig, Team, WorkClass} from '@radishgw/config';
 import {
+  AnswerMemory,
   AttemptId,
   call,
   Clock,
@@ -36,6 +37,7 @@
   readonly http: HttpDispatcher;
   readonly log: EventLog;
   readonly random: RandomSource;
+  readonly answerMemory: AnswerMemory;
   readonly maxBodyBytes: number;
   readonly progressTimeoutMs: number;
   /** Records usage of a finished request. */
@@ -61,7 +63,9 @@
   context.workClass = selectWorkClass(team.parameters.classRules, context, {model: request.model});
   const promptTokens = estimatePromptTokens(bytes.length);
   const maxTokens = request.max_completion_tokens ?? request.max_tokens ?? model.maxOutputTokens;
-  const relay = new CompletionRelay(context, path, request, maxTokens, promptTokens);
+  const buffer = services.answerMemory.open();
+  context.response.once('close', () => buffer.resize(0));
+  const relay = new CompletionRelay(context, path, request, maxTokens, promptTokens, buffer);
   const firstBody = relay.beginAttempt()!;
   refuseKeyInText(firstBody, secretHex, 'request body');
   const costTokens = promptTokens + maxTokens * (request.n ?? 1);
--- a/packages/gateway/src/request/service-attempt.ts
+++ b/packages/gateway/src/request/service-attempt.ts
@@ -1,6 +1,7 @@
 import {ServerResponse} from 'node:http';
 import {AttemptId, Clock} from '@radishgw/core';
 import {Client, Dispatcher as HttpDispatcher} from 'undici';
+import {createBoundedConnector} from '../bounded-connector.js';
 import {RequestContext} from './context.js';
 import {filterResponseHeaders} from './headers.js';
 import {MAX_STORED_BODY_BYTES, StoredResponse} from './idempotency.js';
@@ -45,7 +46,7 @@
 ): Promise<StoredResponse | undefined> {
   const client = new Client(new URL(url).origin, {
     pipelining: 1,
-    connect: {timeout: call.connectTimeoutMs},
+    connect: createBoundedConnector(call.connectTimeoutMs),
   });
   try {
     return await sendCall(client, context, url, {
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -1,6 +1,7 @@
 import {Server as NetServer} from 'node:net';
 import {ConfigStore, DEFAULT_FRESHNESS, Freshness} from '@radishgw/config';
 import {
+  AnswerMemory,
   createEventLog,
   createHandlers,
   createSystemRandom,
@@ -24,6 +25,7 @@
 } from '@radishgw/coordination';
 import {create, HandOverShardsResponseSchema, HeartbeatResponseSchema} from '@radishgw/protocol';
 import {Agent} from 'undici';
+import {createBoundedConnector} from './bounded-connector.js';
 import {CallerServer} from './caller/caller-server.js';
 import {ConfigSync} from './config-sync.js';
 import {LoadPollerDependencies, pollLoads} from './dispatch/load-poller.js';
@@ -209,12 +211,13 @@
   dispatcher: PoolDispatcher,
 ) {
   const {settings, platform, clock, random, freshnessMonitor} = base;
-  const http = new Agent({connections: 256, pipelining: 1});
+  const http = new Agent({connections: 256, pipelining: 1, connect: createBoundedConnector()});
   const claims = new IdempotencyClaims(platform, clock, random);
   const callerServer = new CallerServer({
     ...base,
     ...settings,
     claims,
+    answerMemory: new AnswerMemory(),
     tls: readTlsSettings(settings),
     http,
     limiter,
