--- a/packages/core/src/answer-memory.ts
+++ b/packages/core/src/answer-memory.ts
@@ -1,5 +1,5 @@
 /** Memory for bytes of answers that a host buffers, over all of its requests. */
-const SHARED_BYTES = 32 * 1024 * 1024;
+const SHARED_BYTES = 16 * 1024 * 1024;
 
 /** Bytes of each buffer that don't count towards the shared memory; most answers are smaller. */
 const UNSHARED_BYTES = 16 * 1024;
--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -384,6 +384,7 @@
     const gauges = [
       `radishgw_in_flight ${this.clientServer.inFlight}`,
       `radishgw_connections_opened ${opened}`,
+      `radishgw_buffered_answer_bytes ${this.targets.bufferedBytes}`,
       `radishgw_ready ${this.isReady ? 1 : 0}`,
     ];
     return this.metrics.format() + gauges.join('\n') + '\n';
--- a/packages/relay/src/target-answer.ts
+++ b/packages/relay/src/target-answer.ts
@@ -3,7 +3,7 @@
 import {Attempt, AttemptEvent} from './target-connections.js';
 
 /** Maximum size of an answer that is buffered completely. */
-const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 
 /** A complete answer of a target, or the reason why there is none. */
 export type CompleteAnswer =
--- a/packages/relay/src/target-pool.ts
+++ b/packages/relay/src/target-pool.ts
@@ -87,6 +87,11 @@
     });
   }
 
+  /** Bytes of answers that are buffered, beyond those that each request may hold in any case. */
+  get bufferedBytes(): number {
+    return this.answerMemory.sharedBytes;
+  }
+
   /** Opens a buffer for the answers to one request; it must be emptied by `resize(0)`. */
   openBuffer(): AnswerBuffer {
     return this.answerMemory.open();
