Log how an engine ended a stream

Lines of requests carry the framing of the last run's answer and the bytes after its last complete event, so that a connection closed within an event, a reset and a last chunk within an event can be told apart. No decision changes.

--- a/packages/relay/src/relay-stream.ts
+++ b/packages/relay/src/relay-stream.ts
@@ -102,6 +102,7 @@
       continue;
     }
     const remainder = splitter.takeRemainder();
+    progress.streamEnd = {framing: event.framing, bytesAfterLastEvent: remainder.length};
     if (!exchange.hasStarted) startAnswer(state, head);
     if (remainder.length > 0) void exchange.write(remainder);
     exchange.end();
--- a/packages/relay/src/request-context.ts
+++ b/packages/relay/src/request-context.ts
@@ -15,6 +15,7 @@
 import {RelayCodec, RequestMeta, Route, ServiceName, Team} from './model.js';
 import {PendingAverage} from './pending-average.js';
 import {QuotaClient} from './quota-client.js';
+import {BodyFraming} from './target-connections.js';
 import {TargetPool} from './target-pool.js';
 import {WaitCalibration} from './wait-calibration.js';
 
@@ -70,6 +71,8 @@
   hasCountedUsage: boolean;
   /** Time to the first event of a stream; undefined before it. */
   firstEventMs: number | undefined;
+  /** How the last run of a stream ended, for the log; undefined if it was cut off. */
+  streamEnd: StreamEnd | undefined;
   /** Result of each attempt, for the log. */
   readonly steps: string[];
   /** Placements of the prompt with their inputs, for the log. */
@@ -78,6 +81,12 @@
   readonly calls: TargetCall[];
 }
 
+/** How an engine ended a stream. */
+export interface StreamEnd {
+  readonly framing: BodyFraming;
+  readonly bytesAfterLastEvent: number;
+}
+
 /** A call to a target and the age of the list of targets by which it was sent. */
 export interface TargetCall {
   readonly target: TargetId;
--- a/packages/relay/src/target-connections.ts
+++ b/packages/relay/src/target-connections.ts
@@ -34,11 +34,14 @@
   readonly body: Buffer | undefined;
 }
 
+/** How the end of an answer's body is determined. */
+export type BodyFraming = 'length' | 'chunks' | 'connection';
+
 /** Events of an attempt, in order; `failed` or `end` is the last one. */
 export type AttemptEvent =
   | {readonly type: 'head'; readonly status: number; readonly headers: RawHeaders}
   | {readonly type: 'data'; readonly chunk: Buffer}
-  | {readonly type: 'end'}
+  | {readonly type: 'end'; readonly framing: BodyFraming}
   | {readonly type: 'failed'; readonly wasSent: boolean; readonly detail: string}
   /** No event arrived within the timeout of {@link Attempt.next}; the attempt continues. */
   | {readonly type: 'silent'};
@@ -110,7 +113,7 @@
       onComplete: () => {
         connection.checkCompletion(isComplete => {
           if (!isComplete) this.fail(connection, 'connection reset within the body');
-          else this.push({type: 'end'});
+          else this.push({type: 'end', framing: connection.framing});
           this.finish();
         });
       },
@@ -160,9 +163,6 @@
   return code ? `${code}: ${error.message}` : error.message;
 }
 
-/** How the end of an answer's body is determined. */
-type BodyFraming = 'length' | 'chunks' | 'connection';
-
 const LEFT_DETAIL = 'target left before the connection was established';
 
 /** An empty line, which servers ignore before a request. */
@@ -183,7 +183,7 @@
   readonly client: Client;
   private socket: Socket | undefined;
   private hasOpened = false;
-  private framing: BodyFraming = 'length';
+  framing: BodyFraming = 'length';
   private wasReset = false;
   private endProbe: Promise<boolean> | undefined;
   /** Whether the connection was established, after which a request may have reached the target. */
