--- a/packages/testkit/src/endless-server.ts
+++ b/packages/testkit/src/endless-server.ts
@@ -1,5 +1,6 @@
 import {createServer, Server, Socket} from 'node:net';
 import {AddressInfo} from 'node:net';
+import {RequestFields, splitRequests} from './raw-requests.js';
 
 /** Bytes that a server sends in answer to a request: a start, then a part that repeats. */
 export interface EndlessAnswer {
@@ -9,9 +10,6 @@
   readonly intervalMs?: number;
 }
 
-/** Header fields of a request, by lower-case name. */
-export type RequestFields = Readonly<Record<string, string>>;
-
 /** Size of a write of repeated bytes. */
 const WRITE_BYTES = 64 * 1024;
 
@@ -73,33 +71,16 @@
     this.sockets.add(socket);
     socket.once('close', () => this.sockets.delete(socket));
     socket.on('error', () => undefined); // A `close` event follows.
-    let received = '';
-    socket.on('data', data => {
-      received += data.toString('latin1');
-      for (;;) {
-        const end = received.indexOf('\r\n\r\n');
-        if (end < 0) return;
-        const fields = parseFields(received.slice(0, end));
-        const length = end + 4 + Number(fields['content-length'] ?? 0);
-        if (received.length < length) return;
-        received = received.slice(length);
+    socket.on(
+      'data',
+      splitRequests(fields => {
         this.requestCount++;
         send(socket, this.answer(fields));
-      }
-    });
+      }),
+    );
   }
 }
 
-function parseFields(head: string): RequestFields {
-  const lines = head.split('\r\n').slice(1);
-  return Object.fromEntries(
-    lines.map(line => {
-      const colon = line.indexOf(':');
-      return [line.slice(0, colon).toLowerCase(), line.slice(colon + 1).trim()];
-    }),
-  );
-}
-
 function send(socket: Socket, {start, repeated, intervalMs}: EndlessAnswer): void {
   socket.write(start);
   if (repeated === '') return;
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -8,3 +8,5 @@
 export * from './child.js';
 export * from './deployment.js';
 export * from './endless-server.js';
+export * from './raw-requests.js';
+export * from './raw-server.js';
