Tell a reset from the end of an answer in all HTTP clients

Callers of plain services on the gateway got answers without length or chunks that were reset on the way, framed as complete, and with an idempotency key their torn copies were replayed. Undici reports a reset of such an answer as its end, and libuv a reset that arrives with the last bytes. Only the relay's connections to targets checked for that, with code of their own.

The socket itself now decides: verifyEnds in core withholds an end until a write shows that the peer closed its side, and reports resets under a code that Undici doesn't take for an end. All clients use it: the relay's targets, the gateway's services, engines and polls, orders to engines, both clients of stores, and hosts among themselves. The gateway's own connector moves to core.

--- a/packages/coordination/src/http-platform.ts
+++ b/packages/coordination/src/http-platform.ts
@@ -1,4 +1,4 @@
-import {Err, Ok, readText, Result} from '@radishgw/core';
+import {createConnector, Err, Ok, readText, Result} from '@radishgw/core';
 import {Agent, errors, request} from 'undici';
 import {z} from 'zod';
 import {
@@ -60,7 +60,7 @@
   private readonly agent: Agent;
 
   constructor(private readonly options: HttpPlatformOptions) {
-    this.agent = new Agent({connect: {timeout: options.callTimeoutMs}, connections: 16});
+    this.agent = new Agent({connect: createConnector(options.callTimeoutMs), connections: 16});
   }
 
   get(key: string): PlatformAnswer<PlatformObject> {
--- a/packages/fleet/src/http-engine-control.ts
+++ b/packages/fleet/src/http-engine-control.ts
@@ -1,4 +1,4 @@
-import {boundReads, Err, Ok, OrderId, readText, Result, TargetId} from '@radishgw/core';
+import {createConnector, Err, Ok, OrderId, readText, Result, TargetId} from '@radishgw/core';
 import {buildConnector, Client} from 'undici';
 import {z} from 'zod';
 import {EngineControl, EngineOrder, EngineState, SendError} from './engine-control.js';
@@ -105,12 +105,12 @@
   timeoutMs: number,
   authorise: () => boolean,
 ): buildConnector.connector {
-  const connect = buildConnector({timeout: timeoutMs});
+  const connect = createConnector(timeoutMs);
   return (options, callback) => {
     connect(options, (...args) => {
       const [error, socket] = args;
       if (error) return callback(error, null);
-      if (authorise()) return callback(null, boundReads(socket));
+      if (authorise()) return callback(null, socket);
       socket.destroy();
       callback(new UnauthorisedError('authority lost before sending'), null);
     });
--- a/packages/gateway/src/engine/engine-stream.ts
+++ b/packages/gateway/src/engine/engine-stream.ts
@@ -1,6 +1,5 @@
-import {AttemptId, Clock, Timer} from '@radishgw/core';
+import {AttemptId, Clock, createConnector, Timer} from '@radishgw/core';
 import {Client, Dispatcher as HttpDispatcher} from 'undici';
-import {createBoundedConnector} from '../bounded-connector.js';
 import {EngineEvent, EventDecoder} from './event-decoder.js';
 
 /** Failure of an attempt to run a request on an engine. */
@@ -281,7 +280,7 @@
   /** Opens a new connection, because pooled ones may be as unresponsive as the replaced one. */
   private reconnect(): void {
     const {attemptId, progressTimeoutMs} = this.call;
-    const client = new Client(this.origin, {connect: createBoundedConnector(progressTimeoutMs)});
+    const client = new Client(this.origin, {connect: createConnector(progressTimeoutMs)});
     this.connect(client, client, {
       path: `/v1/streams/${encodeURIComponent(attemptId)}?after=${this.lastSequence}`,
       method: 'GET',
--- a/packages/gateway/src/request/service-attempt.ts
+++ b/packages/gateway/src/request/service-attempt.ts
@@ -1,7 +1,6 @@
 import {ServerResponse} from 'node:http';
-import {AnswerBody, AttemptId, Clock} from '@radishgw/core';
+import {AnswerBody, AttemptId, Clock, createConnector} from '@radishgw/core';
 import {Client, Dispatcher as HttpDispatcher} from 'undici';
-import {createBoundedConnector} from '../bounded-connector.js';
 import {RequestContext} from './context.js';
 import {filterResponseHeaders} from './headers.js';
 import {MAX_STORED_BODY_BYTES, StoredResponse} from './idempotency.js';
@@ -46,7 +45,7 @@
 ): Promise<StoredResponse | undefined> {
   const client = new Client(new URL(url).origin, {
     pipelining: 1,
-    connect: createBoundedConnector(call.connectTimeoutMs),
+    connect: createConnector(call.connectTimeoutMs),
   });
   try {
     return await sendCall(client, context, url, {
--- a/packages/gateway/src/wire.ts
+++ b/packages/gateway/src/wire.ts
@@ -2,6 +2,7 @@
 import {ConfigStore, DEFAULT_FRESHNESS, Freshness} from '@radishgw/config';
 import {
   AnswerMemory,
+  createConnector,
   createEventLog,
   createHandlers,
   createSystemRandom,
@@ -25,7 +26,6 @@
 } from '@radishgw/coordination';
 import {create, HandOverShardsResponseSchema, HeartbeatResponseSchema} from '@radishgw/protocol';
 import {Agent} from 'undici';
-import {createBoundedConnector} from './bounded-connector.js';
 import {CallerServer} from './caller/caller-server.js';
 import {ConfigSync} from './config-sync.js';
 import {LoadPollerDependencies, pollLoads} from './dispatch/load-poller.js';
@@ -211,7 +211,7 @@
   dispatcher: PoolDispatcher,
 ) {
   const {settings, platform, clock, random, freshnessMonitor} = base;
-  const http = new Agent({connections: 256, pipelining: 1, connect: createBoundedConnector()});
+  const http = new Agent({connections: 256, pipelining: 1, connect: createConnector()});
   const claims = new IdempotencyClaims(platform, clock, random);
   const callerServer = new CallerServer({
     ...base,
--- a/packages/gateway/test/endless-answers.test.ts
+++ b/packages/gateway/test/endless-answers.test.ts
@@ -2,6 +2,7 @@
 import {
   AnswerMemory,
   AttemptId,
+  createConnector,
   createHandlers,
   startTask,
   SystemClock,
@@ -12,7 +13,6 @@
 import {createEndlessBodies, ENDLESS_HEADS, EndlessServer} from '@radishgw/testkit';
 import {expect} from 'chai';
 import {Agent} from 'undici';
-import {createBoundedConnector} from '../src/bounded-connector.js';
 import {LoadPollerDependencies, pollLoads} from '../src/dispatch/load-poller.js';
 import {EngineError, runEngineStream} from '../src/engine/engine-stream.js';
 import {RequestContext} from '../src/request/context.js';
@@ -37,7 +37,7 @@
     url = `http://${await server.start()}`;
   });
   beforeEach(() => {
-    http = new Agent({connections: 256, pipelining: 1, connect: createBoundedConnector()});
+    http = new Agent({connections: 256, pipelining: 1, connect: createConnector()});
   });
   afterEach(() => http.destroy());
   after(() => server.stop());
--- a/packages/relay/src/peer-client.ts
+++ b/packages/relay/src/peer-client.ts
@@ -1,4 +1,4 @@
-import {readText} from '@radishgw/core';
+import {createConnector, readText} from '@radishgw/core';
 import {Pool} from 'undici';
 
 const CONNECTIONS_PER_HOST = 2;
@@ -76,7 +76,7 @@
       pool = new Pool(`http://${address}`, {
         connections: CONNECTIONS_PER_HOST,
         pipelining: REQUESTS_PER_CONNECTION,
-        connect: {timeout: CONNECT_TIMEOUT_MS},
+        connect: createConnector(CONNECT_TIMEOUT_MS),
         keepAliveTimeout: KEEP_ALIVE_MS,
       });
       this.pools.set(address, pool);
--- a/packages/relay/src/target-connections.ts
+++ b/packages/relay/src/target-connections.ts
@@ -1,5 +1,5 @@
 import {connect, Socket} from 'node:net';
-import {boundReads, Clock} from '@radishgw/core';
+import {boundReads, Clock, verifyEnds} from '@radishgw/core';
 import {Client, Dispatcher} from 'undici';
 import {RawHeaders} from './model.js';
 
@@ -111,11 +111,8 @@
       },
       onData: chunk => this.push({type: 'data', chunk}),
       onComplete: () => {
-        connection.checkCompletion(isComplete => {
-          if (!isComplete) this.fail(connection, 'connection reset within the body');
-          else this.push({type: 'end', framing: connection.framing});
-          this.finish();
-        });
+        this.push({type: 'end', framing: connection.framing});
+        this.finish();
       },
       onError: error => this.fail(connection, describeError(error)),
     };
@@ -165,27 +162,12 @@
 
 const LEFT_DETAIL = 'target left before the connection was established';
 
-/** An empty line, which servers ignore before a request. */
-const PROBE = '\r\n';
-
-/** Tests a connection whose receiving side has ended by a write; false if it was reset. */
-function probeEnd(socket: Socket): Promise<boolean> {
-  return new Promise(resolve => {
-    socket.write(PROBE, error => {
-      const {code} = (error ?? {}) as NodeJS.ErrnoException;
-      resolve(code !== 'ECONNRESET' && code !== 'EPIPE');
-    });
-  });
-}
-
 /** One connection to a target; carries one request at a time and is never reopened. */
 export class TargetConnection {
   readonly client: Client;
   private socket: Socket | undefined;
   private hasOpened = false;
   framing: BodyFraming = 'length';
-  private wasReset = false;
-  private endProbe: Promise<boolean> | undefined;
   /** Whether the connection was established, after which a request may have reached the target. */
   isConnected = false;
   isClosed = false;
@@ -220,6 +202,8 @@
           noDelay: true,
           allowHalfOpen: true,
         });
+        // Undici itself validates a length and chunks.
+        verifyEnds(boundReads(socket), () => this.framing === 'connection');
         this.socket = socket;
         let isSettled = false;
         const settle = (error: Error | undefined) => {
@@ -233,7 +217,7 @@
           }
           this.isConnected = true;
           onConnected();
-          callback(null, boundReads(socket));
+          callback(null, socket);
         };
         const timer = setTimeout(
           () => settle(new Error('connect timeout')),
@@ -241,13 +225,7 @@
         );
         this.cancelConnect = settle;
         socket.once('connect', () => settle(undefined));
-        socket.on('error', error => {
-          this.wasReset = true;
-          settle(error);
-        });
-        socket.once('end', () => {
-          if (this.framing === 'connection') this.endProbe = probeEnd(socket);
-        });
+        socket.on('error', settle);
         socket.once('close', () => {
           this.isClosed = true;
           settle(new Error('closed while connecting'));
@@ -257,18 +235,6 @@
     });
   }
 
-  /**
-   * Reports whether the answer's body is complete. Undici itself validates a length and chunks. A
-   * body that ends with its connection is complete only if the target closed the connection. Undici
-   * treats a reset as an end, and libuv reports a reset that arrives with the last bytes as an end,
-   * so that only a write reveals it.
-   */
-  checkCompletion(onResult: (isComplete: boolean) => void): void {
-    if (this.framing !== 'connection') onResult(true);
-    else if (this.wasReset || !this.endProbe) onResult(!this.wasReset);
-    else void this.endProbe.then(onResult);
-  }
-
   /** Records how the end of the answer's body is determined. */
   recordFraming(headers: RawHeaders): void {
     const names = headers.filter((_, i) => i % 2 === 0).map(name => name.toLowerCase());
