Reset connections whose answers are broken off without length or chunks

An HTTP/1.0 client of the relay or the gateway got a broken-off answer as complete: such an answer has no chunks and ends with its connection, which was closed. Both now reset the connection of an answer that has been started and isn't chunked.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,3 +1,4 @@
+export * from './abort-response.js';
 export * from './answer-body.js';
 export * from './answer-memory.js';
 export * from './bound-reads.js';
--- a/packages/gateway/src/caller/caller-server.ts
+++ b/packages/gateway/src/caller/caller-server.ts
@@ -3,7 +3,7 @@
 import {Server as NetServer} from 'node:net';
 import {Duplex} from 'node:stream';
 import {RouteConfig} from '@radishgw/config';
-import {EffectHandlers, RequestId, startTask, toId} from '@radishgw/core';
+import {abortResponse, EffectHandlers, RequestId, startTask, toId} from '@radishgw/core';
 import findMyWay from 'find-my-way';
 import {DecisionLog} from '../operator/decision-log.js';
 import {Metrics} from '../operator/metrics.js';
@@ -165,7 +165,9 @@
       controller.abort(reason);
       task.cancel();
       // A caller that doesn't read its response must not occupy an in-flight slot for longer.
-      clock.setTimer(DRAIN_TIMEOUT_MS, () => response.destroyed || response.destroy());
+      clock.setTimer(DRAIN_TIMEOUT_MS, () => {
+        if (!response.destroyed) abortResponse(response);
+      });
     };
     const active: ActiveRequest = {context, abort};
     this.active.add(active);
--- a/packages/gateway/src/caller/errors.ts
+++ b/packages/gateway/src/caller/errors.ts
@@ -1,4 +1,5 @@
 import {ServerResponse} from 'node:http';
+import {abortResponse} from '@radishgw/core';
 import {Execution, Refusal} from '../request/refusal.js';
 
 const MS_PER_SECOND = 1000;
@@ -57,6 +58,6 @@
  */
 function endStartedResponse(response: ServerResponse, body: string): void {
   const isEventStream = String(response.getHeader('content-type')).startsWith('text/event-stream');
-  if (isEventStream) response.write(`data: ${body}\n\n`, () => response.destroy());
-  else response.destroy();
+  if (isEventStream) response.write(`data: ${body}\n\n`, () => abortResponse(response));
+  else abortResponse(response);
 }
--- a/packages/gateway/src/request/service-attempt.ts
+++ b/packages/gateway/src/request/service-attempt.ts
@@ -1,5 +1,5 @@
 import {ServerResponse} from 'node:http';
-import {AnswerBody, AttemptId, Clock, createConnector} from '@radishgw/core';
+import {abortResponse, AnswerBody, AttemptId, Clock, createConnector} from '@radishgw/core';
 import {Client, Dispatcher as HttpDispatcher} from 'undici';
 import {RequestContext} from './context.js';
 import {filterResponseHeaders} from './headers.js';
@@ -205,7 +205,7 @@
 
   /** Called when the attempt has failed. An error event must not be joined to a broken event. */
   abort(): void {
-    if (this.findBodyFault()) this.response.destroy();
+    if (this.findBodyFault()) abortResponse(this.response);
   }
 
   end(): StoredResponse | undefined {
--- a/packages/relay/src/client-exchange.ts
+++ b/packages/relay/src/client-exchange.ts
@@ -1,5 +1,5 @@
 import {IncomingMessage, ServerResponse} from 'node:http';
-import {Clock} from '@radishgw/core';
+import {abortResponse, Clock} from '@radishgw/core';
 import {Instant, readInstant} from './instant.js';
 import {RawHeaders} from './model.js';
 
@@ -126,7 +126,7 @@
 
   /** Closes the connection, so that the answer doesn't look complete. */
   destroy(): void {
-    this.response.destroy();
+    abortResponse(this.response);
   }
 
   private addConnectionHeaders(headers: string[], length: number | undefined): string[] {
