Treat a stream without an event as broken off

Callers got an empty 200 framed as complete when an engine sent the head of a stream and no event. A stream has an event at least, so that the first run of one without any is broken off, however its answer is framed. A resumption that finds nothing left is whole if a length or a last chunk says so.

--- a/packages/relay/src/relay-stream.ts
+++ b/packages/relay/src/relay-stream.ts
@@ -1,4 +1,4 @@
-import {AnswerBody, call, Procedure} from '@radishgw/core';
+import {AnswerBody, call, isEventStreamType, Procedure} from '@radishgw/core';
 import {EventSplitter, StreamEvent} from './events.js';
 import {RunResult, StreamState} from './stream-state.js';
 import {
@@ -111,7 +111,7 @@
     }
     const remainder = splitter.takeRemainder();
     progress.streamEnd = {framing: event.framing, bytesAfterLastEvent: remainder.length};
-    const fault = findBodyFault(head, remainder);
+    const fault = findBodyFault(state, head, event, hasEvents, remainder);
     if (fault) {
       recordStep(fault);
       sent.finish('failed');
@@ -127,12 +127,20 @@
 
 /** Why a stream isn't whole that was ended with these bytes after its last complete event. */
 function findBodyFault(
+  {lastEventId}: StreamState,
   {headers}: Extract<AttemptEvent, {type: 'head'}>,
+  {framing}: Extract<AttemptEvent, {type: 'end'}>,
+  hasEvents: boolean,
   remainder: Buffer,
 ): string | undefined {
   const {contentType = EVENT_STREAM_TYPE, contentEncoding} = readBodyFields(headers);
   const body = new AnswerBody({contentType, contentEncoding});
   body.push(remainder);
+  // A resumption may have nothing left, but a closed connection doesn't say so.
+  const mayBeEmpty = lastEventId !== undefined && framing !== 'connection';
+  if (!hasEvents && !mayBeEmpty && isEventStreamType(contentType)) {
+    return 'event stream ended without an event';
+  }
   return body.findFault();
 }
 
