Log crashes of engines with the prompt parts that ran there

An engine that wasn't leaving, closed the connection of a run and refuses a new connection has crashed. Event 1850 and radishgw_engine_crashes_total tell that from resets, cuts and drains; the runs' shared parts tell whether crashes have a part in common. No request is treated differently.

--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -49,6 +49,7 @@
   quotaFallback: {number: 1820, level: 'warn', text: 'quota decided without its owner'},
   leaseAcquired: {number: 1830, level: 'info', text: 'fleet lease acquired'},
   leaseLost: {number: 1831, level: 'warn', text: 'fleet lease lost'},
+  engineCrashed: {number: 1850, level: 'warn', text: 'engine crashed with runs in progress'},
   linesDropped: {number: 1840, level: 'warn', text: 'log lines left out'},
   usageReportFailed: {number: 1702, level: 'warn', text: 'usage report failed'},
 } as const satisfies Record<string, {number: number; level: EventLevel; text: string}>;
--- /dev/null
+++ b/packages/relay/src/crash-monitor.ts
@@ -0,0 +1,89 @@
+import {connect} from 'node:net';
+import {Clock, EventLog, RequestId} from '@radishgw/core';
+import {RelayMetrics} from './metrics.js';
+import {PromptPartId} from './model.js';
+import {PooledTarget} from './target-pool.js';
+
+/** Timeout of the connection that tells a crash from a lost connection. */
+const PROBE_TIMEOUT_MS = 300;
+
+/** Time for which the result of a check holds while the engine's process is alive. */
+const RECHECK_MS = 500;
+
+/** Maximum number of runs that are named in the log. */
+const MAX_LOGGED_RUNS = 16;
+
+/** A crash of an engine and the runs of this host that were in progress there. */
+export interface ObservedCrash {
+  readonly target: PooledTarget;
+  readonly runs: readonly (readonly [RequestId, readonly PromptPartId[]])[];
+}
+
+/** Dependencies of {@link CrashMonitor}. */
+export interface CrashMonitorDependencies {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly metrics: RelayMetrics;
+  onCrash(crash: ObservedCrash): void;
+}
+
+interface Check {
+  readonly startedMs: number;
+  hasCrashed: boolean;
+  readonly result: Promise<boolean>;
+}
+
+/** Tells whether an engine that has lost the connection of a run has crashed. */
+export class CrashMonitor {
+  private readonly checks = new WeakMap<PooledTarget, Check>();
+
+  constructor(private readonly deps: CrashMonitorDependencies) {}
+
+  /**
+   * Whether an engine has crashed that ended a connection with a run in progress: its process is
+   * gone and it wasn't leaving. An engine that is cut off or silent doesn't refuse connections.
+   */
+  check(target: PooledTarget): Promise<boolean> {
+    if (target.entry.isDraining) return Promise.resolve(false);
+    const nowMs = this.deps.clock.nowMs();
+    const earlier = this.checks.get(target);
+    if (earlier && (earlier.hasCrashed || nowMs - earlier.startedMs < RECHECK_MS))
+      return earlier.result;
+    const runs = [...target.runs];
+    const result = isRefused(target.entry.address).then(hasCrashed => {
+      check.hasCrashed = hasCrashed && !target.entry.isDraining;
+      if (check.hasCrashed) this.report({target, runs});
+      return check.hasCrashed;
+    });
+    const check: Check = {startedMs: nowMs, hasCrashed: false, result};
+    this.checks.set(target, check);
+    return result;
+  }
+
+  private report(crash: ObservedCrash): void {
+    const {log, metrics} = this.deps;
+    metrics.count('engine_crashes_total');
+    log.write('engineCrashed', {
+      target: crash.target.entry.id,
+      runCount: crash.runs.length,
+      runs: crash.runs.slice(-MAX_LOGGED_RUNS).map(([request, parts]) => ({request, parts})),
+    });
+    this.deps.onCrash(crash);
+  }
+}
+
+/** Whether nothing listens at an address. */
+function isRefused(address: string): Promise<boolean> {
+  const {hostname, port} = new URL(`http://${address}`);
+  return new Promise(resolve => {
+    const socket = connect({host: hostname, port: Number(port || 80)});
+    const settle = (result: boolean) => {
+      clearTimeout(timer);
+      socket.destroy();
+      resolve(result);
+    };
+    const timer = setTimeout(() => settle(false), PROBE_TIMEOUT_MS);
+    socket.once('connect', () => settle(false));
+    socket.once('error', error => settle((error as NodeJS.ErrnoException).code === 'ECONNREFUSED'));
+  });
+}
--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -13,6 +13,7 @@
 import {readInstant} from './instant.js';
 import {EntryCodec} from './entry-codec.js';
 import {CapacityController} from './capacity-controller.js';
+import {CrashMonitor} from './crash-monitor.js';
 import {DemandMeter} from './demand-meter.js';
 import {createAttemptBudget, AttemptBudget} from './attempt-budget.js';
 import {FleetDuties} from './fleet-duties.js';
@@ -224,6 +225,7 @@
       calibration: createWaitCalibration(),
       pendingAverages: new Map(),
       demand: this.demand,
+      crashes: new CrashMonitor({clock, log, metrics: this.metrics, onCrash: () => undefined}),
       attemptBudgets: this.attemptBudgets,
       attemptBudgetSettings: settings.attemptBudget,
       revokeMs: settings.revokeMs - REVOKE_MARGIN_MS,
--- a/packages/relay/src/relay-stream.ts
+++ b/packages/relay/src/relay-stream.ts
@@ -56,7 +56,9 @@
     if (event.type === 'failed') {
       recordStep(event.detail);
       sent.finish(event.wasSent ? 'failed' : 'unreachable');
-      return event.wasSent ? {type: 'broken'} : {type: 'notRun', isUnsent: true};
+      return event.wasSent
+        ? {type: 'broken', hasLostConnection: true}
+        : {type: 'notRun', isUnsent: true};
     }
     if (event.type === 'head') {
       if (event.status !== 200) return yield* handleErrorAnswer(state, sent, event);
@@ -115,7 +117,7 @@
     if (fault) {
       recordStep(fault);
       sent.finish('failed');
-      return {type: 'broken'};
+      return {type: 'broken', hasLostConnection: event.framing === 'connection'};
     }
     if (!exchange.hasStarted) startAnswer(state, head);
     if (remainder.length > 0) void exchange.write(remainder);
--- a/packages/relay/src/request-context.ts
+++ b/packages/relay/src/request-context.ts
@@ -9,6 +9,7 @@
 } from '@radishgw/core';
 import {ClientExchange} from './client-exchange.js';
 import {ConfigView} from './config-view.js';
+import {CrashMonitor} from './crash-monitor.js';
 import {DemandMeter} from './demand-meter.js';
 import {AttemptBudget, AttemptBudgetSettings} from './attempt-budget.js';
 import {RelayMetrics} from './metrics.js';
@@ -36,6 +37,7 @@
   readonly calibration: WaitCalibration;
   readonly pendingAverages: Map<ServiceName, PendingAverage>;
   readonly demand: DemandMeter;
+  readonly crashes: CrashMonitor;
   /** Maximum age of the configuration for serving requests with an API key. */
   readonly revokeMs: number;
   /** Number of hosts that take requests, including this one. */
--- a/packages/relay/src/serve-stream.ts
+++ b/packages/relay/src/serve-stream.ts
@@ -11,6 +11,7 @@
 import {CacheSource, ServiceName} from './model.js';
 import {createPendingAverage, PendingAverage} from './pending-average.js';
 import {addPendingTokens, releaseHandle, prefillPrompt} from './prefill-prompt.js';
+import {sharedPartIds} from './prompt-quarantine.js';
 import {relayStream} from './relay-stream.js';
 import {AdmittedRequest, RelayDependencies} from './request-context.js';
 import {mayRetry, ServeOutcome, takeFromAttemptBudget} from './serve-outcome.js';
@@ -197,6 +198,8 @@
   progress.attempts++;
   const removePending = source ? () => undefined : addPendingTokens(target, state);
   if (source) recordParts(target, request.meta.promptParts, deps.clock.nowMs());
+  const {requestId} = request.meta;
+  target.runs.set(requestId, sharedPartIds(request.meta.promptParts));
   const sent = sendToTarget(deps, request, target, outgoing, state.mayRepeat);
   try {
     const sentMs = deps.clock.nowMs();
@@ -208,8 +211,10 @@
     };
     const result = yield* relayStream(state, sent, placement.waitMs, onFirstEvent);
     if (result.type === 'notRun') Object.assign(progress, progressBefore);
+    if (result.type === 'broken' && result.hasLostConnection) void deps.crashes.check(target);
     return result;
   } finally {
+    target.runs.delete(requestId);
     removePending();
     sent.finish('cancelled');
   }
--- a/packages/relay/src/stream-state.ts
+++ b/packages/relay/src/stream-state.ts
@@ -8,7 +8,7 @@
   /** The request was not sent, or the target states that it has not run it. */
   | {readonly type: 'notRun'; readonly isUnsent: boolean}
   /** The run failed or timed out. */
-  | {readonly type: 'broken'};
+  | {readonly type: 'broken'; readonly hasLostConnection?: boolean};
 
 /** State of a stream across all of its runs. */
 export interface StreamState {
--- a/packages/relay/src/target-pool.ts
+++ b/packages/relay/src/target-pool.ts
@@ -1,4 +1,4 @@
-import {AnswerBuffer, AnswerMemory, Clock, EventLog, TargetId} from '@radishgw/core';
+import {AnswerBuffer, AnswerMemory, Clock, EventLog, RequestId, TargetId} from '@radishgw/core';
 import {
   AttemptOutcome,
   DEFAULT_HEALTH_SETTINGS,
@@ -7,7 +7,7 @@
   recordHealthOutcome,
   recordHealthProgress,
 } from '@radishgw/scheduling';
-import {ServiceName, TargetEntry, TargetList} from './model.js';
+import {PromptPartId, ServiceName, TargetEntry, TargetList} from './model.js';
 import {Attempt, OutgoingRequest, TargetConnections} from './target-connections.js';
 import {createTargetState, TargetState} from './target-state.js';
 import {createTargetView, isSameIncarnation, updateTargets} from './target-view.js';
@@ -22,6 +22,8 @@
 /** A target with its connections. */
 export interface PooledTarget extends TargetState {
   readonly connections: TargetConnections;
+  /** Runs of this host that are in progress, with the shared parts of their prompts. */
+  readonly runs: Map<RequestId, readonly PromptPartId[]>;
 }
 
 /** The known targets with their connections and state, by service. */
@@ -128,6 +130,7 @@
     const target: PooledTarget = {
       ...createTargetState(entry, this.clock.nowMs()),
       connections: new TargetConnections(entry.address, this.clock),
+      runs: new Map(),
     };
     this.targets.set(entry.id, target);
     return target;
