Refuse prompts with parts that crash engines, on all hosts

A host now reports each crash of an engine with the parts that ran there, without those that ended whole within a minute, in an object of its own in the store. All hosts read these objects with the hosts' records, also before they are ready, and decide by the same pure function. Requests with a quarantined set of parts are refused before quota is taken and before each prefill and run. Before that, a prompt that may be the cause ends after two crashes. Ten minutes after the last crash one request at a time may show that the engines were mended; a whole run anywhere ends a quarantine.

--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -50,6 +50,13 @@
   leaseAcquired: {number: 1830, level: 'info', text: 'fleet lease acquired'},
   leaseLost: {number: 1831, level: 'warn', text: 'fleet lease lost'},
   engineCrashed: {number: 1850, level: 'warn', text: 'engine crashed with runs in progress'},
+  promptQuarantined: {
+    number: 1851,
+    level: 'error',
+    text: 'prompt parts crash engines and are refused',
+  },
+  promptQuarantineEnded: {number: 1852, level: 'info', text: 'prompt parts are served again'},
+  promptProbed: {number: 1853, level: 'info', text: 'request tries quarantined prompt parts'},
   linesDropped: {number: 1840, level: 'warn', text: 'log lines left out'},
   usageReportFailed: {number: 1702, level: 'warn', text: 'usage report failed'},
 } as const satisfies Record<string, {number: number; level: EventLevel; text: string}>;
--- a/packages/relay/src/crash-monitor.ts
+++ b/packages/relay/src/crash-monitor.ts
@@ -7,8 +7,8 @@
 /** Timeout of the connection that tells a crash from a lost connection. */
 const PROBE_TIMEOUT_MS = 300;
 
-/** Time for which the result of a check holds while the engine's process is alive. */
-const RECHECK_MS = 500;
+/** Connections that an engine loses within this time are checked once. */
+const SAME_LOSS_MS = 20;
 
 /** Maximum number of runs that are named in the log. */
 const MAX_LOGGED_RUNS = 16;
@@ -47,7 +47,7 @@
     if (target.entry.isDraining) return Promise.resolve(false);
     const nowMs = this.deps.clock.nowMs();
     const earlier = this.checks.get(target);
-    if (earlier && (earlier.hasCrashed || nowMs - earlier.startedMs < RECHECK_MS))
+    if (earlier && (earlier.hasCrashed || nowMs - earlier.startedMs < SAME_LOSS_MS))
       return earlier.result;
     const runs = [...target.runs];
     const result = isRefused(target.entry.address).then(hasCrashed => {
--- a/packages/relay/src/fleet-duties.ts
+++ b/packages/relay/src/fleet-duties.ts
@@ -22,7 +22,9 @@
   observeLease,
 } from './lease.js';
 import {DutyClient} from './model.js';
-import {SharedReads} from './shared-reads.js';
+import {CrashEvidence} from './prompt-quarantine.js';
+import {hasExpired} from './quarantine-service.js';
+import {SharedHosts, SharedReads} from './shared-reads.js';
 import {StageController} from './stage-controller.js';
 import {DependencyMonitor, FrozenWindow, SharedState, SharedStore} from './store-sync.js';
 import {sumWindow, windowIndexAt} from './usage-ledger.js';
@@ -56,6 +58,8 @@
   readonly stages: StageController;
   /** Called with the complete records after a direct read. */
   onRecords(records: readonly HostRecord[]): void;
+  /** Called with the evidence on crashes of engines, by host, after each read. */
+  onEvidence(evidence: ReadonlyMap<HostId, CrashEvidence>): void;
   /** Called when the registry has changed. */
   onHosts(): void;
   isStopping(): boolean;
@@ -110,7 +114,9 @@
     updateHosts(deps.registry, state.hosts, readAt);
     deps.onRecords(state.hosts);
     const hosts = readyHosts(deps.registry, this.lastReadMs);
-    deps.reads.publish('hosts', state.hosts.map(omitVolatileFields), sentAt);
+    deps.onEvidence(state.evidence);
+    const records = state.hosts.map(omitVolatileFields);
+    deps.reads.publish('hosts', {records, evidence: state.evidence}, sentAt);
     deps.reads.publish('beats', state.hosts.map(toHeartbeat), sentAt);
     deps.onHosts();
     const now = readInstant(deps.clock);
@@ -119,6 +125,7 @@
     this.logHolderChange();
     if (this.currentTerm() === undefined) return;
     yield* this.reportUsage(state);
+    yield* this.removeExpiredEvidence(state);
     yield* deps.capacity.step(hosts, () => this.currentTerm());
     yield* deps.stages.step(() => this.currentTerm());
   }
@@ -134,14 +141,19 @@
   /** Fetches the records from this host's reader; false if that isn't possible. */
   private *readShared(): Procedure<boolean> {
     const {deps} = this;
-    const records = yield* deps.reads.fetch<readonly HostRecord[]>('hosts');
-    const heartbeats = records && (yield* deps.reads.fetch<readonly HostHeartbeat[]>('beats'));
+    const hosts = yield* deps.reads.fetch<SharedHosts>('hosts');
+    const heartbeats = hosts && (yield* deps.reads.fetch<readonly HostHeartbeat[]>('beats'));
     if (!heartbeats) return false;
+    deps.onEvidence(hosts.value.evidence);
     const asOfMs = heartbeats.asOf.monotonicMs;
     // Records are dated by the reader's own read, so that the fetch doesn't add to their age.
     if (asOfMs > this.lastReadMs) {
       this.lastReadMs = asOfMs;
-      updateHosts(deps.registry, mergeHeartbeats(records.value, heartbeats.value), heartbeats.asOf);
+      updateHosts(
+        deps.registry,
+        mergeHeartbeats(hosts.value.records, heartbeats.value),
+        heartbeats.asOf,
+      );
       deps.onHosts();
     }
     this.logHolderChange();
@@ -197,6 +209,14 @@
     }
   }
 
+  private *removeExpiredEvidence({evidence}: SharedState): Procedure<void> {
+    const {clock, shared} = this.deps;
+    const nowMs = clock.now().getTime();
+    for (const [hostId, entry] of evidence) {
+      if (hasExpired(entry, nowMs)) yield* call(() => shared.removeEvidence(hostId));
+    }
+  }
+
   private *freeze(state: SharedState, windowIndex: number): Procedure<FrozenWindow | undefined> {
     const {deps} = this;
     const counts = sumWindow(
--- a/packages/relay/src/prompt-quarantine.ts
+++ b/packages/relay/src/prompt-quarantine.ts
@@ -29,6 +29,20 @@
   readonly sound: readonly SoundPart[];
 }
 
+/** Checks evidence that was read from the store; throws a TypeError if it has another shape. */
+export function parseEvidence(value: unknown): CrashEvidence {
+  const {crashes, sound} = value as Partial<CrashEvidence>;
+  const isRun = ({requestId, parts}: CrashedRun) =>
+    typeof requestId === 'string' && Array.isArray(parts);
+  const isCrash = ({incarnation, atMs, runs}: EngineCrash) =>
+    typeof incarnation === 'string' && Number.isFinite(atMs) && runs.every(isRun);
+  const isSound = ({part, atMs}: SoundPart) => typeof part === 'string' && Number.isFinite(atMs);
+  if (!crashes!.every(isCrash) || !sound!.every(isSound)) {
+    throw new TypeError('evidence on crashes is malformed');
+  }
+  return {crashes: crashes!, sound: sound!};
+}
+
 /** A set of prompt parts that crashes engines; requests that have all of them are refused. */
 export interface Quarantine {
   readonly parts: readonly PromptPartId[];
--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -29,6 +29,7 @@
 import {RelayMetrics} from './metrics.js';
 import {DutyClient, RelayCodec, RelayConfig, ServiceName} from './model.js';
 import {PeerClient} from './peer-client.js';
+import {QuarantineService} from './quarantine-service.js';
 import {QuotaClient} from './quota-client.js';
 import {RecordWriter} from './record-writer.js';
 import {RelayDependencies} from './request-context.js';
@@ -94,6 +95,7 @@
   private readonly targets: TargetPool;
   private readonly peers = new PeerClient();
   private readonly quota: QuotaClient;
+  private readonly quarantine: QuarantineService;
   private readonly reads: SharedReads;
   private readonly clientServer: ClientServer;
   private readonly shared: SharedStore;
@@ -111,8 +113,16 @@
     this.targets = new TargetPool(clock, log);
     this.quota = new QuotaClient(settings.hostId, this.configView, clock, log, this.peers);
     this.reads = this.createReads();
-    this.clientServer = new ClientServer(this.createDependencies());
     this.shared = new SharedStore(options.store, log);
+    this.quarantine = new QuarantineService({
+      hostId: settings.hostId,
+      clock,
+      log,
+      metrics: this.metrics,
+      write: evidence => this.shared.writeEvidence(settings.hostId, evidence),
+      listHosts: () => this.listReady().map(host => host.hostId),
+    });
+    this.clientServer = new ClientServer(this.createDependencies());
     this.monitor = new DependencyMonitor('store', clock, log);
     this.duties = this.createDuties();
     this.records = this.createRecords();
@@ -162,6 +172,7 @@
     ]);
     startLoop(this.duties.run());
     startLoop(this.records.run());
+    startLoop(this.quarantine.run());
     log.write('hostStarted', {host: settings.hostId, incarnation: this.incarnation});
   }
 
@@ -225,7 +236,13 @@
       calibration: createWaitCalibration(),
       pendingAverages: new Map(),
       demand: this.demand,
-      crashes: new CrashMonitor({clock, log, metrics: this.metrics, onCrash: () => undefined}),
+      crashes: new CrashMonitor({
+        clock,
+        log,
+        metrics: this.metrics,
+        onCrash: crash => this.quarantine.recordCrash(crash),
+      }),
+      quarantine: this.quarantine,
       attemptBudgets: this.attemptBudgets,
       attemptBudgetSettings: settings.attemptBudget,
       revokeMs: settings.revokeMs - REVOKE_MARGIN_MS,
@@ -283,6 +300,7 @@
       leaseTimes: settings.leaseTimes,
       usageWindowMs: settings.usageWindowMs,
       onRecords: records => this.restoreUsage(records),
+      onEvidence: evidence => this.quarantine.applyEvidence(evidence),
       onHosts: () => this.applyHosts(),
       isStopping: () => this.stopAtMs !== undefined,
       capacity: new CapacityController({
@@ -387,6 +405,7 @@
       `radishgw_in_flight ${this.clientServer.inFlight}`,
       `radishgw_connections_opened ${opened}`,
       `radishgw_buffered_answer_bytes ${this.targets.bufferedBytes}`,
+      `radishgw_prompt_quarantines ${this.quarantine.count}`,
       `radishgw_ready ${this.isReady ? 1 : 0}`,
     ];
     return this.metrics.format() + gauges.join('\n') + '\n';
--- a/packages/relay/src/request-context.ts
+++ b/packages/relay/src/request-context.ts
@@ -13,8 +13,9 @@
 import {DemandMeter} from './demand-meter.js';
 import {AttemptBudget, AttemptBudgetSettings} from './attempt-budget.js';
 import {RelayMetrics} from './metrics.js';
-import {RelayCodec, RequestMeta, Route, ServiceName, Team} from './model.js';
+import {PromptPartId, RelayCodec, RequestMeta, Route, ServiceName, Team} from './model.js';
 import {PendingAverage} from './pending-average.js';
+import {QuarantineService} from './quarantine-service.js';
 import {QuotaClient} from './quota-client.js';
 import {BodyFraming} from './target-connections.js';
 import {TargetPool} from './target-pool.js';
@@ -38,6 +39,7 @@
   readonly pendingAverages: Map<ServiceName, PendingAverage>;
   readonly demand: DemandMeter;
   readonly crashes: CrashMonitor;
+  readonly quarantine: QuarantineService;
   /** Maximum age of the configuration for serving requests with an API key. */
   readonly revokeMs: number;
   /** Number of hosts that take requests, including this one. */
@@ -53,6 +55,8 @@
 export interface AdmittedRequest {
   readonly exchange: ClientExchange;
   readonly meta: RequestMeta;
+  /** Parts of the prompt that other requests may share. */
+  readonly sharedParts: readonly PromptPartId[];
   readonly route: Route;
   readonly service: ServiceName;
   readonly team: Team | undefined;
--- a/packages/relay/src/serve-request.ts
+++ b/packages/relay/src/serve-request.ts
@@ -3,6 +3,7 @@
 import {configAgeMs, isConfigFresh} from './config-view.js';
 import {readInstant} from './instant.js';
 import {RelayConfig, RequestMeta, Route, Team} from './model.js';
+import {sharedPartIds} from './prompt-quarantine.js';
 import {RefusalName, writeRefusal} from './refusals.js';
 import {AdmittedRequest, RelayDependencies} from './request-context.js';
 import {chooseService, findRoute} from './route-table.js';
@@ -35,6 +36,7 @@
   const admitted = yield* admit(deps, exchange);
   if ('type' in admitted) {
     finish(deps, exchange, undefined, admitted);
+    releaseProbe(deps, exchange);
     return;
   }
   exchange.onClose(() => admitted.buffer.resize(0));
@@ -48,9 +50,16 @@
     timer.cancel();
     if (exchange.isDisconnected) recordOutcome(deps, exchange, admitted, {type: 'left'});
     returnUnusedQuota(deps, admitted);
+    deps.quarantine.release(admitted.meta.requestId);
   }
 }
 
+/** Lets another request probe a quarantine if this one was refused after it had been chosen. */
+function releaseProbe(deps: RelayDependencies, exchange: ClientExchange): void {
+  const meta = deps.codec.readRequest(exchange.headers);
+  if ('requestId' in meta) deps.quarantine.release(meta.requestId);
+}
+
 /** Sends the final answer of a request whose deadline has passed, and cancels its attempt. */
 function expire(deps: RelayDependencies, request: AdmittedRequest): void {
   const {exchange, progress} = request;
@@ -90,12 +99,18 @@
   if (team === 'unknown') return refuse('keyUnknown');
   const service = chooseService(route, deps.random);
   if (!service || !config.services.has(service)) return refuse('noTarget');
+  const sharedParts = sharedPartIds(meta.promptParts);
+  const admission = deps.quarantine.admit(meta.requestId, sharedParts);
+  if (admission.type === 'refused') {
+    return {...refuse('promptQuarantined'), inputs: {quarantine: admission.quarantine}};
+  }
   deps.demand.record(service, meta.promptTokens ?? 0, deps.clock.nowMs());
   const quotaRefusal = yield* takeRequestQuota(deps, team, meta);
   if (quotaRefusal) return quotaRefusal;
   return {
     exchange,
     meta,
+    sharedParts,
     route,
     service,
     team: team === 'anonymous' ? undefined : team,
--- a/packages/relay/src/serve-stream.ts
+++ b/packages/relay/src/serve-stream.ts
@@ -1,4 +1,4 @@
-import {Procedure, TargetId} from '@radishgw/core';
+import {call, Procedure, TargetId} from '@radishgw/core';
 import {
   confirmDecode,
   DEFAULT_ENGINE_ESTIMATES,
@@ -11,7 +11,6 @@
 import {CacheSource, ServiceName} from './model.js';
 import {createPendingAverage, PendingAverage} from './pending-average.js';
 import {addPendingTokens, releaseHandle, prefillPrompt} from './prefill-prompt.js';
-import {sharedPartIds} from './prompt-quarantine.js';
 import {relayStream} from './relay-stream.js';
 import {AdmittedRequest, RelayDependencies} from './request-context.js';
 import {mayRetry, ServeOutcome, takeFromAttemptBudget} from './serve-outcome.js';
@@ -30,6 +29,9 @@
 /** Minimum retry delay sent with a refusal: a queue takes about 100 ms to shorten. */
 const MIN_RETRY_AFTER_MS = 200;
 
+/** Number of engines that may crash under a prompt that may be the cause. */
+const MAX_CRASHES = 2;
+
 /** Serves an event stream from an engine and resumes it at another one if the route allows it. */
 export function* serveStream(
   deps: RelayDependencies,
@@ -45,10 +47,12 @@
     tried,
     lastEventId: meta.lastEventId,
     eventCount: 0,
+    crashCount: 0,
     hasPrefilled: false,
   };
   recordRequest(deps.attemptBudgets.get(service)!, deps.clock.nowMs());
   for (;;) {
+    if (!mayRun(state)) return failStream(state, 'promptQuarantined');
     const placement = choosePlacement(state, !exchange.hasStarted);
     if (placement.type === 'none') return failStream(state, 'noTarget');
     const leftMs = request.deadlineAtMs - deps.clock.nowMs();
@@ -146,7 +150,23 @@
   });
 }
 
-function failStream({request}: StreamState, refusal: 'noTarget' | 'overloaded'): ServeOutcome {
+/**
+ * Whether a prompt may be sent to an engine, by what is known of it and by the engines that have
+ * crashed under it. One more run of a prompt that may be the cause resumes those that aren't.
+ */
+function mayRun({deps, request, crashCount}: StreamState): boolean {
+  const {meta, sharedParts} = request;
+  const admission = deps.quarantine.admit(meta.requestId, sharedParts);
+  if (admission.type === 'refused') return false;
+  if (crashCount === 0) return true;
+  if (admission.type === 'probe' || crashCount >= MAX_CRASHES) return false;
+  return deps.quarantine.suspicionOf(sharedParts) < MAX_CRASHES;
+}
+
+function failStream(
+  {request}: StreamState,
+  refusal: 'noTarget' | 'overloaded' | 'promptQuarantined',
+): ServeOutcome {
   if (request.exchange.hasStarted) return {type: 'brokenOff'};
   return {type: 'refused', refusal: request.progress.mayHaveRun ? 'outcomeUnknown' : refusal};
 }
@@ -164,6 +184,7 @@
   let isSourceUsed = false;
   try {
     for (;;) {
+      if (!mayRun(state)) return {type: 'notRun', isUnsent: true};
       const targets = deps.targets.forService(request.service);
       const nowMs = deps.clock.nowMs();
       const decode = confirmDecode(targets, placement, tried, nowMs, DEFAULT_ENGINE_ESTIMATES);
@@ -198,8 +219,8 @@
   progress.attempts++;
   const removePending = source ? () => undefined : addPendingTokens(target, state);
   if (source) recordParts(target, request.meta.promptParts, deps.clock.nowMs());
-  const {requestId} = request.meta;
-  target.runs.set(requestId, sharedPartIds(request.meta.promptParts));
+  const {meta, sharedParts} = request;
+  target.runs.set(meta.requestId, sharedParts);
   const sent = sendToTarget(deps, request, target, outgoing, state.mayRepeat);
   try {
     const sentMs = deps.clock.nowMs();
@@ -211,11 +232,32 @@
     };
     const result = yield* relayStream(state, sent, placement.waitMs, onFirstEvent);
     if (result.type === 'notRun') Object.assign(progress, progressBefore);
-    if (result.type === 'broken' && result.hasLostConnection) void deps.crashes.check(target);
+    yield* recordEnd(state, target, result);
     return result;
   } finally {
-    target.runs.delete(requestId);
+    target.runs.delete(meta.requestId);
     removePending();
     sent.finish('cancelled');
   }
 }
+
+/** Records what the end of a run says about its engine and its prompt. */
+function* recordEnd(state: StreamState, target: PooledTarget, result: RunResult): Procedure<void> {
+  const {crashes, quarantine} = state.deps;
+  const {sharedParts, progress} = state.request;
+  const hasSuspects = quarantine.hasSuspects(sharedParts);
+  if (result.type === 'broken' && result.hasLostConnection) {
+    const check = crashes.check(target);
+    // Only a prompt that may be the cause has to wait.
+    if (hasSuspects && (yield* call(() => check))) state.crashCount++;
+    return;
+  }
+  if (result.type !== 'done' || result.outcome.type !== 'streamed') return;
+  if (progress.streamEnd?.framing !== 'connection') quarantine.recordWhole(sharedParts);
+  else if (hasSuspects) {
+    // A crash between two events closes the connection as well.
+    void crashes.check(target).then(hasCrashed => {
+      if (!hasCrashed) quarantine.recordWhole(sharedParts);
+    });
+  }
+}
--- a/packages/relay/src/shared-reads.ts
+++ b/packages/relay/src/shared-reads.ts
@@ -1,10 +1,11 @@
-import {call, Clock, Err, EventLog, HostId, Ok, Procedure, Result} from '@radishgw/core';
+import {call, Clock, Err, EventLog, HostId, Ok, Procedure, Result, toId} from '@radishgw/core';
 import {PlatformAnswer, PlatformError} from '@radishgw/coordination';
 
 import {Instant, maxElapsedMs, readInstant} from './instant.js';
 import {HostHeartbeat, HostRecord} from './host-registry.js';
 import {RelayConfig, TargetList} from './model.js';
 import {PeerClient} from './peer-client.js';
+import {CrashEvidence} from './prompt-quarantine.js';
 import {joinConfig, splitConfig} from './shared-config.js';
 
 /** Path at which a reader shares what it has read with other hosts. */
@@ -33,6 +34,32 @@
   readonly maxChangedChars?: number;
 }
 
+/** Records of the hosts and their evidence on crashes of engines. */
+export interface SharedHosts {
+  readonly records: readonly HostRecord[];
+  readonly evidence: ReadonlyMap<HostId, CrashEvidence>;
+}
+
+const RECORD_PREFIX = 'record/';
+const EVIDENCE_PREFIX = 'evidence/';
+
+function splitHosts({records, evidence}: SharedHosts): (readonly [string, unknown])[] {
+  return [
+    ...records.map(record => [RECORD_PREFIX + record.hostId, record] as const),
+    ...[...evidence].map(([hostId, entry]) => [EVIDENCE_PREFIX + hostId, entry] as const),
+  ];
+}
+
+function joinHosts(entries: ReadonlyMap<string, unknown>): SharedHosts {
+  const records: HostRecord[] = [];
+  const evidence = new Map<HostId, CrashEvidence>();
+  for (const [key, entry] of entries) {
+    if (key.startsWith(RECORD_PREFIX)) records.push(entry as HostRecord);
+    else evidence.set(toId<HostId>(key.slice(EVIDENCE_PREFIX.length)), entry as CrashEvidence);
+  }
+  return {records, evidence};
+}
+
 const KINDS: Readonly<Record<SharedKind, KindHandler>> = {
   config: {
     maxAgeMs: 1000,
@@ -50,8 +77,8 @@
   },
   hosts: {
     maxAgeMs: 2500,
-    split: value => (value as readonly HostRecord[]).map(record => [record.hostId, record]),
-    join: entries => [...entries.values()],
+    split: value => splitHosts(value as SharedHosts),
+    join: entries => joinHosts(entries),
   },
   beats: {
     maxAgeMs: 2500,
--- a/packages/relay/src/store-sync.ts
+++ b/packages/relay/src/store-sync.ts
@@ -1,9 +1,10 @@
-import {Clock, EventLog, Procedure, sleep} from '@radishgw/core';
+import {Clock, EventLog, HostId, Procedure, sleep, toId} from '@radishgw/core';
 import {ObjectStore, PlatformAnswer, PlatformError} from '@radishgw/coordination';
 import {confirmConfig, ConfigView} from './config-view.js';
 import {HostRecord, selectNewestRecords} from './host-registry.js';
 import {LeaseRecord} from './lease.js';
 import {RelayConfig, TargetList, WindowCounts} from './model.js';
+import {CrashEvidence, parseEvidence} from './prompt-quarantine.js';
 import {DatedValue, SharedReads} from './shared-reads.js';
 
 /** Reads the objects that other processes write to the store. All reads are linearizable. */
@@ -139,12 +140,15 @@
   readonly hosts: readonly HostRecord[];
   readonly lease: {readonly record: LeaseRecord; readonly revision: number} | undefined;
   readonly frozen: ReadonlyMap<number, FrozenWindow>;
+  /** Evidence on crashes of engines, by the host that has written it. */
+  readonly evidence: ReadonlyMap<HostId, CrashEvidence>;
 }
 
 const STATE_PREFIX = 'radishgw/';
 const HOST_PREFIX = `${STATE_PREFIX}host.`;
 const LEASE_KEY = `${STATE_PREFIX}lease`;
 const WINDOW_PREFIX = `${STATE_PREFIX}window.`;
+const CRASHES_PREFIX = `${STATE_PREFIX}crashes.`;
 
 /** Reads and writes the hosts' objects in the store. */
 export class SharedStore {
@@ -158,6 +162,7 @@
     return answer.map(({objects}) => {
       const hosts: HostRecord[] = [];
       const frozen = new Map<number, FrozenWindow>();
+      const evidence = new Map<HostId, CrashEvidence>();
       let lease: SharedState['lease'];
       for (const {key, revision, value} of objects) {
         try {
@@ -167,12 +172,15 @@
           else if (key.startsWith(WINDOW_PREFIX)) {
             const window = record as FrozenWindow;
             frozen.set(window.windowIndex, window);
+          } else if (key.startsWith(CRASHES_PREFIX)) {
+            const hostId = toId<HostId>(key.slice(CRASHES_PREFIX.length));
+            evidence.set(hostId, parseEvidence(record));
           }
         } catch (error) {
           this.log.write('entryRejected', {key, cause: String(error)});
         }
       }
-      return {hosts: selectNewestRecords(hosts), lease, frozen};
+      return {hosts: selectNewestRecords(hosts), lease, frozen, evidence};
     });
   }
 
@@ -190,6 +198,14 @@
     return this.store.put(key, JSON.stringify(window), {ifRevision: 0});
   }
 
+  writeEvidence(hostId: HostId, evidence: CrashEvidence): PlatformAnswer<number> {
+    return this.store.put(CRASHES_PREFIX + hostId, JSON.stringify(evidence));
+  }
+
+  removeEvidence(hostId: HostId): PlatformAnswer<number> {
+    return this.store.remove(CRASHES_PREFIX + hostId);
+  }
+
   removeWindow(windowIndex: number): PlatformAnswer<number> {
     return this.store.remove(WINDOW_PREFIX + windowIndex);
   }
