--- /dev/null
+++ b/packages/relay/test/quarantine-service.test.ts
@@ -0,0 +1,226 @@
+import {createHandlers, Err, HostId, Ok, RequestId, startTask, toId} from '@radishgw/core';
+import {LogFields, Task, VirtualClock} from '@radishgw/core';
+import {expect} from 'chai';
+import {ObservedCrash} from '../src/crash-monitor.js';
+import {RelayMetrics} from '../src/metrics.js';
+import {PromptPartId} from '../src/index.js';
+import {CrashEvidence, EVIDENCE_MS, QUARANTINE_MS, SOUND_MS} from '../src/prompt-quarantine.js';
+import {hasExpired, QuarantineService} from '../src/quarantine-service.js';
+import {makeEntry} from './fixtures.js';
+
+const HOSTS = ['host-a', 'host-b', 'host-c'].map(id => toId<HostId>(id));
+const ids = (...names: readonly string[]) => names.map(name => toId<PromptPartId>(name));
+
+/** Hosts that share their evidence through a map instead of a store. */
+class Pool {
+  readonly clock = new VirtualClock(new Date(1_000_000_000_000));
+  readonly stored = new Map<HostId, CrashEvidence>();
+  readonly services = new Map<HostId, QuarantineService>();
+  readonly events: {readonly event: string; readonly fields: LogFields}[] = [];
+  writeCount = 0;
+  isStoreDown = false;
+  private readonly tasks: Task<void>[] = [];
+  private requestCount = 0;
+
+  constructor() {
+    for (const id of HOSTS) this.startHost(id);
+  }
+
+  startHost(hostId: HostId): void {
+    const service = new QuarantineService({
+      hostId,
+      clock: this.clock,
+      log: {write: (event, fields = {}) => void this.events.push({event, fields})},
+      metrics: new RelayMetrics(),
+      write: evidence => {
+        if (this.isStoreDown) return Promise.resolve(Err({kind: 'unavailable', detail: 'down'}));
+        this.writeCount++;
+        this.stored.set(hostId, evidence);
+        return Promise.resolve(Ok(1));
+      },
+      listHosts: () => HOSTS,
+    });
+    this.services.set(hostId, service);
+    this.tasks.push(startTask(service.run(), createHandlers(this.clock)));
+  }
+
+  stop(): void {
+    for (const task of this.tasks) task.cancel();
+  }
+
+  host(index: number): QuarantineService {
+    return this.services.get(HOSTS[index])!;
+  }
+
+  nextRequest(): RequestId {
+    return toId<RequestId>(`r-${this.requestCount++}`);
+  }
+
+  /** Crashes an engine a second later under a request of one host. */
+  crash(host: number, ...names: readonly string[]): void {
+    this.clock.advance(1000);
+    const request = this.nextRequest();
+    const target = {entry: makeEntry(`engine-${request}`)} as ObservedCrash['target'];
+    this.host(host).recordCrash({target, runs: [[request, ids(...names)]]});
+  }
+
+  /** Lets all hosts read and write twice, so that answers to suspicions arrive as well. */
+  async share(): Promise<void> {
+    for (let round = 0; round < 2; round++) {
+      for (const service of this.services.values()) service.applyEvidence(this.stored);
+      this.clock.advance(400);
+      for (let i = 0; i < 4; i++) await new Promise(resolve => setImmediate(resolve));
+      if (this.isStoreDown) continue;
+      for (const service of this.services.values()) service.applyEvidence(this.stored);
+    }
+  }
+
+  /** What each host decides about a new request. */
+  decide(...names: readonly string[]): readonly string[] {
+    return [...this.services.values()].map(service => {
+      const request = this.nextRequest();
+      const {type} = service.admit(request, ids(...names));
+      service.release(request);
+      return type;
+    });
+  }
+}
+
+const ALL_ALLOWED = ['allowed', 'allowed', 'allowed'];
+const ALL_REFUSED = ['refused', 'refused', 'refused'];
+
+describe('quarantine service', () => {
+  let pool: Pool;
+  beforeEach(() => (pool = new Pool()));
+  afterEach(() => pool.stop());
+
+  /** Four crashes that three hosts see, and the time to share them. */
+  async function quarantine(...names: readonly string[]): Promise<void> {
+    for (const host of [0, 1, 2, 0]) pool.crash(host, ...names);
+    await pool.share();
+  }
+
+  it('refuses a part on all hosts once they have shared their crashes', async () => {
+    await quarantine('first', 'bad');
+    expect(pool.decide('first', 'bad', 'middle')).to.deep.equal(ALL_REFUSED);
+    expect(pool.decide('first', 'middle')).to.deep.equal(ALL_ALLOWED);
+  });
+
+  it('refuses a part on a host that starts with an empty memory', async () => {
+    await quarantine('bad');
+    pool.startHost(HOSTS[1]);
+    pool.host(1).applyEvidence(pool.stored);
+    expect(pool.decide('bad')).to.deep.equal(ALL_REFUSED);
+  });
+
+  it('keeps the evidence of an earlier life when a restarted host sees a crash', async () => {
+    await quarantine('bad');
+    pool.startHost(HOSTS[0]);
+    pool.crash(0, 'bad');
+    await pool.share();
+    expect(pool.stored.get(HOSTS[0])!.crashes).to.have.length(3);
+  });
+
+  it('lets hosts that know of whole runs clear what others suspect', async () => {
+    pool.host(2).recordWhole(ids('rare'));
+    for (let i = 0; i < 4; i++) pool.crash(i % 2, 'rare');
+    await pool.share();
+    expect(pool.decide('rare')).to.deep.equal(ALL_ALLOWED);
+  });
+
+  it('ends a quarantine when a run ends whole on any host', async () => {
+    await quarantine('part');
+    pool.host(1).recordWhole(ids('part'));
+    await pool.share();
+    expect(pool.decide('part')).to.deep.equal(ALL_ALLOWED);
+    expect(pool.events.map(({event}) => event)).to.include('promptQuarantineEnded');
+  });
+
+  it('writes nothing for crashes without a suspect', async () => {
+    pool.host(0).recordWhole(ids('first'));
+    pool.crash(0, 'first');
+    pool.crash(0);
+    await pool.share();
+    expect(pool.writeCount).to.equal(0);
+  });
+
+  it('lets one request at a time try ten minutes after the last crash', async () => {
+    await quarantine('bad');
+    pool.clock.advance(QUARANTINE_MS);
+    const requests = [0, 1, 2].map(() => pool.nextRequest());
+    const tryAll = () =>
+      [...pool.services.values()].map((service, i) => service.admit(requests[i], ids('bad')).type);
+    expect(tryAll().sort()).to.deep.equal(['probe', 'refused', 'refused']);
+    const prober = tryAll().indexOf('probe');
+    expect(pool.host(prober).admit(pool.nextRequest(), ids('bad')).type).to.equal('refused');
+    pool.host(prober).release(requests[prober]);
+    expect(pool.host(prober).admit(pool.nextRequest(), ids('bad')).type).to.equal('probe');
+  });
+
+  it('starts anew after a crash of the request that tried', async () => {
+    await quarantine('bad');
+    pool.clock.advance(QUARANTINE_MS);
+    pool.crash(0, 'bad');
+    await pool.share();
+    expect(pool.decide('bad')).to.deep.equal(ALL_REFUSED);
+  });
+
+  it('ends a quarantine whose evidence operators have removed', async () => {
+    await quarantine('bad');
+    pool.clock.advance(6000);
+    pool.stored.clear();
+    await pool.share();
+    expect(pool.decide('bad')).to.deep.equal(ALL_ALLOWED);
+  });
+
+  it('decides by its own crashes while the store is down, and reports them later', async () => {
+    await pool.share();
+    pool.isStoreDown = true;
+    for (let i = 0; i < 4; i++) pool.crash(0, 'bad');
+    pool.clock.advance(400);
+    await new Promise(resolve => setImmediate(resolve));
+    expect(pool.decide('bad')).to.deep.equal(['refused', 'allowed', 'allowed']);
+    pool.isStoreDown = false;
+    pool.clock.advance(400);
+    await pool.share();
+    expect(pool.decide('bad')).to.deep.equal(ALL_REFUSED);
+  });
+
+  it('bounds what it remembers and reports under prompts of random parts', async () => {
+    const random = (count: number, name: string) =>
+      Array.from({length: count}, (_, i) => `${name}-${i}`);
+    for (let i = 0; i < 20; i++) {
+      pool.clock.advance(1000);
+      const runs = random(64, `run-${i}`).map(
+        name => [toId<RequestId>(name), ids(...random(40, name))] as const,
+      );
+      const target = {entry: makeEntry(`engine-${i}`)} as ObservedCrash['target'];
+      pool.host(0).recordCrash({target, runs});
+      pool.host(0).recordWhole(ids(...random(9000, `whole-${i}`)));
+    }
+    await pool.share();
+    const evidence = pool.stored.get(HOSTS[0])!;
+    expect(evidence.crashes).to.have.length(16);
+    expect(JSON.stringify(evidence).length).to.be.lessThan(100_000);
+    expect(pool.writeCount).to.be.at.most(2);
+  });
+
+  it('keeps a prompt that is known to be sound from waiting or ending after a crash', () => {
+    pool.host(0).recordWhole(ids('first', 'middle'));
+    expect(pool.host(0).hasSuspects(ids('first', 'middle'))).to.equal(false);
+    pool.crash(0, 'first', 'new');
+    pool.crash(0, 'first', 'new');
+    expect(pool.host(0).suspicionOf(ids('first', 'middle'))).to.equal(0);
+    expect(pool.host(0).suspicionOf(ids('first', 'new'))).to.equal(2);
+    pool.clock.advance(SOUND_MS + 1);
+    expect(pool.host(0).hasSuspects(ids('first', 'middle'))).to.equal(true);
+  });
+
+  it('tells evidence that may be removed', async () => {
+    await quarantine('bad');
+    const evidence = pool.stored.get(HOSTS[0])!;
+    const nowMs = pool.clock.now().getTime();
+    expect(hasExpired(evidence, nowMs)).to.equal(false);
+    expect(hasExpired(evidence, nowMs + EVIDENCE_MS + 5000)).to.equal(true);
+  });
+});
