Don't take a prompt part that all prompts share for the cause of crashes

Engines had crashed from the start, no run with the first part had ended whole, and one crash was reported without the bad part, as the host that ran it had been killed. The first part explained 8 crashes, the bad one 7, so the parts in common were the first part alone.

The number of crashes doesn't tell the cause from what runs everywhere. Each request with the cause crashes an engine, so the part with the fewest requests for each crash is taken, and none with more than four. The two new tests fail without the change.

--- a/packages/relay/src/prompt-quarantine.ts
+++ b/packages/relay/src/prompt-quarantine.ts
@@ -68,6 +68,9 @@
 /** Minimum number of requests, so that one unlucky request that is retried is no evidence. */
 const MIN_REQUESTS = 3;
 
+/** Maximum number of requests for each crash; a part with more is one that many prompts share. */
+const MAX_REQUESTS_PER_CRASH = 4;
+
 /** Key of a quarantine, the same on all hosts. */
 export function quarantineKey({parts}: Quarantine): string {
   return [...parts].sort().join(' ');
@@ -151,15 +154,26 @@
   return groups;
 }
 
-/** Finds the part that explains most crashes; its quarantine has all parts that occur with it. */
+/** A part that may be the cause of crashes. */
+interface Candidate {
+  readonly part: PromptPartId;
+  readonly crashes: readonly EngineCrash[];
+  readonly requestsPerCrash: number;
+}
+
+/**
+ * Finds the part with the fewest requests for each crash. The cause has about one, as each of its
+ * requests crashes an engine; parts that happen to run there have many.
+ */
 function findStrongest(crashes: readonly EngineCrash[]): Quarantine | undefined {
-  let best: {part: PromptPartId; crashes: readonly EngineCrash[]; moments: number} | undefined;
+  let best: Candidate | undefined;
   for (const [part, group] of groupByPart(crashes)) {
-    const moments = countMoments(group);
-    if (moments < MIN_CRASHES || countRequests(part, group) < MIN_REQUESTS) continue;
-    const isStronger =
-      !best || moments > best.moments || (moments === best.moments && part < best.part);
-    if (isStronger) best = {part, crashes: group, moments};
+    const requestCount = countRequests(part, group);
+    const requestsPerCrash = requestCount / group.length;
+    if (countMoments(group) < MIN_CRASHES || requestCount < MIN_REQUESTS) continue;
+    if (requestsPerCrash > MAX_REQUESTS_PER_CRASH) continue;
+    const candidate = {part, crashes: group, requestsPerCrash};
+    if (!best || compareCandidates(candidate, best) > 0) best = candidate;
   }
   if (!best) return undefined;
   const {part, crashes: group} = best;
@@ -170,6 +184,15 @@
   };
 }
 
+/** Compares two candidates; positive if `a` is the more likely cause. */
+function compareCandidates(a: Candidate, b: Candidate): number {
+  return (
+    b.requestsPerCrash - a.requestsPerCrash ||
+    a.crashes.length - b.crashes.length ||
+    (a.part < b.part ? 1 : -1)
+  );
+}
+
 function countMoments(crashes: readonly EngineCrash[]): number {
   let count = 0;
   let lastMs = -Infinity;
--- a/packages/relay/test/prompt-quarantine.test.ts
+++ b/packages/relay/test/prompt-quarantine.test.ts
@@ -103,6 +103,22 @@
     expect(narrowed).to.deep.equal([['bad']]);
   });
 
+  it('does not take a part that all prompts share for the cause before any has run whole', () => {
+    const crashes = [4000, 3500, 3000, 2500, 2000].map(agoMs =>
+      crash(agoMs, ['first', 'bad'], ['first', 'middle'], ['first', 'middle']),
+    );
+    const withoutReport = crash(1000, ['first', 'middle'], ['first', 'other']);
+    expect(decide([...crashes, withoutReport])).to.deep.equal([['bad', 'first']]);
+  });
+
+  it('does not take a part of many requests for the cause of crashes after a start', () => {
+    const runs = Array.from({length: 5}, (_, i) => ['first', `middle-${i}`]);
+    const crashes = [2000, 1500, 1000, 500].map(agoMs =>
+      crash(agoMs, ...runs.map(([first, middle]) => [first, `${middle}-${agoMs}`])),
+    );
+    expect(decide(crashes)).to.deep.equal([]);
+  });
+
   it('does not suspect parts of crashes that another part explains', () => {
     const crashes = [5000, 4000, 3000, 2000, 1000].map(agoMs =>
       crash(agoMs, ['bad'], agoMs > 1000 ? ['rare'] : ['other']),
