Leave out what can't be used of the store's objects, whoever wrote it

An object that is nested thousands deep can be parsed but not written again: the exception ended the loop that reads the list, the hosts' records, the lease or the configuration for good. An address with a port above 65535 or a part above 255 passed the schema and threw at the first call, which cut the client off without an answer or a log line. Records, lease and windows weren't checked at all. Numbers out of range were taken, and a number that is infinite in JSON counted as missing.

Catching the exceptions only: one odd object would still hide the others. Treating a known target whose entry can't be read as gone at once: another writer may have replaced the entry, and the target writes its own every 1.2 s; treating it as unchanged for ever would miss that it is gone.

Entries, records, leases and windows have schemas with limits. A lease that can't be read is taken over after the usual time with a token above its revision, which is above all terms. An object is logged once with its key and reason and counted in radishgw_rejected_entries. A loop that fails starts again, and a request that meets a fault of the host is answered and logged.

--- a/packages/coordination/src/platform.ts
+++ b/packages/coordination/src/platform.ts
@@ -19,6 +19,14 @@
 export interface ObjectList {
   readonly objects: readonly PlatformObject[];
   readonly revision: Revision;
+  /** Objects whose content can't be used, as another writer may leave them. */
+  readonly unreadable?: readonly UnreadableObject[];
+}
+
+/** An object whose content can't be used. */
+export interface UnreadableObject {
+  readonly key: string;
+  readonly revision: Revision;
 }
 
 /** Changes after a revision, in order. `compacted` means that the caller must list again. */
--- a/packages/relay/src/client-server.ts
+++ b/packages/relay/src/client-server.ts
@@ -73,7 +73,8 @@
     const task = startTask(serveRequest(this.deps, exchange), this.handlers);
     exchange.onCancel(() => task.cancel());
     task.done.catch(error => {
-      this.deps.log.write('invariantViolated', {detail: String((error as Error).stack ?? error)});
+      const detail = String((error as Error).stack ?? error);
+      this.deps.log.write('invariantViolated', {detail});
       exchange.destroy();
     });
   }
--- a/packages/relay/src/host-interfaces.ts
+++ b/packages/relay/src/host-interfaces.ts
@@ -4,6 +4,7 @@
 import {RECORD_PATH, RecordWriter} from './record-writer.js';
 import {BufferedAnswer, BufferedRequest} from './servers.js';
 import {RelaySettings} from './settings.js';
+import {decodeRecord} from './state-schemas.js';
 import {SHARED_READ_PATH, SharedReadQuestion, SharedReads} from './shared-reads.js';
 
 /**
@@ -82,7 +83,13 @@
           ? undefined
           : answerJson(reads.answer(JSON.parse(body) as SharedReadQuestion)),
     ],
-    [RECORD_PATH, body => answerJson(records.accept(JSON.parse(body) as HostRecord))],
+    [
+      RECORD_PATH,
+      body => {
+        const record = decodeRecord(JSON.parse(body));
+        return record && answerJson(records.accept(record));
+      },
+    ],
     [METRICS_PATH, () => ({status: 200, contentType: TEXT_TYPE, body: deps.formatMetrics()})],
   ]);
 }
--- a/packages/relay/src/lease.ts
+++ b/packages/relay/src/lease.ts
@@ -70,10 +70,13 @@
   if (record && record.holder === self.hostId && record.incarnation === self.incarnation) {
     return {type: 'write', record: {...record, renewal: record.renewal + 1}};
   }
-  if (record && now.monotonicMs - view.seenAt.monotonicMs < times.takeoverMs) {
+  const exists = record !== undefined || view.revision > 0;
+  if (exists && now.monotonicMs - view.seenAt.monotonicMs < times.takeoverMs) {
     return {type: 'wait'};
   }
-  const term = (record?.term ?? 0) + 1;
+  // Each term took a write at least, so that the revision of a record that can't be used is higher
+  // than all terms before it.
+  const term = (record?.term ?? view.revision) + 1;
   return {
     type: 'write',
     record: {holder: self.hostId, incarnation: self.incarnation, term, renewal: 0},
--- a/packages/relay/src/program.ts
+++ b/packages/relay/src/program.ts
@@ -21,6 +21,7 @@
   connect(
     settings: Settings,
     log: EventLog,
+    clock: Clock,
   ): Pick<RelayHostOptions, 'store' | 'source' | 'duties' | 'codec' | 'entryCodec'>;
 }
 
@@ -62,8 +63,14 @@
     clock,
     random: createSystemRandom(),
     log,
-    ...binding.connect(settings, log),
+    ...binding.connect(settings, log, clock),
   });
+  // A fault in one task, such as one caused by odd data, must not end the others.
+  for (const event of ['uncaughtException', 'unhandledRejection'] as const) {
+    process.on(event, (error: unknown) =>
+      log.write('invariantViolated', {detail: String((error as Error).stack ?? error)}),
+    );
+  }
   const rereadSettings = () => binding.readSettings(path).relay;
   process.on('SIGHUP', watchSettings(path, rereadSettings, clock, log));
   process.on('SIGTERM', () => void host.stop().then(() => process.exit(0)));
--- a/packages/relay/src/refusals.ts
+++ b/packages/relay/src/refusals.ts
@@ -12,6 +12,7 @@
   promptQuarantined: {status: 503, retryAfterMs: 10_000},
   overloaded: {status: 503, retryAfterMs: 500},
   notRunInTime: {status: 503, retryAfterMs: 300},
+  internalError: {status: 503, retryAfterMs: 300},
   outcomeUnknown: {status: 502, retryAfterMs: undefined},
   deadlineExceeded: {status: 504, retryAfterMs: undefined},
 } as const satisfies Record<string, {status: number; retryAfterMs: number | undefined}>;
--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -4,6 +4,7 @@
   EventLog,
   Procedure,
   RandomSource,
+  sleep,
   startTask,
   Task,
 } from '@radishgw/core';
@@ -160,15 +161,11 @@
     const {settings, log} = this.options;
     const handlers = createHandlers(this.options.clock);
     const sync = this.createSync();
-    const startLoop = (loop: Procedure<void>) => {
-      const task = startTask(loop, handlers);
-      task.done.catch(error =>
-        log.write('invariantViolated', {detail: String((error as Error).stack ?? error)}),
-      );
-      this.tasks.push(task);
+    const startLoop = (loop: () => Procedure<void>) => {
+      this.tasks.push(startTask(keepRunning(loop, log), handlers));
     };
-    startLoop(syncConfig(sync));
-    startLoop(syncTargets(sync));
+    startLoop(() => syncConfig(sync));
+    startLoop(() => syncTargets(sync));
     const {directoryAddress} = settings;
     await Promise.all([
       listen(this.clientServer.server, settings.clientAddress),
@@ -176,9 +173,9 @@
       listen(this.auxiliaryServers.peer, settings.peerAddress),
       directoryAddress && listen(this.auxiliaryServers.directory, directoryAddress),
     ]);
-    startLoop(this.duties.run());
-    startLoop(this.records.run());
-    startLoop(this.quarantine.run());
+    startLoop(() => this.duties.run());
+    startLoop(() => this.records.run());
+    startLoop(() => this.quarantine.run());
     log.write('hostStarted', {host: settings.hostId, incarnation: this.incarnation});
   }
 
@@ -423,12 +420,28 @@
       `radishgw_connections_opened ${opened}`,
       `radishgw_buffered_answer_bytes ${this.targets.bufferedBytes}`,
       `radishgw_prompt_quarantines ${this.quarantine.count}`,
+      `radishgw_rejected_entries ${this.options.source.rejectedCount + this.shared.rejectedCount}`,
       `radishgw_ready ${this.isReady ? 1 : 0}`,
     ];
     return this.metrics.format() + gauges.join('\n') + '\n';
   }
 }
 
+/** Delay after which a loop that has failed starts again. */
+const LOOP_RESTART_DELAY_MS = 500;
+
+/** Runs a loop until cancelled, also if it fails: the host must not stop to follow the store. */
+function* keepRunning(loop: () => Procedure<void>, log: EventLog): Procedure<void> {
+  for (;;) {
+    try {
+      yield* loop();
+    } catch (error) {
+      log.write('invariantViolated', {detail: String((error as Error).stack ?? error)});
+    }
+    yield* sleep(LOOP_RESTART_DELAY_MS);
+  }
+}
+
 function formatIncarnation({hostId, incarnation}: HostRecord): string {
   return `${hostId}/${incarnation}`;
 }
--- a/packages/relay/src/serve-request.ts
+++ b/packages/relay/src/serve-request.ts
@@ -50,6 +50,16 @@
   try {
     const outcome = yield* HANDLERS[admitted.route.kind](deps, admitted);
     finish(deps, exchange, admitted, addReturnDelay(deps, admitted, outcome));
+  } catch (error) {
+    // A fault of the host itself; the client is told the truth about its request all the same.
+    const {requestId} = admitted.meta;
+    const detail = String((error as Error).stack ?? error);
+    deps.log.write('invariantViolated', {request: requestId, detail});
+    const refusal = admitted.progress.mayHaveRun ? 'outcomeUnknown' : 'internalError';
+    const outcome: ServeOutcome = exchange.hasStarted
+      ? {type: 'brokenOff'}
+      : {type: 'refused', refusal};
+    finish(deps, exchange, admitted, outcome);
   } finally {
     timer.cancel();
     if (exchange.isDisconnected) recordOutcome(deps, exchange, admitted, {type: 'left'});
--- a/packages/relay/src/shared-reads.ts
+++ b/packages/relay/src/shared-reads.ts
@@ -224,13 +224,18 @@
     if (clock.nowMs() < (this.retryAtMs.get(kind) ?? -Infinity)) return undefined;
     const sentAt = readInstant(clock);
     const answer = yield* call(() => ask(peers, reader.peerAddress, this.createQuestion(kind)));
+    let cause = answer.ok ? `read is ${Math.round(answer.val.ageMs)} ms old` : answer.val;
     if (answer.ok && answer.val.ageMs <= KINDS[kind].maxAgeMs) {
       if (answer.val.content === 'withheld') return undefined;
-      const value = this.applyAnswer<T>(kind, answer.val);
-      return {value, asOf: subtractMs(sentAt, answer.val.ageMs), isShared: true};
+      try {
+        const value = this.applyAnswer<T>(kind, answer.val);
+        return {value, asOf: subtractMs(sentAt, answer.val.ageMs), isShared: true};
+      } catch (error) {
+        this.received.delete(kind); // It may have been changed in part.
+        cause = `answer can't be used: ${String(error)}`;
+      }
     }
     this.retryAtMs.set(kind, clock.nowMs() + READER_BACKOFF_MS);
-    const cause = answer.ok ? `read is ${Math.round(answer.val.ageMs)} ms old` : answer.val;
     log.write('sharedReadFailed', {kind, reader: reader.hostId, cause});
     return undefined;
   }
--- a/packages/relay/src/store-sync.ts
+++ b/packages/relay/src/store-sync.ts
@@ -4,6 +4,8 @@
 import {HostRecord, selectNewestRecords} from './host-registry.js';
 import {LeaseRecord} from './lease.js';
 import {RelayConfig, TargetList, WindowCounts} from './model.js';
+import {RejectedEntries} from './rejected-entries.js';
+import {decodeHostObject, decodeLease, decodeWindow} from './state-schemas.js';
 import {CrashEvidence, parseEvidence} from './prompt-quarantine.js';
 import {DatedValue, SharedReads} from './shared-reads.js';
 
@@ -12,6 +14,8 @@
   readConfig(): PlatformAnswer<RelayConfig>;
   /** Returns the entries that can be decoded. */
   readTargets(): PlatformAnswer<TargetList>;
+  /** Number of entries that can't be decoded. */
+  readonly rejectedCount: number;
 }
 
 /**
@@ -138,7 +142,8 @@
 export interface SharedState {
   /** The newest record of each host. */
   readonly hosts: readonly HostRecord[];
-  readonly lease: {readonly record: LeaseRecord; readonly revision: number} | undefined;
+  /** `record` is undefined if the object can't be used. */
+  readonly lease: {readonly record: LeaseRecord | undefined; readonly revision: number} | undefined;
   readonly frozen: ReadonlyMap<number, FrozenWindow>;
   /** Evidence on crashes of engines, by the host that has written it. */
   readonly evidence: ReadonlyMap<HostId, CrashEvidence>;
@@ -152,32 +157,49 @@
 
 /** Reads and writes the hosts' objects in the store. */
 export class SharedStore {
+  private readonly rejected: RejectedEntries;
+
   constructor(
     private readonly store: ObjectStore,
-    private readonly log: EventLog,
-  ) {}
+    log: EventLog,
+  ) {
+    this.rejected = new RejectedEntries(log);
+  }
+
+  /** Number of objects that can't be used. */
+  get rejectedCount(): number {
+    return this.rejected.count;
+  }
 
   async read(): PlatformAnswer<SharedState> {
     const answer = await this.store.list(STATE_PREFIX);
-    return answer.map(({objects}) => {
+    return answer.map(({objects, unreadable = []}) => {
       const hosts: HostRecord[] = [];
       const frozen = new Map<number, FrozenWindow>();
       const evidence = new Map<HostId, CrashEvidence>();
       let lease: SharedState['lease'];
+      const broken = unreadable.find(({key}) => key === LEASE_KEY);
+      if (broken) lease = {record: undefined, revision: broken.revision};
       for (const {key, revision, value} of objects) {
         try {
           const record: unknown = JSON.parse(value);
-          if (key === LEASE_KEY) lease = {record: record as LeaseRecord, revision};
-          else if (key.startsWith(HOST_PREFIX)) hosts.push(...listRecords(record as HostObject));
-          else if (key.startsWith(WINDOW_PREFIX)) {
-            const window = record as FrozenWindow;
+          if (key === LEASE_KEY) {
+            lease = {record: undefined, revision};
+            lease = {record: decodeLease(record), revision};
+          } else if (key.startsWith(HOST_PREFIX)) {
+            const {records, rejectedCount} = decodeHostObject(record);
+            hosts.push(...records);
+            if (rejectedCount > 0) throw new TypeError(`${rejectedCount} records can't be used`);
+          } else if (key.startsWith(WINDOW_PREFIX)) {
+            const window = decodeWindow(record);
             frozen.set(window.windowIndex, window);
           } else if (key.startsWith(CRASHES_PREFIX)) {
             const hostId = toId<HostId>(key.slice(CRASHES_PREFIX.length));
             evidence.set(hostId, parseEvidence(record));
           }
+          this.rejected.accept(key);
         } catch (error) {
-          this.log.write('entryRejected', {key, cause: String(error)});
+          this.rejected.reject(key, summarize(error));
         }
       }
       return {hosts: selectNewestRecords(hosts), lease, frozen, evidence};
@@ -211,6 +233,9 @@
   }
 }
 
-function listRecords({record, members}: HostObject): HostRecord[] {
-  return [record, ...members];
+/** Maximum length of the reason for which an object can't be used, in the log. */
+const MAX_CAUSE_LENGTH = 200;
+
+function summarize(error: unknown): string {
+  return String(error).replace(/\s+/g, ' ').slice(0, MAX_CAUSE_LENGTH);
 }
--- a/packages/relay/test/lease.test.ts
+++ b/packages/relay/test/lease.test.ts
@@ -37,6 +37,27 @@
     const step = decideLease(view, self, TIMES, {monotonicMs: 4500, wallMs: 4500});
     expect(step.type === 'write' && step.record.term).to.equal(5);
   });
+
+  it('is taken over with a higher token when its record can not be used', () => {
+    // Guards against a fleet without a holder, and against a token that starts anew.
+    const view = createLeaseView();
+    observeLease(view, undefined, 812, {monotonicMs: 0, wallMs: 0});
+    const self = {hostId: toId<HostId>('b'), incarnation: 'y'};
+    expect(decideLease(view, self, TIMES, {monotonicMs: 4400, wallMs: 4400}).type).to.equal('wait');
+    const step = decideLease(view, self, TIMES, {monotonicMs: 4500, wallMs: 4500});
+    expect(step.type === 'write' && step.record.term).to.equal(813);
+  });
+
+  it('is not held any more when its record has been replaced by another writer', () => {
+    // Guards against a holder that goes on while another one takes over.
+    const view = createLeaseView();
+    const now = {monotonicMs: 0, wallMs: 0};
+    const own: LeaseRecord = {holder: toId('a'), incarnation: 'x', term: 4, renewal: 9};
+    acceptLease(view, own, 10, now);
+    expect(heldTerm(view, TIMES, now)).to.equal(4);
+    observeLease(view, undefined, 11, now);
+    expect(heldTerm(view, TIMES, now)).to.equal(undefined);
+  });
 });
 
 /** Simulates hosts and a store with random delays; checks for two holders at each step. */
