Place streams by the slots of engines; list all hosts of a large fleet

(1) Of 15 engines 3 decoded and took all streams: 364 runs were refused there, the median stream waited 52 ms for its first event and one in ten 454 ms. (2) Prompts of 190 tokens were read at prefill engines behind prompts of 17,000 (prefill 56 ms in the median, 163 ms for one in ten, for 2 ms of work). (3) Hosts that know of no load all chose the first of the engines that look alike. (4) Each request asks the owner of its team's quota, which was any host: 1,115 questions timed out after 80 ms at hosts with little processor time. (5) By reading: the directory named the first 64 hosts that it knew, on every host the same, so that the others of a larger fleet get no clients.

A lack of engines: half of them decoding serves more with the same engines.

Load at engines counts by their slots, with up to one request at random; a prompt with no more new tokens than a decode engine reads between two steps costs just that; more engines decode the fewer slots they have (a quarter with 64, half with 8). Quota is owned by hosts with the most processor capacity. The directory names the hosts of the client's failure domain and its neighbours on a ring. A request is looked at again one turn of the event loop later before it is served.

Small and large fleets with 64 slots place as before but for the random part.

--- a/packages/relay/src/client-exchange.ts
+++ b/packages/relay/src/client-exchange.ts
@@ -95,6 +95,17 @@
     return 'read';
   }
 
+  /**
+   * Waits until the connection has been looked at once more; false if the client has closed it. A
+   * host that reads a request late finds the end of the connection only in the next turn of its
+   * event loop.
+   */
+  async isStillConnected(): Promise<boolean> {
+    for (let turn = 0; turn < 2; turn++) await new Promise(resolve => setImmediate(resolve));
+    const {socket} = this.response;
+    return socket !== null && !socket.destroyed && !socket.readableEnded;
+  }
+
   /** Sends a complete answer. */
   respond(status: number, headers: string[], body: Buffer): void {
     if (this.isFinished || this.hasStarted) return;
--- a/packages/relay/src/client-server.ts
+++ b/packages/relay/src/client-server.ts
@@ -70,6 +70,10 @@
       this.refuseAndClose(response, 'bodyTooLarge');
       return;
     }
+    if (!(await exchange.isStillConnected())) {
+      this.deps.metrics.count('requests_left_before_start_total');
+      return;
+    }
     const task = startTask(serveRequest(this.deps, exchange), this.handlers);
     exchange.onCancel(() => task.cancel());
     task.done.catch(error => {
--- a/packages/relay/src/engine-placement.ts
+++ b/packages/relay/src/engine-placement.ts
@@ -1,4 +1,4 @@
-import {TargetId} from '@radishgw/core';
+import {RandomSource, TargetId} from '@radishgw/core';
 import {EngineStage, PromptPart} from './model.js';
 import {updatePendingAverage, PendingAverage} from './pending-average.js';
 import {rankByKey} from './rendezvous.js';
@@ -23,8 +23,8 @@
   readonly handoverMs: number;
   /** Assumed prompt length of a request from another host. */
   readonly othersPromptTokens: number;
-  /** Delay caused by each request in progress. */
-  readonly msPerRequest: number;
+  /** Delay that requests in progress cause at an engine whose slots they all take. */
+  readonly fullEngineMs: number;
   /**
    * Cost of caching one token of a shared prefix at an engine other than its affinity engine, where
    * the copy evicts other cached parts.
@@ -34,8 +34,13 @@
   readonly decodeStallMs: number;
   /** Additional penalty per token: a long prompt stalls all other streams for a second. */
   readonly decodeStallMsPerToken: number;
-  /** Requests added to the load of a decode engine in a different failure domain. */
-  readonly remoteDomainRequests: number;
+  /**
+   * Tokens that a decode engine prefills between two steps of its streams. A prompt without more of
+   * them delays the streams by one step.
+   */
+  readonly decodeChunkTokens: number;
+  /** Share of its slots added to the load of a decode engine in a different failure domain. */
+  readonly remoteDomainShare: number;
   /** Time after an engine appeared during which its cache is assumed to hold no shared prefixes. */
   readonly cacheWarmUpMs: number;
 }
@@ -47,11 +52,12 @@
   transferTokensPerMs: 1200,
   handoverMs: 8,
   othersPromptTokens: 3000,
-  msPerRequest: 0.5,
+  fullEngineMs: 32,
   msPerCopiedToken: 0.006,
   decodeStallMs: 300,
   decodeStallMsPerToken: 0.15,
-  remoteDomainRequests: 16,
+  decodeChunkTokens: 512,
+  remoteDomainShare: 0.25,
   cacheWarmUpMs: 6000,
 };
 
@@ -83,6 +89,7 @@
   /** Updated by each placement. */
   readonly pending: PendingAverage;
   readonly estimates: EngineEstimates;
+  readonly random: RandomSource;
 }
 
 /** Engines at which a prompt is prefilled and decoded. */
@@ -156,14 +163,27 @@
     stageOf(target) === 'prefill' ? estimates.prefillTokensPerMs : estimates.decodeTokensPerMs;
   const queueMs =
     (target.ownPromptTokens + othersTokens) / tokensPerMs +
-    estimateRequests(target, nowMs) * estimates.msPerRequest;
+    estimateUtilization(target, context) * estimates.fullEngineMs;
   return {queueMs, totalMs: queueMs + (work.promptTokens - cachedTokens) / tokensPerMs};
 }
 
+/**
+ * Estimated share of an engine's slots that are taken, plus up to one request. In a large fleet a
+ * host knows of no load at most engines; the random part keeps the hosts from all choosing the same.
+ */
+function estimateUtilization(
+  target: TargetState,
+  {nowMs, random}: Pick<PlacementContext, 'nowMs' | 'random'>,
+): number {
+  return (estimateRequests(target, nowMs) + random.next()) / target.entry.slots;
+}
+
 interface PrefillCandidate extends PlacementTimes {
   readonly target: TargetState;
   /** Estimated wait plus the cost of evicting other cached parts. */
   readonly costMs: number;
+  /** Tokens that aren't cached at the engine. */
+  readonly newTokens: number;
 }
 
 /**
@@ -198,7 +218,8 @@
     const costMs = waitMs + duplicationMs;
     if (best && costMs >= best.costMs) continue;
     const queueMs = prefill.queueMs * factor;
-    best = {target, waitMs, costMs, queueMs, uncalibratedMs: prefill.totalMs};
+    const newTokens = work.promptTokens - cachedTokens;
+    best = {target, waitMs, costMs, queueMs, newTokens, uncalibratedMs: prefill.totalMs};
   }
   return best;
 }
@@ -207,15 +228,15 @@
 function chooseDecode(
   targets: readonly TargetState[],
   prefillEngine: TargetState,
-  context: Pick<PlacementContext, 'nowMs' | 'estimates'>,
+  context: Pick<PlacementContext, 'nowMs' | 'estimates' | 'random'>,
 ): TargetState | undefined {
   let best: TargetState | undefined;
   let bestLoad = Infinity;
   for (const target of targets) {
     const isSameDomain = target.entry.failureDomain === prefillEngine.entry.failureDomain;
     const load =
-      estimateRequests(target, context.nowMs) +
-      (isSameDomain ? 0 : context.estimates.remoteDomainRequests);
+      estimateUtilization(target, context) +
+      (isSameDomain ? 0 : context.estimates.remoteDomainShare);
     if (load >= bestLoad) continue;
     best = target;
     bestLoad = load;
@@ -248,7 +269,7 @@
     : undefined;
   const decode = staged && chooseDecode(byStage.decode, staged.target, context);
   const transferMs = estimates.handoverMs + work.promptTokens / estimates.transferTokensPerMs;
-  const stallMs = estimates.decodeStallMs + work.promptTokens * estimates.decodeStallMsPerToken;
+  const stallMs = estimateStall(direct, work, estimates);
   if (staged && decode && staged.costMs + transferMs < direct.costMs + stallMs) {
     const waitMs = staged.waitMs + transferMs;
     return {...staged, type: 'staged', prefill: staged.target, decode, waitMs};
@@ -256,6 +277,16 @@
   return {...direct, type: 'direct', decode: direct.target};
 }
 
+/** Penalty for the streams of the decode engine that prefills a prompt itself. */
+function estimateStall(
+  {newTokens}: PrefillCandidate,
+  {promptTokens}: PromptWork,
+  estimates: EngineEstimates,
+): number {
+  if (newTokens <= estimates.decodeChunkTokens) return newTokens / estimates.decodeTokensPerMs;
+  return estimates.decodeStallMs + promptTokens * estimates.decodeStallMsPerToken;
+}
+
 /**
  * Returns the decode engine of a staged placement if it may still be called, otherwise the best of
  * the others that haven't been tried; undefined if there is none. The placement may be outdated by
@@ -265,13 +296,13 @@
   all: Iterable<TargetState>,
   placement: StagedPlacement,
   tried: ReadonlySet<TargetId>,
-  nowMs: number,
-  estimates: EngineEstimates,
+  context: Pick<PlacementContext, 'nowMs' | 'estimates' | 'random'>,
 ): TargetState | undefined {
+  const {nowMs} = context;
   const isUsable = (target: TargetState) =>
     !tried.has(target.entry.id) && isAvailable(target, nowMs) && stageOf(target) === 'decode';
   if (isUsable(placement.decode)) return placement.decode;
-  return chooseDecode([...all].filter(isUsable), placement.prefill, {nowMs, estimates});
+  return chooseDecode([...all].filter(isUsable), placement.prefill, context);
 }
 
 function countTokens(parts: readonly PromptPart[]): number {
--- a/packages/relay/src/host-interfaces.ts
+++ b/packages/relay/src/host-interfaces.ts
@@ -1,3 +1,4 @@
+import {ListedHost, selectForClients} from './directory-policy.js';
 import {EntryCodec} from './entry-codec.js';
 import {HostRecord} from './host-registry.js';
 import {QuotaClient, QuotaMessage, RETURN_QUOTA_PATH, TAKE_QUOTA_PATH} from './quota-client.js';
@@ -97,15 +98,17 @@
 function answerDirectory(deps: InterfaceDependencies, path: string): BufferedAnswer {
   const {entryCodec, settings} = deps;
   if (!entryCodec.isDirectoryPath(path)) return answerEmpty(404);
-  const addresses = deps
-    .listReady()
-    .filter(host => host.hostId !== settings.hostId)
-    .map(host => host.address);
-  const {host, port} = settings.clientAddress;
-  if (deps.isReady()) addresses.push(`${host}:${port}`);
-  if (addresses.length === 0) return answerEmpty(503);
+  const {clientAddress, hostId, failureDomain} = settings;
+  const hosts: ListedHost[] = deps.listReady().filter(host => host.hostId !== hostId);
+  if (deps.isReady()) {
+    hosts.push({hostId, failureDomain, address: `${clientAddress.host}:${clientAddress.port}`});
+  }
+  if (hosts.length === 0) return answerEmpty(503);
+  const domain = entryCodec.readClientDomain(path);
+  const selected = selectForClients(hosts, domain, MAX_DIRECTORY_ADDRESSES);
+  const addresses = selected.map(host => host.address);
   const ttlMs = Math.min(MAX_DIRECTORY_TTL_MS, settings.directoryTtlMs);
-  const body = entryCodec.writeDirectory(addresses.slice(0, MAX_DIRECTORY_ADDRESSES), ttlMs);
+  const body = entryCodec.writeDirectory(addresses, ttlMs);
   return {status: 200, contentType: JSON_TYPE, body};
 }
 
--- a/packages/relay/src/host-registry.ts
+++ b/packages/relay/src/host-registry.ts
@@ -143,12 +143,22 @@
   ready: readonly HostRecord[],
   domain: FailureDomain,
 ): HostRecord | undefined {
+  return findMostCapable(
+    ready.filter(host => host.failureDomain === domain),
+    READER_KEY,
+  );
+}
+
+/**
+ * Chooses a host for a task that many others wait for, by rendezvous hashing of `key` among the
+ * hosts with the most processor capacity; undefined if there are no hosts.
+ */
+export function findMostCapable(hosts: readonly HostRecord[], key: string): HostRecord | undefined {
   const capacityOf = (host: HostRecord) => host.processorCapacity ?? 0;
-  const inDomain = ready.filter(host => host.failureDomain === domain);
-  const maxCapacity = Math.max(...inDomain.map(capacityOf));
-  const candidates = inDomain.filter(host => capacityOf(host) === maxCapacity);
+  const maxCapacity = Math.max(...hosts.map(capacityOf));
+  const candidates = hosts.filter(host => capacityOf(host) === maxCapacity);
   const [first] = rankByKey(
-    READER_KEY,
+    key,
     candidates.map(host => ({id: host.hostId, weight: 1})),
   );
   return candidates.find(host => host.hostId === first);
--- a/packages/relay/src/quota-client.ts
+++ b/packages/relay/src/quota-client.ts
@@ -1,10 +1,9 @@
 import {Clock, EventLog, HostId, TeamId} from '@radishgw/core';
 import {ConfigView} from './config-view.js';
 import {Instant, maxElapsedMs, readInstant} from './instant.js';
-import {HOST_TIMEOUT_MS, HostRecord} from './host-registry.js';
+import {findMostCapable, HOST_TIMEOUT_MS, HostRecord} from './host-registry.js';
 import {Team} from './model.js';
 import {PeerClient, PeerStatusError} from './peer-client.js';
-import {rankByKey} from './rendezvous.js';
 import {createQuotaState, QuotaAnswer, refundQuota, takeQuota} from './team-quota.js';
 
 /** Timeout of a call to the owner, which answers within a few ms; then the own share is used. */
@@ -59,8 +58,8 @@
 }
 
 /**
- * Enforces the rate of a team over all hosts. One ready host, chosen by rendezvous hashing, owns
- * the team's bucket, and the others send it their requests for quota. A host that can't reach the
+ * Enforces the rate of a team over all hosts. One of the ready hosts with the most processor
+ * capacity, chosen by rendezvous hashing, owns the team's bucket, and the others send it their requests for quota. A host that can't reach the
  * owner falls back to its own share of the limit, and so does an owner that the others may have
  * replaced.
  */
@@ -198,9 +197,5 @@
 }
 
 function chooseOwner(team: TeamId, hosts: readonly HostRecord[]): Owner | undefined {
-  const [first] = rankByKey(
-    team,
-    hosts.map(host => ({id: host.hostId, weight: 1})),
-  );
-  return hosts.find(host => host.hostId === first);
+  return findMostCapable(hosts, team);
 }
--- a/packages/relay/src/serve-stream.ts
+++ b/packages/relay/src/serve-stream.ts
@@ -102,6 +102,7 @@
     calibration: deps.calibration,
     pending: getPendingAverage(deps, service),
     estimates: DEFAULT_ENGINE_ESTIMATES,
+    random: deps.random,
   });
 }
 
@@ -191,7 +192,11 @@
       if (!mayRun(state)) return {type: 'notRun', isUnsent: true};
       const targets = deps.targets.forService(request.service);
       const nowMs = deps.clock.nowMs();
-      const decode = confirmDecode(targets, placement, tried, nowMs, DEFAULT_ENGINE_ESTIMATES);
+      const decode = confirmDecode(targets, placement, tried, {
+        nowMs,
+        random: deps.random,
+        estimates: DEFAULT_ENGINE_ESTIMATES,
+      });
       if (!decode) return {type: 'notRun', isUnsent: true};
       if (decode !== placement.decode) recordReplacement(state, placement, decode);
       const result = yield* runOnEngine(state, {...placement, decode}, source);
--- a/packages/relay/src/stage-policy.ts
+++ b/packages/relay/src/stage-policy.ts
@@ -4,15 +4,30 @@
 /** Settings of the stage policy. */
 export interface StageSettings {
   /**
-   * Share of a failure domain's engines that decode. Prefill takes most of an engine's capacity and
-   * decoding little, so that few decode engines serve many prefill engines.
+   * Share of a failure domain's engines that decode, if they have `referenceSlots`. Prefill takes
+   * most of an engine's capacity and decoding little, so that few decode engines serve many prefill
+   * engines. Engines with fewer slots are full of streams before they are busy, so that more decode.
    */
   readonly decodeShare: number;
+  readonly referenceSlots: number;
+  readonly maxDecodeShare: number;
   /** Minimum time between two orders to an engine: an order may be carried out late. */
   readonly resendMs: number;
 }
 
-export const DEFAULT_STAGE_SETTINGS: StageSettings = {decodeShare: 0.25, resendMs: 15_000};
+export const DEFAULT_STAGE_SETTINGS: StageSettings = {
+  decodeShare: 0.25,
+  referenceSlots: 64,
+  maxDecodeShare: 0.5,
+  resendMs: 15_000,
+};
+
+/** Share of the engines that decode, by the slots of an engine. */
+export function decodeShareFor(slots: number, settings: StageSettings): number {
+  const {decodeShare, referenceSlots, maxDecodeShare} = settings;
+  if (slots >= referenceSlots) return decodeShare;
+  return Math.min(maxDecodeShare, decodeShare * Math.cbrt(referenceSlots / slots));
+}
 
 /** An order to change an engine's stage. */
 export interface StageOrder {
@@ -43,7 +58,9 @@
   }
   const orders: StageOrder[] = [];
   for (const engines of byDomain.values()) {
-    const decodeCount = Math.max(1, Math.round(engines.length * settings.decodeShare));
+    const slots = Math.min(...engines.map(engine => engine.slots));
+    const decodeShare = decodeShareFor(slots, settings);
+    const decodeCount = Math.max(1, Math.round(engines.length * decodeShare));
     engines.sort(compareForDecode).forEach((entry, index) => {
       const stage: EngineStage = index < decodeCount ? 'decode' : 'prefill';
       const lastOrderMs = state.get(entry.id) ?? -Infinity;
--- a/packages/relay/test/capacity.test.ts
+++ b/packages/relay/test/capacity.test.ts
@@ -221,6 +221,15 @@
     expect(decideStages(state, other, settings, settings.resendMs)).to.have.length(1);
   });
 
+  it('has more engines decode if they have few slots', () => {
+    // Guards against streams that are refused while prefill engines are idle.
+    const countDecode = (slots: number) => {
+      const entries = Array.from({length: 12}, (_, i) => ({...engine(`e${i}`, 'prefill'), slots}));
+      return decideStages(new Map(), entries, settings, 0).length;
+    };
+    expect([128, 64, 32, 8, 1].map(countDecode)).to.deep.equal([3, 3, 4, 6, 6]);
+  });
+
   it('assigns the only engine of a failure domain to decoding', () => {
     // Guards against a failure domain, or a fleet, without a decode engine.
     const orders = decideStages(new Map(), [engine('only', 'prefill')], settings, 0);
--- a/packages/relay/test/engine-placement.test.ts
+++ b/packages/relay/test/engine-placement.test.ts
@@ -14,6 +14,7 @@
     calibration: createWaitCalibration(),
     pending: createPendingAverage(),
     estimates: DEFAULT_ENGINE_ESTIMATES,
+    random: createSeededRandom(1),
     ...fields,
   };
 }
