Take the time of day from all hosts, not from one clock that may be stepped

Usage windows, their freezing and the ages of records followed the wall clock of one host. A holder of the duties whose clock was set an hour ahead froze and reported windows of the future, removed the frozen ones of the present and missed those that followed; another holder would have frozen the removed ones again with other counts, which is a second report.

The monotonic clock alone: it doesn't count suspensions, so that a host that was suspended would stay behind. Telling a step from a suspension on one host: no clock that Node.js reads tells them apart.

Change. fleet-time.ts keeps the difference between the time of day and the monotonic clock over a jump until records that other hosts have just renewed tell whether the believed or the wall clock is right; a host whose both times are wrong takes the median of the others. Records, usage windows and evidence on crashes go by it.

--- a/packages/relay/src/fleet-duties.ts
+++ b/packages/relay/src/fleet-duties.ts
@@ -1,6 +1,6 @@
 import {call, Clock, EventLog, HostId, Procedure, sleep} from '@radishgw/core';
 import {CapacityController} from './capacity-controller.js';
-import {readInstant} from './instant.js';
+import {Instant, readInstant} from './instant.js';
 import {
   HEARTBEAT_INTERVAL_MS,
   HostHeartbeat,
@@ -62,6 +62,10 @@
   onSharedRecords(records: readonly HostRecord[]): void;
   /** Called with the evidence on crashes of engines, by host, after each read. */
   onEvidence(evidence: ReadonlyMap<HostId, CrashEvidence>): void;
+  /** Called with the records that have been renewed when the registry has been updated. */
+  onRenewedRecords(records: readonly HostRecord[]): void;
+  /** Time of day in milliseconds since the Unix epoch, as the hosts agree on it. */
+  fleetNowMs(): number;
   /** Called when the registry has changed. */
   onHosts(): void;
   isStopping(): boolean;
@@ -79,8 +83,7 @@
   private wasHolder = false;
 
   constructor(private readonly deps: FleetDutiesDependencies) {
-    const {clock, usageWindowMs} = deps;
-    this.firstWindow = windowIndexAt(clock.now().getTime(), usageWindowMs) - 1;
+    this.firstWindow = windowIndexAt(deps.fleetNowMs(), deps.usageWindowMs) - 1;
   }
 
   /** Runs until cancelled. */
@@ -111,9 +114,9 @@
     }
     deps.monitor.recordOutcome(undefined);
     const state = answer.val;
-    const readAt = readInstant(deps.clock);
+    const readAt = this.readFleetInstant();
     this.lastReadMs = readAt.monotonicMs;
-    updateHosts(deps.registry, state.hosts, readAt);
+    deps.onRenewedRecords(updateHosts(deps.registry, state.hosts, readAt));
     deps.onRecords(state.hosts);
     const hosts = readyHosts(deps.registry, this.lastReadMs);
     deps.onEvidence(state.evidence);
@@ -140,6 +143,11 @@
     return this.deps.reads.isReader || this.lease.record?.holder === this.deps.hostId;
   }
 
+  /** The current time with the time of day on which the hosts agree. */
+  private readFleetInstant(): Instant {
+    return {monotonicMs: this.deps.clock.nowMs(), wallMs: this.deps.fleetNowMs()};
+  }
+
   /** Fetches the records from this host's reader; false if that isn't possible. */
   private *readShared(): Procedure<boolean> {
     const {deps} = this;
@@ -152,11 +160,10 @@
     // Records are dated by the reader's own read, so that the fetch doesn't add to their age.
     if (asOfMs > this.lastReadMs) {
       this.lastReadMs = asOfMs;
-      updateHosts(
-        deps.registry,
-        mergeHeartbeats(hosts.value.records, heartbeats.value),
-        heartbeats.asOf,
-      );
+      const {monotonicMs, wallMs} = this.readFleetInstant();
+      const asOf = {monotonicMs: asOfMs, wallMs: wallMs - (monotonicMs - asOfMs)};
+      const records = mergeHeartbeats(hosts.value.records, heartbeats.value);
+      deps.onRenewedRecords(updateHosts(deps.registry, records, asOf));
       deps.onHosts();
     }
     this.logHolderChange();
@@ -198,8 +205,7 @@
 
   private *reportUsage(state: SharedState): Procedure<void> {
     const {deps} = this;
-    const wallMs = deps.clock.now().getTime();
-    const lastIndex = windowIndexAt(wallMs - FREEZE_DELAY_MS, deps.usageWindowMs) - 1;
+    const lastIndex = windowIndexAt(deps.fleetNowMs() - FREEZE_DELAY_MS, deps.usageWindowMs) - 1;
     const firstIndex = Math.max(this.firstWindow, lastIndex - REPORTABLE_WINDOWS + 1);
     for (let index = firstIndex; index <= lastIndex; index++) {
       if (this.reported.has(index)) continue;
@@ -213,8 +219,8 @@
   }
 
   private *removeExpiredEvidence({evidence}: SharedState): Procedure<void> {
-    const {clock, shared} = this.deps;
-    const nowMs = clock.now().getTime();
+    const {fleetNowMs, shared} = this.deps;
+    const nowMs = fleetNowMs();
     for (const [hostId, entry] of evidence) {
       if (hasExpired(entry, nowMs)) yield* call(() => shared.removeEvidence(hostId));
     }
--- a/packages/relay/src/host-registry.ts
+++ b/packages/relay/src/host-registry.ts
@@ -164,12 +164,16 @@
   return candidates.find(host => host.hostId === first);
 }
 
-/** Applies a complete read of the records, which were current in the store at `now`. */
+/**
+ * Applies a complete read of the records, which were current in the store at `now`. Returns those
+ * that their hosts have renewed since the last read.
+ */
 export function updateHosts(
   registry: HostRegistry,
   records: readonly HostRecord[],
   now: Instant,
-): void {
+): readonly HostRecord[] {
+  const renewed: HostRecord[] = [];
   const gapMs = now.monotonicMs - registry.lastReadMs;
   if (registry.hasFailedRead && gapMs > MIN_OUTAGE_MS) extendLiveness(registry, now.monotonicMs);
   registry.lastReadMs = now.monotonicMs;
@@ -184,8 +188,11 @@
     }
     const age = compareRecords(record, seen.record);
     if (age >= 0) seen.record = record;
-    if (age > 0) recordChange(seen, now);
+    if (age <= 0) continue;
+    recordChange(seen, now);
+    renewed.push(record);
   }
+  return renewed;
 }
 
 /**
--- a/packages/relay/src/quarantine-service.ts
+++ b/packages/relay/src/quarantine-service.ts
@@ -56,6 +56,8 @@
   readonly clock: Clock;
   readonly log: EventLog;
   readonly metrics: RelayMetrics;
+  /** Time of day in milliseconds since the Unix epoch, as the hosts agree on it. */
+  fleetNowMs(): number;
   write(evidence: CrashEvidence): PlatformAnswer<number>;
   /** Hosts that take requests. */
   listHosts(): readonly HostId[];
@@ -182,7 +184,7 @@
   }
 
   private wallMs(): number {
-    return this.deps.clock.now().getTime();
+    return this.deps.fleetNowMs();
   }
 
   private listSuspects(parts: readonly PromptPartId[]): readonly PromptPartId[] {
--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -18,6 +18,7 @@
 import {DemandMeter} from './demand-meter.js';
 import {createAttemptBudget, AttemptBudget} from './attempt-budget.js';
 import {FleetDuties} from './fleet-duties.js';
+import {createFleetTime, FleetTime, fleetNowMs, judgeFleetTime} from './fleet-time.js';
 import {createInterfaces} from './host-interfaces.js';
 import {
   createHostRegistry,
@@ -105,12 +106,14 @@
   private readonly auxiliaryServers;
   private readonly tasks: Task<void>[] = [];
   private readonly monitor: DependencyMonitor;
+  private readonly fleetTime: FleetTime;
   private stopAtMs: number | undefined;
   private knownHosts = '';
 
   constructor(private readonly options: RelayHostOptions) {
     const {settings, clock, random, log} = options;
     this.incarnation = random.nextHex(8);
+    this.fleetTime = createFleetTime(readInstant(clock));
     this.targets = new TargetPool({
       clock,
       log,
@@ -126,6 +129,7 @@
       clock,
       log,
       metrics: this.metrics,
+      fleetNowMs: () => this.fleetNowMs(),
       write: evidence => this.shared.writeEvidence(settings.hostId, evidence),
       listHosts: () => this.listReady().map(host => host.hostId),
     });
@@ -256,7 +260,7 @@
       isTooLateToServe: () =>
         this.stopAtMs !== undefined && clock.nowMs() > this.stopAtMs - LAST_REQUEST_MARGIN_MS,
       countUsage: team => {
-        const index = windowIndexAt(clock.now().getTime(), settings.usageWindowMs);
+        const index = windowIndexAt(this.fleetNowMs(), settings.usageWindowMs);
         countRequest(this.usage, team, index);
       },
     };
@@ -311,6 +315,8 @@
       onSharedRecords: records => this.applyLeaving(records),
       onEvidence: evidence => this.quarantine.applyEvidence(evidence),
       onHosts: () => this.applyHosts(),
+      onRenewedRecords: records => this.judgeTime(records),
+      fleetNowMs: () => this.fleetNowMs(),
       isStopping: () => this.stopAtMs !== undefined,
       capacity: new CapacityController({
         hostId: settings.hostId,
@@ -393,7 +399,7 @@
       processorCapacity,
       beat,
       madeMs: Math.round(clock.nowMs()),
-      madeWallMs: clock.now().getTime(),
+      madeWallMs: Math.round(this.fleetNowMs()),
       usage: Object.fromEntries(this.usage.windows),
       demand: this.demand.levels(clock.nowMs()),
       leaving: this.targets.listLeaving(this.reads.isReader),
@@ -404,6 +410,27 @@
     this.targets.applyLeaving(records.flatMap(record => record.leaving ?? []));
   }
 
+  /** Time of day in milliseconds since the Unix epoch, as the hosts agree on it. */
+  private fleetNowMs(): number {
+    return fleetNowMs(this.fleetTime, readInstant(this.options.clock));
+  }
+
+  /** Judges the time of day by records that other hosts have just renewed. */
+  private judgeTime(records: readonly HostRecord[]): void {
+    const {settings, clock, log} = this.options;
+    const others = records.filter(record => record.hostId !== settings.hostId);
+    const isAlone = this.listPossible().every(record => record.hostId === settings.hostId);
+    if (others.length === 0 && !isAlone) return;
+    const madeMs = others.map(record => record.madeWallMs);
+    const correctionMs = judgeFleetTime(this.fleetTime, readInstant(clock), madeMs);
+    if (correctionMs === 0) return;
+    log.write('clockJudged', {
+      correctionMs: Math.round(correctionMs),
+      records: madeMs.length,
+      wallAheadMs: Math.round(readInstant(clock).wallMs - this.fleetNowMs()),
+    });
+  }
+
   /** Restores the counts of this host's previous incarnation, which no other host reports. */
   private restoreUsage(records: readonly HostRecord[]): void {
     if (this.records.isInitialized) return;
--- a/packages/relay/test/quarantine-service.test.ts
+++ b/packages/relay/test/quarantine-service.test.ts
@@ -32,6 +32,7 @@
       clock: this.clock,
       log: {write: (event, fields = {}) => void this.events.push({event, fields})},
       metrics: new RelayMetrics(),
+      fleetNowMs: () => this.clock.now().getTime(),
       write: evidence => {
         if (this.isStoreDown) return Promise.resolve(Err({kind: 'unavailable', detail: 'down'}));
         this.writeCount++;
