Fetch what belongs together with one call; read as often as the bounds ask

An idle host makes 9.7 calls a second to its reader: configuration and targets every 300 ms, records and heartbeats each second, its own record each second. Each takes about a millisecond of both hosts together.

A question carries one about the kind that is fetched at about the same times, and its answer is used if it is younger than half of the interval; its age counts from the same call. The intervals follow the bounds in the settings: as before with 2 s, half again or twice as long with 3 or 4 s.

--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -33,6 +33,7 @@
 import {PeerClient} from './peer-client.js';
 import {QuarantineService} from './quarantine-service.js';
 import {QuotaClient} from './quota-client.js';
+import {readIntervals} from './read-intervals.js';
 import {RecordWriter} from './record-writer.js';
 import {RelayDependencies} from './request-context.js';
 import {createBufferedServer, listen, stopListening, waitUntilIdle} from './servers.js';
@@ -274,6 +275,7 @@
       clock,
       log,
       peers: this.peers,
+      intervals: readIntervals(settings.changeBoundMs),
       findReader: () => findDomainReader(this.listReady(), settings.failureDomain),
     });
   }
@@ -345,6 +347,7 @@
       reads: this.reads,
       configView: this.configView,
       monitor: this.monitor,
+      intervals: readIntervals(this.options.settings.changeBoundMs),
       onConfig: config => this.applyConfig(config),
       onTargetsUnavailable: () => this.targets.recordFailedRead(),
       onTargets: (list, asOfMs, isShared) => this.targets.update(list, asOfMs, isShared),
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -22,6 +22,11 @@
   readonly processorCapacity?: number;
   /** Maximum time between the revocation of an API key and its last use. */
   readonly revokeMs: number;
+  /**
+   * Time within which a change of the configuration or a target that leaves must be obeyed;
+   * undefined for the shortest that is supported.
+   */
+  readonly changeBoundMs?: number;
   /** Time between the stop signal and the forced end of the process. */
   readonly graceMs: number;
   readonly leaseTimes: LeaseTimes;
--- a/packages/relay/src/shared-reads.ts
+++ b/packages/relay/src/shared-reads.ts
@@ -6,6 +6,7 @@
 import {RelayConfig, TargetList} from './model.js';
 import {PeerClient} from './peer-client.js';
 import {CrashEvidence} from './prompt-quarantine.js';
+import {ReadIntervals} from './read-intervals.js';
 import {joinConfig, splitConfig} from './shared-config.js';
 
 /** Path at which a reader shares what it has read with other hosts. */
@@ -16,11 +17,10 @@
 
 /** Splits values of a kind into entries, so that only changed entries are sent. */
 interface KindHandler {
-  /**
-   * Maximum age of a read that is accepted from a reader: its interval plus one slow call. A change
-   * just after such a read is still seen within the 2 s allowed for configuration changes.
-   */
-  readonly maxAgeMs: number;
+  /** Maximum age of a read that is accepted from a reader: its interval plus one slow call. */
+  maxAgeMs(intervals: ReadIntervals): number;
+  /** Kind that is fetched at about the same times; both are fetched with one call. */
+  readonly companion: SharedKind;
   split(value: unknown): readonly (readonly [string, unknown])[];
   join(entries: ReadonlyMap<string, unknown>, revision: number | undefined): unknown;
   /** Revision of a value, where it has one; a newer value has no lower one. */
@@ -60,9 +60,16 @@
   return {records, evidence};
 }
 
+/** Duration of a slow call to the store that still succeeds. */
+const SLOW_CALL_MS = 400;
+
+/** Maximum age of the hosts' records, which are read each second. */
+const MAX_RECORDS_AGE_MS = 2500;
+
 const KINDS: Readonly<Record<SharedKind, KindHandler>> = {
   config: {
-    maxAgeMs: 1000,
+    maxAgeMs: ({directMs}) => directMs + SLOW_CALL_MS,
+    companion: 'targets',
     split: value => splitConfig(value as RelayConfig),
     join: entries => joinConfig(entries),
     revisionOf: value => (value as RelayConfig).version,
@@ -70,18 +77,21 @@
     maxChangedChars: 16 * 1024,
   },
   targets: {
-    maxAgeMs: 1000,
+    maxAgeMs: ({directMs}) => directMs + SLOW_CALL_MS,
+    companion: 'config',
     split: value => (value as TargetList).entries.map(entry => [entry.id, entry]),
     join: (entries, revision) => ({entries: [...entries.values()], revision}),
     revisionOf: value => (value as TargetList).revision,
   },
   hosts: {
-    maxAgeMs: 2500,
+    maxAgeMs: () => MAX_RECORDS_AGE_MS,
+    companion: 'beats',
     split: value => splitHosts(value as SharedHosts),
     join: entries => joinHosts(entries),
   },
   beats: {
-    maxAgeMs: 2500,
+    maxAgeMs: () => MAX_RECORDS_AGE_MS,
+    companion: 'hosts',
     split: value => (value as readonly HostHeartbeat[]).map(beat => [beat.hostId, beat]),
     join: entries => [...entries.values()],
   },
@@ -113,6 +123,8 @@
   readonly version: SharedVersion | undefined;
   /** Revision of a value that the host has read directly since it got `version`. */
   readonly directRevision?: number;
+  /** Question about another kind that is answered along with this one. */
+  readonly companion?: SharedReadQuestion;
 }
 
 /** Answer of a reader. */
@@ -133,6 +145,14 @@
   readonly changed: readonly (readonly [string, string])[];
   /** Keys of removed entries. */
   readonly removed: readonly string[];
+  /** Answer to the question that came along; undefined if the reader has no value of that kind. */
+  readonly companion?: SharedReadAnswer;
+}
+
+/** Answer of a reader with the time at which it was asked. */
+interface TimedAnswer {
+  readonly sentAt: Instant;
+  readonly result: Result<SharedReadAnswer, string>;
 }
 
 /** A value that was read from the store. */
@@ -176,6 +196,7 @@
   readonly clock: Clock;
   readonly log: EventLog;
   readonly peers: PeerClient;
+  readonly intervals: ReadIntervals;
   /** The host that reads for this host; undefined if none is known. */
   findReader(): HostRecord | undefined;
 }
@@ -192,6 +213,8 @@
   private readonly direct = new Map<SharedKind, unknown>();
   /** Times before which the store is read directly. */
   private readonly retryAtMs = new Map<SharedKind, number>();
+  /** Calls in progress, and answers that came along with one, by the kinds that they are about. */
+  private readonly asked = new Map<SharedKind, Promise<TimedAnswer | undefined>>();
 
   constructor(private readonly deps: SharedReadsDependencies) {}
 
@@ -210,6 +233,7 @@
     if (shared) return Ok(shared);
     const asOf = readInstant(this.deps.clock);
     const answer = yield* call(readDirectly);
+    this.asked.delete(kind);
     if (answer.err) return answer;
     if (KINDS[kind].isIdentifiedByRevision) this.direct.set(kind, answer.val);
     this.publish(kind, answer.val, asOf);
@@ -218,14 +242,13 @@
 
   /** Fetches a value from this host's reader; undefined if there is no reader or fresh value. */
   *fetch<T>(kind: SharedKind): Procedure<DatedValue<T> | undefined> {
-    const {clock, hostId, peers, log} = this.deps;
+    const {clock, hostId, intervals, log} = this.deps;
     const reader = this.deps.findReader();
     if (!reader || reader.hostId === hostId) return undefined;
     if (clock.nowMs() < (this.retryAtMs.get(kind) ?? -Infinity)) return undefined;
-    const sentAt = readInstant(clock);
-    const answer = yield* call(() => ask(peers, reader.peerAddress, this.createQuestion(kind)));
+    const {sentAt, result: answer} = yield* call(() => this.askOnce(kind, reader.peerAddress));
     let cause = answer.ok ? `read is ${Math.round(answer.val.ageMs)} ms old` : answer.val;
-    if (answer.ok && answer.val.ageMs <= KINDS[kind].maxAgeMs) {
+    if (answer.ok && answer.val.ageMs <= KINDS[kind].maxAgeMs(intervals)) {
       if (answer.val.content === 'withheld') return undefined;
       try {
         const value = this.applyAnswer<T>(kind, answer.val);
@@ -256,6 +279,12 @@
 
   /** Answers another host; undefined if this host hasn't read a value of that kind. */
   answer(question: SharedReadQuestion): SharedReadAnswer | undefined {
+    const own = this.answerOne(question);
+    const companion = question.companion && this.answerOne(question.companion);
+    return own && {...own, companion};
+  }
+
+  private answerOne(question: SharedReadQuestion): SharedReadAnswer | undefined {
     const published = this.published.get(question.kind);
     if (!published) return undefined;
     const {incarnation, clock} = this.deps;
@@ -268,6 +297,29 @@
     };
   }
 
+  /** Asks the reader, unless a call about this kind is in progress or has just been answered. */
+  private async askOnce(kind: SharedKind, address: string): Promise<TimedAnswer> {
+    const {clock, peers, intervals} = this.deps;
+    const asked = this.asked.get(kind);
+    if (asked) {
+      this.asked.delete(kind);
+      const earlier = await asked;
+      const maxAgeMs = intervals.sharedMs / 2;
+      if (earlier && clock.nowMs() - earlier.sentAt.monotonicMs <= maxAgeMs) return earlier;
+    }
+    const {companion} = KINDS[kind];
+    const sentAt = readInstant(clock);
+    const question = {...this.createQuestion(kind), companion: this.createQuestion(companion)};
+    const answered = ask(peers, address, question).then(result => ({sentAt, result}));
+    this.asked.set(
+      companion,
+      answered.then(({result}) =>
+        result.ok && result.val.companion ? {sentAt, result: Ok(result.val.companion)} : undefined,
+      ),
+    );
+    return answered;
+  }
+
   private createQuestion(kind: SharedKind): SharedReadQuestion {
     const direct = this.direct.get(kind);
     return {
--- a/packages/relay/src/store-sync.ts
+++ b/packages/relay/src/store-sync.ts
@@ -4,6 +4,7 @@
 import {HostRecord, selectNewestRecords} from './host-registry.js';
 import {LeaseRecord} from './lease.js';
 import {RelayConfig, TargetList, WindowCounts} from './model.js';
+import {ReadIntervals} from './read-intervals.js';
 import {RejectedEntries} from './rejected-entries.js';
 import {decodeHostObject, decodeLease, decodeWindow} from './state-schemas.js';
 import {CrashEvidence, parseEvidence} from './prompt-quarantine.js';
@@ -18,15 +19,6 @@
   readonly rejectedCount: number;
 }
 
-/**
- * Interval of direct reads of the store. Configuration changes and the removal of targets must take
- * effect within 2 s.
- */
-export const READ_INTERVAL_MS = 600;
-
-/** Interval of fetches from the host that reads for this host; they are cheap. */
-const SHARED_INTERVAL_MS = 300;
-
 /** Delay after a failed read; short, so that the end of an outage is detected soon. */
 const RETRY_DELAY_MS = 200;
 
@@ -69,6 +61,7 @@
   readonly reads: SharedReads;
   readonly configView: ConfigView;
   readonly monitor: DependencyMonitor;
+  readonly intervals: ReadIntervals;
   onConfig(config: RelayConfig): void;
   /**
    * `asOfMs` is the monotonic time at which the list was current in the store; `isShared` says
@@ -84,8 +77,8 @@
   if (!read.isShared) deps.monitor.recordOutcome(undefined);
 }
 
-function intervalAfter(read: DatedValue<unknown>): number {
-  return read.isShared ? SHARED_INTERVAL_MS : READ_INTERVAL_MS;
+function intervalAfter({intervals}: SyncDependencies, read: DatedValue<unknown>): number {
+  return read.isShared ? intervals.sharedMs : intervals.directMs;
 }
 
 /** Polls the configuration until cancelled. */
@@ -99,7 +92,7 @@
         deps.log.write('configApplied', {version: value.version, isShared});
         deps.onConfig(value);
       }
-      yield* sleep(intervalAfter(answer.val));
+      yield* sleep(intervalAfter(deps, answer.val));
       continue;
     }
     if (isUnavailable(answer.val)) deps.monitor.recordOutcome(answer.val);
@@ -116,7 +109,7 @@
       recordReadSuccess(deps, answer.val);
       const {value, asOf, isShared} = answer.val;
       deps.onTargets(value, asOf.monotonicMs, isShared);
-      yield* sleep(intervalAfter(answer.val));
+      yield* sleep(intervalAfter(deps, answer.val));
       continue;
     }
     deps.monitor.recordOutcome(answer.val);
--- a/packages/relay/test/shared-reads.test.ts
+++ b/packages/relay/test/shared-reads.test.ts
@@ -30,6 +30,7 @@
   TargetList,
   updateHosts,
 } from '../src/index.js';
+import {readIntervals} from '../src/read-intervals.js';
 import {makeConfig, makeEntry, makeRoute, TEAM} from './fixtures.js';
 
 function makeHost(id: string, domain: string, beat = 1): HostRecord {
@@ -72,6 +73,7 @@
       clock: this.clock,
       log: {write: (event: string) => void this.events.push(event)},
       peers,
+      intervals: readIntervals(),
       findReader: () => this.record,
     });
   }
@@ -104,6 +106,36 @@
     expect(answer.asOf.monotonicMs).to.equal(pair.clock.nowMs() - 400);
   });
 
+  it('need one call for the configuration and the targets', async () => {
+    // Guards against calls between hosts that take most of the processor time of idle hosts.
+    const pair = new Pair();
+    await pair.run(pair.reader.read('config', config(1)));
+    await pair.run(pair.reader.read('targets', targets('a')));
+    for (let round = 1; round <= 5; round++) {
+      pair.clock.advance(100);
+      const read = <T>(kind: 'config' | 'targets') =>
+        pair.run(pair.follower.read<T>(kind, never)).then(result => result!.unwrap());
+      const first = read<RelayConfig>('config');
+      const list = await read<TargetList>('targets');
+      expect((await first).value.version).to.equal(1);
+      expect(list.value.entries).to.have.length(1);
+      expect(list.asOf.monotonicMs).to.equal(pair.clock.nowMs() - 100 * round);
+      expect(pair.answers).to.have.length(round);
+    }
+  });
+
+  it('do not use an answer that came along too long ago', async () => {
+    // Guards against changes that are seen later than with a call of its own.
+    const pair = new Pair();
+    await pair.run(pair.reader.read('config', config(1)));
+    await pair.run(pair.reader.read('targets', targets('a')));
+    await pair.run(pair.follower.read('config', never));
+    pair.clock.advance(200);
+    await pair.run(pair.reader.read('targets', targets('a', 'b')));
+    const list = (await pair.run(pair.follower.read<TargetList>('targets', never)))!.unwrap();
+    expect(list.value.entries).to.have.length(2);
+  });
+
   it('send only the entries that have changed', async () => {
     // Guards against a reader that saturates its link with mostly unchanged lists.
     const pair = new Pair();
