--- a/packages/relay/src/program.ts
+++ b/packages/relay/src/program.ts
@@ -65,16 +65,16 @@
     log,
     ...binding.connect(settings, log, clock),
   });
+  const rereadSettings = () => binding.readSettings(path).relay;
+  process.on('SIGHUP', watchSettings(path, rereadSettings, clock, log));
+  process.on('SIGTERM', () => void host.stop().then(() => process.exit(0)));
+  await host.start();
   // A fault in one task, such as one caused by odd data, must not end the others.
   for (const event of ['uncaughtException', 'unhandledRejection'] as const) {
     process.on(event, (error: unknown) =>
       log.write('invariantViolated', {detail: String((error as Error).stack ?? error)}),
     );
   }
-  const rereadSettings = () => binding.readSettings(path).relay;
-  process.on('SIGHUP', watchSettings(path, rereadSettings, clock, log));
-  process.on('SIGTERM', () => void host.stop().then(() => process.exit(0)));
-  await host.start();
 }
 
 function createLog(clock: Clock): EventLog {
