Answer requests that come together on one connection

Cause: the look at a connection before a request is served took a response that has no socket yet, since an earlier one isn't finished, for a client that has left, and gave no answer. The connection of the request is looked at instead.

--- a/packages/relay/src/client-exchange.ts
+++ b/packages/relay/src/client-exchange.ts
@@ -102,8 +102,8 @@
    */
   async isStillConnected(): Promise<boolean> {
     for (let turn = 0; turn < 2; turn++) await new Promise(resolve => setImmediate(resolve));
-    const {socket} = this.response;
-    return socket !== null && !socket.destroyed && !socket.readableEnded;
+    const {socket} = this.request;
+    return !socket.destroyed && !socket.readableEnded;
   }
 
   /** Sends a complete answer. */
