--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -47,7 +47,7 @@
     text: 'record of this host not written by another',
   },
   targetLeaving: {number: 1815, level: 'info', text: 'target has said that it leaves'},
-  targetQuiet: {number: 1816, level: 'info', text: 'target has asked for a pause'},
+  targetBackoff: {number: 1816, level: 'info', text: 'target has asked for a pause'},
   quotaFallback: {number: 1820, level: 'warn', text: 'quota decided without its owner'},
   leaseAcquired: {number: 1830, level: 'info', text: 'fleet lease acquired'},
   leaseLost: {number: 1831, level: 'warn', text: 'fleet lease lost'},
--- a/packages/relay/src/quiet-period.ts
+++ b/packages/relay/src/target-backoff.ts
@@ -16,7 +16,7 @@
  * Time at which this host may call a target again that asked for `retryAfterMs` without calls. The
  * load it answers: a target that sheds load tells all hosts about the same time.
  */
-export function quietUntil(nowMs: number, retryAfterMs: number, random: RandomSource): number {
+export function backoffUntil(nowMs: number, retryAfterMs: number, random: RandomSource): number {
   const grantedMs = retryAfterMs <= MAX_PLAUSIBLE_MS ? retryAfterMs : IMPLAUSIBLE_REPLACEMENT_MS;
   const spreadMs = Math.min(MAX_RETURN_SPREAD_MS, grantedMs * RETURN_SPREAD_SHARE);
   return nowMs + grantedMs + random.next() * spreadMs;
@@ -32,10 +32,10 @@
 export function nextReturnMs(targets: Iterable<TargetState>, nowMs: number): number | undefined {
   let earliestMs: number | undefined;
   for (const target of targets) {
-    if (target.entry.isDraining || target.quietUntilMs === -Infinity) continue;
+    if (target.entry.isDraining || target.backoffUntilMs === -Infinity) continue;
     const isProbing = getHealthState(target.health, nowMs) === 'probing';
-    if (nowMs >= target.quietUntilMs && !isProbing) continue;
-    const atMs = Math.max(target.quietUntilMs, nowMs + (isProbing ? PROBE_POLL_MS : 0));
+    if (nowMs >= target.backoffUntilMs && !isProbing) continue;
+    const atMs = Math.max(target.backoffUntilMs, nowMs + (isProbing ? PROBE_POLL_MS : 0));
     earliestMs = Math.min(earliestMs ?? Infinity, atMs);
   }
   return earliestMs;
--- a/packages/relay/src/target-pool.ts
+++ b/packages/relay/src/target-pool.ts
@@ -31,7 +31,7 @@
   TargetEntry,
   TargetList,
 } from './model.js';
-import {quietUntil} from './quiet-period.js';
+import {backoffUntil} from './target-backoff.js';
 import {Attempt, OutgoingRequest, TargetConnections} from './target-connections.js';
 import {createTargetState, TargetState} from './target-state.js';
 import {createTargetView, isSameIncarnation, updateTargets} from './target-view.js';
@@ -219,18 +219,18 @@
   private recordPause(target: PooledTarget, {retryAfterMs, malformedRetryAfter}: AnswerMeta): void {
     const {clock, random, log} = this.deps;
     const nowMs = clock.nowMs();
-    const wasQuiet = nowMs < target.quietUntilMs;
+    const wasBackingOff = nowMs < target.backoffUntilMs;
     if (retryAfterMs !== undefined) {
-      const untilMs = quietUntil(nowMs, retryAfterMs, random);
-      target.quietUntilMs = Math.max(target.quietUntilMs, untilMs);
-      excludeUntil(target.health, target.quietUntilMs);
+      const untilMs = backoffUntil(nowMs, retryAfterMs, random);
+      target.backoffUntilMs = Math.max(target.backoffUntilMs, untilMs);
+      excludeUntil(target.health, target.backoffUntilMs);
     }
-    if (wasQuiet) return;
-    log.write('targetQuiet', {
+    if (wasBackingOff) return;
+    log.write('targetBackoff', {
       target: target.entry.id,
       retryAfterMs,
       malformed: malformedRetryAfter,
-      forMs: retryAfterMs === undefined ? 0 : Math.round(target.quietUntilMs - nowMs),
+      forMs: retryAfterMs === undefined ? 0 : Math.round(target.backoffUntilMs - nowMs),
     });
   }
 }
--- a/packages/relay/src/target-state.ts
+++ b/packages/relay/src/target-state.ts
@@ -32,7 +32,7 @@
   /** Time at which this host first saw this incarnation. */
   readonly knownSinceMs: number;
   /** Time until which the target has asked for no calls of this host; -Infinity if it hasn't. */
-  quietUntilMs: number;
+  backoffUntilMs: number;
 }
 
 export function createTargetState(entry: TargetEntry, nowMs: number): TargetState {
@@ -46,7 +46,7 @@
     loadAtMs: -Infinity,
     partsMs: new Map(),
     knownSinceMs: nowMs,
-    quietUntilMs: -Infinity,
+    backoffUntilMs: -Infinity,
   };
 }
 
@@ -97,7 +97,7 @@
 
 /** Whether the target accepts new requests, as far as this host knows. */
 export function isAvailable(state: TargetState, nowMs: number): boolean {
-  if (state.entry.isDraining || nowMs < state.quietUntilMs) return false;
+  if (state.entry.isDraining || nowMs < state.backoffUntilMs) return false;
   const health = getHealthState(state.health, nowMs);
   return health === 'healthy' || health === 'probeDue';
 }
--- a/packages/relay/src/wait-for-target.ts
+++ b/packages/relay/src/wait-for-target.ts
@@ -1,5 +1,5 @@
 import {Procedure, sleep, TargetId} from '@radishgw/core';
-import {decideWait, nextReturnMs} from './quiet-period.js';
+import {decideWait, nextReturnMs} from './target-backoff.js';
 import {AdmittedRequest, RelayDependencies} from './request-context.js';
 import {
   createReturnSchedule,
--- a/packages/relay/test/quiet-period.test.ts
+++ b/packages/relay/test/target-backoff.test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import {createSeededRandom} from '@radishgw/core';
 import {excludeUntil, recordHealthDispatch} from '@radishgw/scheduling';
-import {decideWait, nextReturnMs, quietUntil} from '../src/quiet-period.js';
+import {decideWait, nextReturnMs, backoffUntil} from '../src/target-backoff.js';
 import {createReturnSchedule, recordFinished, scheduleReturn} from '../src/return-schedule.js';
 import {createTargetState, isAvailable, TargetState} from '../src/target-state.js';
 import {makeEntry} from './fixtures.js';
@@ -11,16 +11,16 @@
 describe('pauses that targets ask for', () => {
   const random = createSeededRandom(7);
 
-  function makeQuiet(id: string, untilMs: number): TargetState {
+  function makeBackingOff(id: string, untilMs: number): TargetState {
     const target = createTargetState(makeEntry(id), 0);
-    target.quietUntilMs = untilMs;
+    target.backoffUntilMs = untilMs;
     excludeUntil(target.health, untilMs);
     return target;
   }
 
   it('end at different times at the hosts of a fleet, none early', () => {
     // Guards against a fleet that returns to a target in the same moment.
-    const untilMs = Array.from({length: HOSTS}, () => quietUntil(1000, 2000, random)).sort(
+    const untilMs = Array.from({length: HOSTS}, () => backoffUntil(1000, 2000, random)).sort(
       (a, b) => a - b,
     );
     expect(untilMs[0]).to.be.at.least(3000);
@@ -29,13 +29,13 @@
 
   it('of more than five minutes are taken for a mistake', () => {
     // Guards against a value that excludes a target for ever.
-    expect(quietUntil(0, 1e14, random)).to.be.within(10_000, 11_000);
-    expect(quietUntil(0, 120_000, random)).to.be.at.least(120_000);
+    expect(backoffUntil(0, 1e14, random)).to.be.within(10_000, 11_000);
+    expect(backoffUntil(0, 120_000, random)).to.be.at.least(120_000);
   });
 
   it('are followed by one call until it has succeeded', () => {
     // Guards against all waiting requests at once at a target that has just shed load.
-    const target = makeQuiet('t', 1000);
+    const target = makeBackingOff('t', 1000);
     expect(isAvailable(target, 999)).to.equal(false);
     expect(isAvailable(target, 1000)).to.equal(true);
     recordHealthDispatch(target.health, 'a1');
@@ -46,8 +46,8 @@
   it('are waited for only by requests that can meet their objective then', () => {
     // Guards against requests that wait in vain, and refusals of those that are served in time.
     const targets = [
-      makeQuiet('a', 1500),
-      makeQuiet('b', 1200),
+      makeBackingOff('a', 1500),
+      makeBackingOff('b', 1200),
       createTargetState(makeEntry('c'), 0),
     ];
     const returnMs = nextReturnMs(targets, 1000);
