Decide in relay how long an unreadable entry counts as it was

platform/ only translates: StoreFleetSource names the targets whose entries can't be used, and unreadable-entries.ts decides, without a clock of its own in the adapter.

--- a/packages/relay/src/model.ts
+++ b/packages/relay/src/model.ts
@@ -121,6 +121,8 @@
   /** Revision of the store at which the list was current. */
   readonly revision: number;
   readonly entries: readonly TargetEntry[];
+  /** Targets whose entries can't be used. */
+  readonly unreadable?: readonly TargetId[];
 }
 
 /** A part of a prompt; requests with the same leading parts share their cache entries. */
--- a/packages/relay/src/program.ts
+++ b/packages/relay/src/program.ts
@@ -21,7 +21,6 @@
   connect(
     settings: Settings,
     log: EventLog,
-    clock: Clock,
   ): Pick<RelayHostOptions, 'store' | 'source' | 'duties' | 'codec' | 'entryCodec'>;
 }
 
@@ -63,7 +62,7 @@
     clock,
     random: createSystemRandom(),
     log,
-    ...binding.connect(settings, log, clock),
+    ...binding.connect(settings, log),
   });
   const rereadSettings = () => binding.readSettings(path).relay;
   process.on('SIGHUP', watchSettings(path, rereadSettings, clock, log));
--- a/packages/relay/src/store-sync.ts
+++ b/packages/relay/src/store-sync.ts
@@ -9,6 +9,7 @@
 import {decodeHostObject, decodeLease, decodeWindow} from './state-schemas.js';
 import {CrashEvidence, parseEvidence} from './prompt-quarantine.js';
 import {DatedValue, SharedReads} from './shared-reads.js';
+import {createKnownEntries, keepUnreadable} from './unreadable-entries.js';
 
 /** Reads the objects that other processes write to the store. All reads are linearizable. */
 export interface FleetSource {
@@ -103,8 +104,13 @@
 
 /** Polls the list of targets until cancelled. */
 export function* syncTargets(deps: SyncDependencies): Procedure<void> {
+  const known = createKnownEntries();
+  const readTargets = async () => {
+    const answer = await deps.source.readTargets();
+    return answer.map(list => keepUnreadable(known, list, deps.clock.nowMs()));
+  };
   for (;;) {
-    const answer = yield* deps.reads.read('targets', () => deps.source.readTargets());
+    const answer = yield* deps.reads.read('targets', readTargets);
     if (answer.ok) {
       recordReadSuccess(deps, answer.val);
       const {value, asOf, isShared} = answer.val;
