Split shared reads by what they do; check addresses in one place

shared-kinds.ts splits and joins values, shared-publication.ts keeps what a reader shares, shared-reads.ts fetches; keep-running.ts restarts loops.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -13,4 +13,5 @@
 export * from './random.js';
 export * from './read-text.js';
 export * from './result.js';
+export * from './socket-address.js';
 export * from './verify-ends.js';
--- a/packages/relay/src/fleet-duties.ts
+++ b/packages/relay/src/fleet-duties.ts
@@ -24,7 +24,8 @@
 import {DutyClient} from './model.js';
 import {CrashEvidence} from './prompt-quarantine.js';
 import {hasExpired} from './quarantine-service.js';
-import {SharedHosts, SharedReads} from './shared-reads.js';
+import {SharedHosts} from './shared-kinds.js';
+import {SharedReads} from './shared-reads.js';
 import {StageController} from './stage-controller.js';
 import {DependencyMonitor, FrozenWindow, SharedState, SharedStore} from './store-sync.js';
 import {sumWindow, windowIndexAt} from './usage-ledger.js';
--- a/packages/relay/src/host-interfaces.ts
+++ b/packages/relay/src/host-interfaces.ts
@@ -6,7 +6,8 @@
 import {BufferedAnswer, BufferedRequest} from './servers.js';
 import {RelaySettings} from './settings.js';
 import {decodeRecord} from './state-schemas.js';
-import {SHARED_READ_PATH, SharedReadQuestion, SharedReads} from './shared-reads.js';
+import {SharedReadQuestion} from './shared-publication.js';
+import {SHARED_READ_PATH, SharedReads} from './shared-reads.js';
 
 /**
  * Maximum TTL of a directory answer. Clients cache it for up to three times this value, which must
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -16,6 +16,8 @@
 export * from './relay-host.js';
 export * from './route-table.js';
 export * from './settings.js';
+export * from './shared-kinds.js';
+export * from './shared-publication.js';
 export * from './shared-reads.js';
 export * from './state-schemas.js';
 export * from './store-sync.js';
--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -4,7 +4,6 @@
   EventLog,
   Procedure,
   RandomSource,
-  sleep,
   startTask,
   Task,
 } from '@radishgw/core';
@@ -33,6 +32,7 @@
 import {PeerClient} from './peer-client.js';
 import {QuarantineService} from './quarantine-service.js';
 import {QuotaClient} from './quota-client.js';
+import {keepRunning} from './keep-running.js';
 import {readIntervals} from './read-intervals.js';
 import {RecordWriter} from './record-writer.js';
 import {RelayDependencies} from './request-context.js';
@@ -457,21 +457,6 @@
   }
 }
 
-/** Delay after which a loop that has failed starts again. */
-const LOOP_RESTART_DELAY_MS = 500;
-
-/** Runs a loop until cancelled, also if it fails: the host must not stop to follow the store. */
-function* keepRunning(loop: () => Procedure<void>, log: EventLog): Procedure<void> {
-  for (;;) {
-    try {
-      yield* loop();
-    } catch (error) {
-      log.write('invariantViolated', {detail: String((error as Error).stack ?? error)});
-    }
-    yield* sleep(LOOP_RESTART_DELAY_MS);
-  }
-}
-
 function formatIncarnation({hostId, incarnation}: HostRecord): string {
   return `${hostId}/${incarnation}`;
 }
--- a/packages/relay/src/shared-reads.ts
+++ b/packages/relay/src/shared-reads.ts
@@ -1,102 +1,24 @@
-import {call, Clock, Err, EventLog, HostId, Ok, Procedure, Result, toId} from '@radishgw/core';
+import {call, Clock, Err, EventLog, HostId, Ok, Procedure, Result} from '@radishgw/core';
 import {PlatformAnswer, PlatformError} from '@radishgw/coordination';
-
 import {Instant, maxElapsedMs, readInstant} from './instant.js';
-import {HostHeartbeat, HostRecord} from './host-registry.js';
-import {RelayConfig, TargetList} from './model.js';
+import {HostRecord} from './host-registry.js';
 import {PeerClient} from './peer-client.js';
-import {CrashEvidence} from './prompt-quarantine.js';
 import {ReadIntervals} from './read-intervals.js';
-import {joinConfig, splitConfig} from './shared-config.js';
+import {KINDS, SharedKind} from './shared-kinds.js';
+import {
+  createPublished,
+  decodeShared,
+  Published,
+  selectContent,
+  SharedReadAnswer,
+  SharedReadQuestion,
+  SharedVersion,
+  updatePublished,
+} from './shared-publication.js';
 
 /** Path at which a reader shares what it has read with other hosts. */
 export const SHARED_READ_PATH = '/reads';
 
-/** Kinds of values that readers share. */
-export type SharedKind = 'config' | 'targets' | 'hosts' | 'beats';
-
-/** Splits values of a kind into entries, so that only changed entries are sent. */
-interface KindHandler {
-  /** Maximum age of a read that is accepted from a reader: its interval plus one slow call. */
-  maxAgeMs(intervals: ReadIntervals): number;
-  /** Kind that is fetched at about the same times; both are fetched with one call. */
-  readonly companion: SharedKind;
-  split(value: unknown): readonly (readonly [string, unknown])[];
-  join(entries: ReadonlyMap<string, unknown>, revision: number | undefined): unknown;
-  /** Revision of a value, where it has one; a newer value has no lower one. */
-  revisionOf?(value: unknown): number;
-  /** Whether values with the same revision are the same. */
-  readonly isIdentifiedByRevision?: boolean;
-  /**
-   * Maximum length of the changed entries that a reader sends, in characters. Sending more to each
-   * host of the failure domain would take longer than the timeout of a small reader's followers.
-   */
-  readonly maxChangedChars?: number;
-}
-
-/** Records of the hosts and their evidence on crashes of engines. */
-export interface SharedHosts {
-  readonly records: readonly HostRecord[];
-  readonly evidence: ReadonlyMap<HostId, CrashEvidence>;
-}
-
-const RECORD_PREFIX = 'record/';
-const EVIDENCE_PREFIX = 'evidence/';
-
-function splitHosts({records, evidence}: SharedHosts): (readonly [string, unknown])[] {
-  return [
-    ...records.map(record => [RECORD_PREFIX + record.hostId, record] as const),
-    ...[...evidence].map(([hostId, entry]) => [EVIDENCE_PREFIX + hostId, entry] as const),
-  ];
-}
-
-function joinHosts(entries: ReadonlyMap<string, unknown>): SharedHosts {
-  const records: HostRecord[] = [];
-  const evidence = new Map<HostId, CrashEvidence>();
-  for (const [key, entry] of entries) {
-    if (key.startsWith(RECORD_PREFIX)) records.push(entry as HostRecord);
-    else evidence.set(toId<HostId>(key.slice(EVIDENCE_PREFIX.length)), entry as CrashEvidence);
-  }
-  return {records, evidence};
-}
-
-/** Duration of a slow call to the store that still succeeds. */
-const SLOW_CALL_MS = 400;
-
-/** Maximum age of the hosts' records, which are read each second. */
-const MAX_RECORDS_AGE_MS = 2500;
-
-const KINDS: Readonly<Record<SharedKind, KindHandler>> = {
-  config: {
-    maxAgeMs: ({directMs}) => directMs + SLOW_CALL_MS,
-    companion: 'targets',
-    split: value => splitConfig(value as RelayConfig),
-    join: entries => joinConfig(entries),
-    revisionOf: value => (value as RelayConfig).version,
-    isIdentifiedByRevision: true,
-    maxChangedChars: 16 * 1024,
-  },
-  targets: {
-    maxAgeMs: ({directMs}) => directMs + SLOW_CALL_MS,
-    companion: 'config',
-    split: value => (value as TargetList).entries.map(entry => [entry.id, entry]),
-    join: (entries, revision) => ({entries: [...entries.values()], revision}),
-    revisionOf: value => (value as TargetList).revision,
-  },
-  hosts: {
-    maxAgeMs: () => MAX_RECORDS_AGE_MS,
-    companion: 'beats',
-    split: value => splitHosts(value as SharedHosts),
-    join: entries => joinHosts(entries),
-  },
-  beats: {
-    maxAgeMs: () => MAX_RECORDS_AGE_MS,
-    companion: 'hosts',
-    split: value => (value as readonly HostHeartbeat[]).map(beat => [beat.hostId, beat]),
-    join: entries => [...entries.values()],
-  },
-};
-
 /**
  * Timeout of a request to the reader. A reader in the same failure domain answers within a few ms,
  * or within 400 ms if it is a small, busy host.
@@ -106,49 +28,6 @@
 /** Time after a failed or stale answer of the reader during which the store is read directly. */
 const READER_BACKOFF_MS = 1000;
 
-/** Maximum number of tracked removals; a host that has missed more gets the whole value. */
-const MAX_REMOVED = 500;
-
-/** Version of a reader's value of one kind. */
-interface SharedVersion {
-  /** Incarnation of the reader, which numbers its own versions. */
-  readonly incarnation: string;
-  /** Increases with each change. */
-  readonly number: number;
-}
-
-/** Request of a host; `version` is the version that it already has. */
-export interface SharedReadQuestion {
-  readonly kind: SharedKind;
-  readonly version: SharedVersion | undefined;
-  /** Revision of a value that the host has read directly since it got `version`. */
-  readonly directRevision?: number;
-  /** Question about another kind that is answered along with this one. */
-  readonly companion?: SharedReadQuestion;
-}
-
-/** Answer of a reader. */
-export interface SharedReadAnswer {
-  readonly version: SharedVersion;
-  /**
-   * `changes`: the changed entries; `known`: the value is the one that the host has read directly;
-   * `withheld`: the host must read directly, as the reader's value is older or too large to send.
-   */
-  readonly content: 'changes' | 'known' | 'withheld';
-  /** Time since the read of the store was sent. */
-  readonly ageMs: number;
-  /** Revision of the value, where it has one. */
-  readonly revision?: number;
-  /** Whether `changed` contains all entries. */
-  readonly isWhole: boolean;
-  /** Key and JSON content of each changed entry. */
-  readonly changed: readonly (readonly [string, string])[];
-  /** Keys of removed entries. */
-  readonly removed: readonly string[];
-  /** Answer to the question that came along; undefined if the reader has no value of that kind. */
-  readonly companion?: SharedReadAnswer;
-}
-
 /** Answer of a reader with the time at which it was asked. */
 interface TimedAnswer {
   readonly sentAt: Instant;
@@ -164,24 +43,6 @@
   readonly isShared: boolean;
 }
 
-interface PublishedEntry {
-  readonly content: string;
-  /** Number of the version that introduced this content. */
-  readonly changedInVersion: number;
-}
-
-interface Published {
-  value: unknown;
-  number: number;
-  readAt: Instant;
-  revision: number | undefined;
-  readonly entries: Map<string, PublishedEntry>;
-  /** Numbers of the versions in which entries were removed, oldest first. */
-  readonly removed: Map<string, number>;
-  /** Removals up to this version are no longer tracked. */
-  prunedThroughVersion: number;
-}
-
 interface Received {
   version: SharedVersion;
   readonly entries: Map<string, unknown>;
@@ -358,74 +219,6 @@
   }
 }
 
-/** Selects what a reader sends to a host. */
-function selectContent(
-  {entries, removed, prunedThroughVersion, revision}: Published,
-  {kind, version, directRevision}: SharedReadQuestion,
-  incarnation: string,
-): Pick<SharedReadAnswer, 'content' | 'isWhole' | 'changed' | 'removed'> {
-  const none = {isWhole: false, changed: [], removed: []};
-  if (directRevision !== undefined && revision !== undefined) {
-    if (directRevision === revision) return {content: 'known', ...none};
-    if (directRevision > revision) return {content: 'withheld', ...none};
-  }
-  const isWhole = version?.incarnation !== incarnation || version.number < prunedThroughVersion;
-  const since = isWhole ? -Infinity : version.number;
-  const changed = [...entries]
-    .filter(([, entry]) => entry.changedInVersion > since)
-    .map(([key, entry]) => [key, entry.content] as const);
-  const chars = changed.reduce((sum, [key, content]) => sum + key.length + content.length, 0);
-  if (chars > (KINDS[kind].maxChangedChars ?? Infinity)) return {content: 'withheld', ...none};
-  return {
-    content: 'changes',
-    isWhole,
-    changed,
-    removed: isWhole ? [] : [...removed].filter(([, at]) => at > since).map(([key]) => key),
-  };
-}
-
-function createPublished(readAt: Instant): Published {
-  const entries = new Map<string, PublishedEntry>();
-  return {
-    value: undefined,
-    number: 0,
-    readAt,
-    revision: undefined,
-    entries,
-    removed: new Map(),
-    prunedThroughVersion: 0,
-  };
-}
-
-function updatePublished(
-  published: Published,
-  next: readonly (readonly [string, unknown])[],
-): void {
-  const {entries, removed} = published;
-  const number = published.number + 1;
-  const present = new Set<string>();
-  for (const [key, value] of next) {
-    present.add(key);
-    const content = encodeShared(value);
-    if (entries.get(key)?.content === content) continue;
-    entries.set(key, {content, changedInVersion: number});
-    removed.delete(key);
-    published.number = number;
-  }
-  for (const key of entries.keys()) {
-    if (present.has(key)) continue;
-    entries.delete(key);
-    removed.delete(key);
-    removed.set(key, number);
-    published.number = number;
-  }
-  for (const [key, at] of removed) {
-    if (removed.size <= MAX_REMOVED) break;
-    removed.delete(key);
-    published.prunedThroughVersion = at;
-  }
-}
-
 async function ask(
   peers: PeerClient,
   address: string,
@@ -443,26 +236,3 @@
 function subtractMs({monotonicMs, wallMs}: Instant, durationMs: number): Instant {
   return {monotonicMs: monotonicMs - durationMs, wallMs: wallMs - durationMs};
 }
-
-/** JSON encoding of a map. */
-interface EncodedMap {
-  readonly mapEntries: readonly (readonly [unknown, unknown])[];
-}
-
-/** Encodes a value that may contain maps as JSON. */
-export function encodeShared(value: unknown): string {
-  return JSON.stringify(value, (_, part: unknown) =>
-    part instanceof Map ? ({mapEntries: [...part]} satisfies EncodedMap) : part,
-  );
-}
-
-/** Decodes a value that was encoded by {@link encodeShared}. */
-export function decodeShared(text: string): unknown {
-  return JSON.parse(text, (_, part: unknown) =>
-    isEncodedMap(part) ? new Map(part.mapEntries) : part,
-  );
-}
-
-function isEncodedMap(part: unknown): part is EncodedMap {
-  return typeof part === 'object' && part !== null && 'mapEntries' in part;
-}
--- a/packages/relay/src/state-schemas.ts
+++ b/packages/relay/src/state-schemas.ts
@@ -1,3 +1,4 @@
+import {isSocketAddress} from '@radishgw/core';
 import {z} from 'zod';
 import {HostRecord} from './host-registry.js';
 import {LeaseRecord} from './lease.js';
@@ -7,16 +8,12 @@
 const MAX_NAME_LENGTH = 256;
 const MAX_MEMBERS = 2000;
 const MAX_LEAVING = 2000;
-const MAX_PORT = 65_535;
 
 const nameSchema = z.string().min(1).max(MAX_NAME_LENGTH);
 const countSchema = z.number().int().nonnegative();
 const countsSchema = z.record(z.string(), countSchema);
 
-const addressSchema = z.string().refine(text => {
-  const match = /^\d{1,3}(?:\.\d{1,3}){3}:([1-9]\d{0,4})$/.exec(text);
-  return match !== null && Number(match[1]) <= MAX_PORT && URL.canParse(`http://${text}`);
-}, 'not an IPv4 address and port');
+const addressSchema = z.string().refine(isSocketAddress, 'not an IPv4 address and port');
 
 const recordSchema = z.object({
   hostId: nameSchema,
