Log why a request got no further attempt and when a silent run was ended

The soak cuts streams whose silent engine goes on: the next engine refuses after the silent run has been ended, and the stream doesn't return. The line of a lost request (event 1304) doesn't say which condition refused the return, so that an empty attempt budget can't be told from a limit on targets or attempts, nor when the silent run was ended. Adds the field retryRefusal and the step left. No decision is changed.

--- a/packages/relay/src/relay-stream.ts
+++ b/packages/relay/src/relay-stream.ts
@@ -166,7 +166,10 @@
     if (state.standby && hasGoneOn(state, state.standby)) return {type: 'overtaken'};
     if (nowMs >= run.dueMs) return {type: 'silent'};
     const takeoverMs = (attempt.sentAtMs ?? nowMs) + TAKEOVER_MS;
-    if (nowMs >= takeoverMs) endStandby(state);
+    if (nowMs >= takeoverMs && state.standby) {
+      recordStep(state.request, `${state.standby.target.entry.id}:left`);
+      endStandby(state);
+    }
     const {standby} = state;
     const untilMs = standby ? Math.min(run.dueMs, takeoverMs) : run.dueMs;
     const attempts = standby ? [attempt, standby.sent.attempt] : [attempt];
--- a/packages/relay/src/request-context.ts
+++ b/packages/relay/src/request-context.ts
@@ -18,6 +18,7 @@
 import {PendingAverage} from './pending-average.js';
 import {QuarantineService} from './quarantine-service.js';
 import {QuotaClient} from './quota-client.js';
+import {RetryRefusal} from './serve-outcome.js';
 import {TargetConnection} from './target-connections.js';
 import {TargetPool} from './target-pool.js';
 import {ReturnSchedule} from './return-schedule.js';
@@ -84,6 +85,8 @@
   private readonly runs = new Map<TargetId, number>();
   /** Number of attempts, including those that targets refused. */
   attemptCount = 0;
+  /** Why the request got no further attempt when one was last wanted, for the log. */
+  retryRefusal: RetryRefusal | undefined;
   hasCountedUsage = false;
   /** Time to the first event of a stream; undefined before it. */
   firstEventMs: number | undefined;
--- a/packages/relay/src/serve-outcome.ts
+++ b/packages/relay/src/serve-outcome.ts
@@ -34,18 +34,35 @@
   readonly mayReturn?: boolean;
 }
 
+/** Why a request gets no further attempt. */
+export type RetryRefusal =
+  'finished' | 'deadline' | 'mayNotRepeat' | 'targetLimit' | 'attemptLimit' | 'attemptBudget';
+
 /** Whether another attempt may be made; takes it from the attempt budget if it is an extra one. */
 export function mayRetry(
   deps: RelayDependencies,
   request: AdmittedRequest,
-  {mayRepeat, isUnsent = false, mayReturn = false}: RetryConditions,
+  conditions: RetryConditions,
 ): boolean {
+  request.progress.retryRefusal = findRetryRefusal(deps, request, conditions);
+  return request.progress.retryRefusal === undefined;
+}
+
+function findRetryRefusal(
+  deps: RelayDependencies,
+  request: AdmittedRequest,
+  {mayRepeat, isUnsent = false, mayReturn = false}: RetryConditions,
+): RetryRefusal | undefined {
   const {progress, route, service, exchange} = request;
-  if (exchange.isFinished || deps.clock.nowMs() >= request.deadlineAtMs) return false;
-  if (progress.mayHaveRun && !mayRepeat) return false;
-  if (progress.mayHaveRun && progress.targetCount >= route.maxAttempts && !mayReturn) return false;
-  if (progress.attemptCount >= MAX_TOTAL_ATTEMPTS) return false;
-  return isUnsent || takeFromAttemptBudget(deps, service);
+  if (exchange.isFinished) return 'finished';
+  if (deps.clock.nowMs() >= request.deadlineAtMs) return 'deadline';
+  if (progress.mayHaveRun && !mayRepeat) return 'mayNotRepeat';
+  if (progress.mayHaveRun && progress.targetCount >= route.maxAttempts && !mayReturn) {
+    return 'targetLimit';
+  }
+  if (progress.attemptCount >= MAX_TOTAL_ATTEMPTS) return 'attemptLimit';
+  if (!isUnsent && !takeFromAttemptBudget(deps, service)) return 'attemptBudget';
+  return undefined;
 }
 
 /** Takes one extra attempt from the budget of a service; false if none is left. */
--- a/packages/relay/src/serve-request.ts
+++ b/packages/relay/src/serve-request.ts
@@ -274,6 +274,7 @@
     streamEnd: request?.progress.streamEnd,
     promptTokens: request?.meta.promptTokens,
     steps: request?.progress.steps,
+    retryRefusal: outcome.type === 'answered' ? undefined : request?.progress.retryRefusal,
     placements: request?.progress.placements,
     calls: request?.progress.calls,
     ...('inputs' in outcome && outcome.inputs),
