Reserve the return before a silent run is ended for another engine

Callers saw a stream cut with about two seconds left although its engine was sound: the engine had been silent, another one was asked, the silent run was ended 250 ms later, and the other one refused after that.

Cause: the silent run is ended by time alone, before anybody has taken the request over, and nothing keeps a way back: the return is one more extra attempt, and the attempt budget may be empty.

Weighed: waiting longer before the silent run is ended. Two engines may work on one stream for less than 400 ms, and refusals came after 306 to 390 ms. Ending the unanswered attempt instead: an engine that reads a long prompt needs more than 250 ms, so that a lost engine would never be left.

Now a stream takes the attempt for its return from the budget together with the one for the other engine, and gives it back when an engine sends an event. The return goes to the engine that was left. Without it, because the budget has no more or the engine drains, an engine is left only after another second of silence, when it is more likely lost than sound. The head of a stream shows that its engine has taken the request over. If the return fails too, the stream asks for further attempts from the budget, with a pause between them, until its deadline.

--- a/packages/relay/src/attempt-budget.ts
+++ b/packages/relay/src/attempt-budget.ts
@@ -57,3 +57,15 @@
   state.extraAttemptsMs.push(nowMs);
   return true;
 }
+
+/** Gives back an extra attempt that was taken at `takenAtMs` and wasn't made. */
+export function returnExtraAttempt({extraAttemptsMs}: AttemptBudget, takenAtMs: number): void {
+  const index = extraAttemptsMs.lastIndexOf(takenAtMs);
+  if (index >= 0) extraAttemptsMs.splice(index, 1);
+}
+
+/** Dates an extra attempt that was taken at `takenAtMs` by the time at which it is made. */
+export function moveExtraAttempt(state: AttemptBudget, takenAtMs: number, nowMs: number): void {
+  returnExtraAttempt(state, takenAtMs);
+  state.extraAttemptsMs.push(nowMs);
+}
--- a/packages/relay/src/engine-run.ts
+++ b/packages/relay/src/engine-run.ts
@@ -19,6 +19,8 @@
   wasSilent: boolean;
   /** Time after which the engine counts as silent. */
   dueMs: number;
+  /** Time after which a silent engine is left although the stream may not come back to it. */
+  lostMs: number;
   /** Releases the cache that the engine is to fetch; called if it is left before its first event. */
   releaseSource: (() => void) | undefined;
   /** Called with the first event. */
--- a/packages/relay/src/relay-stream.ts
+++ b/packages/relay/src/relay-stream.ts
@@ -2,7 +2,7 @@
 import {EngineRun, MAX_EVENT_BYTES, readStandby} from './engine-run.js';
 import {StreamEvent} from './events.js';
 import {recordStep} from './request-context.js';
-import {RunResult, StreamState} from './stream-state.js';
+import {releaseReturn, RunResult, StreamState} from './stream-state.js';
 import {
   findAnswerFault,
   mayPassOn,
@@ -38,9 +38,13 @@
  */
 const TAKEOVER_MS = 250;
 
-/** Sets the time at which the engine of a run counts as silent. */
+/** Further silence after which an engine is more likely lost than sound. */
+const LONG_SILENCE_MS = 1000;
+
+/** Sets the times at which the engine of a run counts as silent and as lost. */
 export function expectEvent(state: StreamState, run: EngineRun): void {
   run.dueMs = state.deps.clock.nowMs() + eventTimeoutMs(state, run.hasEvents, run.waitMs);
+  run.lostMs = run.dueMs + LONG_SILENCE_MS;
 }
 
 /**
@@ -55,7 +59,7 @@
   /** Whether the engine is left as it is silent; otherwise its next event is waited for. */
   const leavesSilent = (): RunResult | undefined => {
     const nowMs = deps.clock.nowMs();
-    if (nowMs < request.deadlineAtMs && !state.mayLeave()) {
+    if (nowMs < request.deadlineAtMs && !state.mayLeave(run)) {
       run.dueMs = Math.min(request.deadlineAtMs, nowMs + SILENCE_CHECK_MS);
       return undefined;
     }
@@ -124,7 +128,9 @@
         recordFirstEvent(state);
       }
       run.wasSilent = false;
+      state.leftEngine = undefined;
       endStandby(state);
+      releaseReturn(state);
       state.eventCount += events.length;
       if (state.eventCount > maxEvents(state)) {
         addStep('too many events');
@@ -168,6 +174,8 @@
     const takeoverMs = (attempt.sentAtMs ?? nowMs) + TAKEOVER_MS;
     if (nowMs >= takeoverMs && state.standby) {
       recordStep(state.request, `${state.standby.target.entry.id}:left`);
+      // The head of a stream says that its engine has taken the request over.
+      if (!run.head) state.leftEngine = state.standby.target;
       endStandby(state);
     }
     const {standby} = state;
--- a/packages/relay/src/serve-outcome.ts
+++ b/packages/relay/src/serve-outcome.ts
@@ -1,4 +1,4 @@
-import {takeExtraAttempt} from './attempt-budget.js';
+import {moveExtraAttempt, returnExtraAttempt, takeExtraAttempt} from './attempt-budget.js';
 import {ServiceName} from './model.js';
 import {RefusalName} from './refusals.js';
 import {AdmittedRequest, RelayDependencies} from './request-context.js';
@@ -32,6 +32,8 @@
   readonly isUnsent?: boolean;
   /** Whether a target that may have run the request can be asked again. */
   readonly mayReturn?: boolean;
+  /** Whether the request may have more than the maximum number of attempts. */
+  readonly hasNoAttemptLimit?: boolean;
 }
 
 /** Why a request gets no further attempt. */
@@ -51,7 +53,7 @@
 function findRetryRefusal(
   deps: RelayDependencies,
   request: AdmittedRequest,
-  {mayRepeat, isUnsent = false, mayReturn = false}: RetryConditions,
+  {mayRepeat, isUnsent, mayReturn, hasNoAttemptLimit}: RetryConditions,
 ): RetryRefusal | undefined {
   const {progress, route, service, exchange} = request;
   if (exchange.isFinished) return 'finished';
@@ -60,14 +62,49 @@
   if (progress.mayHaveRun && progress.targetCount >= route.maxAttempts && !mayReturn) {
     return 'targetLimit';
   }
-  if (progress.attemptCount >= MAX_TOTAL_ATTEMPTS) return 'attemptLimit';
+  if (progress.attemptCount >= MAX_TOTAL_ATTEMPTS && !hasNoAttemptLimit) return 'attemptLimit';
   if (!isUnsent && !takeFromAttemptBudget(deps, service)) return 'attemptBudget';
   return undefined;
 }
 
 /** Takes one extra attempt from the budget of a service; false if none is left. */
-export function takeFromAttemptBudget(deps: RelayDependencies, service: ServiceName): boolean {
+export function takeFromAttemptBudget(
+  deps: RelayDependencies,
+  service: ServiceName,
+  nowMs = deps.clock.nowMs(),
+): boolean {
   const budget = deps.attemptBudgets.get(service)!;
-  const settings = deps.attemptBudgetSettings;
-  return takeExtraAttempt(budget, settings, deps.countLimitHosts(), deps.clock.nowMs());
+  return takeExtraAttempt(budget, deps.attemptBudgetSettings, deps.countLimitHosts(), nowMs);
+}
+
+/** An extra attempt of a service that has been taken from the budget before it is made. */
+export interface ReservedAttempt {
+  readonly takenAtMs: number;
+}
+
+/** Reserves an extra attempt; undefined if none is left. */
+export function reserveAttempt(
+  deps: RelayDependencies,
+  service: ServiceName,
+): ReservedAttempt | undefined {
+  const takenAtMs = deps.clock.nowMs();
+  return takeFromAttemptBudget(deps, service, takenAtMs) ? {takenAtMs} : undefined;
+}
+
+/** Counts a reserved attempt as made now. */
+export function useReserved(
+  deps: RelayDependencies,
+  service: ServiceName,
+  {takenAtMs}: ReservedAttempt,
+): void {
+  moveExtraAttempt(deps.attemptBudgets.get(service)!, takenAtMs, deps.clock.nowMs());
+}
+
+/** Gives a reserved attempt back. */
+export function releaseReserved(
+  deps: RelayDependencies,
+  service: ServiceName,
+  {takenAtMs}: ReservedAttempt,
+): void {
+  returnExtraAttempt(deps.attemptBudgets.get(service)!, takenAtMs);
 }
--- a/packages/relay/src/serve-stream.ts
+++ b/packages/relay/src/serve-stream.ts
@@ -16,8 +16,14 @@
 import {addPendingTokens, releaseHandle, prefillPrompt} from './prefill-prompt.js';
 import {endStandby, expectEvent, hasGoneOn, relayStream} from './relay-stream.js';
 import {AdmittedRequest, RelayDependencies} from './request-context.js';
-import {mayRetry, ServeOutcome, takeFromAttemptBudget} from './serve-outcome.js';
-import {RunResult, StreamState} from './stream-state.js';
+import {
+  mayRetry,
+  reserveAttempt,
+  ServeOutcome,
+  takeFromAttemptBudget,
+  useReserved,
+} from './serve-outcome.js';
+import {releaseReturn, RunResult, StreamState} from './stream-state.js';
 import {SILENCE_CHECK_MS} from './target-answer.js';
 import {PooledTarget} from './target-pool.js';
 import {sendToTarget, writeTargetRequest} from './target-request.js';
@@ -34,6 +40,9 @@
 /** Minimum retry delay sent with a refusal: a queue takes about 100 ms to shorten. */
 const MIN_RETRY_AFTER_MS = 200;
 
+/** Pause between two attempts to return to an engine. */
+const RETURN_PAUSE_MS = 2 * SILENCE_CHECK_MS;
+
 /** Number of engines that may crash under a prompt that may be the cause. */
 const MAX_CRASHES = 2;
 
@@ -50,24 +59,30 @@
     tried: new Set(),
     failed: new Set(),
     standby: undefined,
+    returnAttempt: undefined,
+    leftEngine: undefined,
     lastEventId: meta.lastEventId,
     eventCount: 0,
     crashCount: 0,
     hasPrefilled: false,
-    mayLeave: () => mayLeave(state),
+    mayLeave: run => mayLeave(state, run),
   };
   recordRequest(deps.attemptBudgets.get(service)!, deps.attemptBudgetSettings, deps.clock.nowMs());
   try {
     let result = yield* startRun(state);
     for (;;) {
       if (result.type === 'done') return result.outcome;
+      const mayWait = mayWaitForAttempt(state, result);
+      if (mayWait) yield* sleep(RETURN_PAUSE_MS);
       if (mayStartRun(state, result)) result = yield* startRun(state);
       else if (state.standby) result = yield* continueRun(state, state.standby);
       else if (result.type === 'failed') return result.outcome;
+      else if (mayWait && request.progress.retryRefusal === 'attemptBudget') continue;
       else return failStream(state, 'overloaded');
     }
   } finally {
     endStandby(state);
+    releaseReturn(state);
   }
 }
 
@@ -80,7 +95,36 @@
   if (standby && !hasPlacement(state)) return false;
   const isUnsent = result.type === 'notRun' && result.isUnsent;
   const mayReturn = listReturns(state).length > 0;
-  return mayRetry(deps, request, {mayRepeat, isUnsent, mayReturn});
+  const conditions = {
+    mayRepeat,
+    isUnsent,
+    mayReturn,
+    hasNoAttemptLimit: state.leftEngine !== undefined,
+  };
+  if (standby || !state.returnAttempt) return mayRetry(deps, request, conditions);
+  if (!mayRetry(deps, request, {...conditions, isUnsent: true})) return false;
+  if (isUnsent) return true;
+  useReserved(deps, request.service, state.returnAttempt);
+  state.returnAttempt = undefined;
+  // The engine that was left may be the only one that isn't full.
+  const {leftEngine, tried} = state;
+  if (leftEngine && isReturn(state, leftEngine)) {
+    for (const engine of listEngines(state)) tried.add(engine.entry.id);
+    tried.delete(leftEngine.entry.id);
+  }
+  return true;
+}
+
+/**
+ * Whether the stream waits for further attempts when its return has failed too: its engine would
+ * still be at work if the host hadn't ended the run.
+ */
+function mayWaitForAttempt(
+  {leftEngine, standby, returnAttempt}: StreamState,
+  {type}: RunResult,
+): boolean {
+  const hasFailed = type === 'notRun' || type === 'broken';
+  return leftEngine !== undefined && !standby && !returnAttempt && hasFailed;
 }
 
 /** Places the prompt and runs it. */
@@ -93,7 +137,8 @@
   });
   for (;;) {
     if (!mayRun(state)) return fail('promptQuarantined');
-    const placement = choosePlacement(state, !exchange.hasStarted);
+    // A return has one attempt; a prefill at another engine might be an extra one.
+    const placement = choosePlacement(state, !exchange.hasStarted && !state.leftEngine);
     if (placement.type === 'none') {
       if (yield* waitForTarget(deps, request, tried)) continue;
       if (yield* allowTried(state)) continue;
@@ -126,15 +171,14 @@
  * may be sound, and one that has refused may have room again.
  */
 function listReturns(state: StreamState): readonly PooledTarget[] {
-  const {failed, standby, mayRepeat} = state;
+  const {standby, mayRepeat} = state;
   if (!mayRepeat) return [];
-  return listEngines(state).filter(
-    engine =>
-      stageOf(engine) === 'decode' &&
-      !engine.entry.isDraining &&
-      !failed.has(engine.entry.id) &&
-      engine !== standby?.target,
-  );
+  return listEngines(state).filter(engine => engine !== standby?.target && isReturn(state, engine));
+}
+
+function isReturn({failed}: StreamState, engine: PooledTarget): boolean {
+  const {id, isDraining} = engine.entry;
+  return stageOf(engine) === 'decode' && !isDraining && !failed.has(id);
 }
 
 /** Engines at which the request may run without exceeding the number of targets of its route. */
@@ -160,11 +204,22 @@
   return true;
 }
 
-function mayLeave(state: StreamState): boolean {
+/**
+ * Whether a silent engine may be left for another one. Its run is ended when that one hasn't refused
+ * in time; the attempt for the return is taken as well, as it may refuse later. Without that, only
+ * an engine that is probably lost is left.
+ */
+function mayLeave(state: StreamState, {target, lostMs}: EngineRun): boolean {
   const {deps, request, mayRepeat} = state;
   // A silent engine isn't left for one that was left before: it may be sound itself.
   if (!mayRun(state) || !hasPlacement(state)) return false;
-  return mayRetry(deps, request, {mayRepeat});
+  const hadReturn = state.returnAttempt !== undefined;
+  if (!hadReturn && isReturn(state, target)) {
+    state.returnAttempt = reserveAttempt(deps, request.service);
+  }
+  if (state.returnAttempt && mayRetry(deps, request, {mayRepeat})) return true;
+  if (!hadReturn) releaseReturn(state);
+  return deps.clock.nowMs() >= lostMs && mayRetry(deps, request, {mayRepeat});
 }
 
 function hasPlacement(state: StreamState): boolean {
@@ -323,6 +378,7 @@
     hasEvents: false,
     wasSilent: false,
     dueMs: 0,
+    lostMs: 0,
     releaseSource: undefined,
     onFirstEvent: () => {
       removePending();
@@ -346,6 +402,7 @@
   const {progress} = state.request;
   if (state.standby === run) {
     state.standby = undefined;
+    releaseReturn(state);
     run.dueMs = state.deps.clock.nowMs() + SILENCE_CHECK_MS;
   }
   try {
--- a/packages/relay/src/stream-state.ts
+++ b/packages/relay/src/stream-state.ts
@@ -1,7 +1,8 @@
 import {TargetId} from '@radishgw/core';
 import {EngineRun} from './engine-run.js';
+import {PooledTarget} from './target-pool.js';
 import {AdmittedRequest, RelayDependencies} from './request-context.js';
-import {ServeOutcome} from './serve-outcome.js';
+import {releaseReserved, ReservedAttempt, ServeOutcome} from './serve-outcome.js';
 
 /** Result of one run of a stream at an engine. */
 export type RunResult =
@@ -26,9 +27,13 @@
   /** Engines at which a run has failed. */
   readonly failed: Set<TargetId>;
   /** Whether another engine can be asked to take over from a silent one; takes the extra attempt. */
-  mayLeave(): boolean;
+  mayLeave(run: EngineRun): boolean;
   /** A run at a silent engine, kept until another engine has taken the request over. */
   standby: EngineRun | undefined;
+  /** Extra attempt for the return to a silent engine, kept until an engine sends an event. */
+  returnAttempt: ReservedAttempt | undefined;
+  /** The engine whose run was ended last for one that has neither answered nor sent an event. */
+  leftEngine: PooledTarget | undefined;
   lastEventId: string | undefined;
   /** Number of events received, over all runs. */
   eventCount: number;
@@ -37,3 +42,10 @@
   /** Whether the prompt has been prefilled once; another prefill is an extra attempt. */
   hasPrefilled: boolean;
 }
+
+/** Gives the attempt for a return back: an engine goes on with the stream, or it has ended. */
+export function releaseReturn(state: StreamState): void {
+  const {deps, request, returnAttempt} = state;
+  if (returnAttempt) releaseReserved(deps, request.service, returnAttempt);
+  state.returnAttempt = undefined;
+}
