Take a refusal by its head when its text is late

A stream was cut, or got an answer of unknown outcome, although its engines were sound: an engine that refused it fell silent within the text of the refusal, and counted as one at which a run had failed, so that the stream didn't return to it and its run wasn't withdrawn.

Cause: the whole answer was waited for, for up to 500 ms, and an incomplete one meant a failed run. The head says already that the request wasn't run.

--- a/packages/relay/src/relay-stream.ts
+++ b/packages/relay/src/relay-stream.ts
@@ -310,6 +310,12 @@
   const addStep = (text: string) => recordStep(request, `${sent.target.entry.id}:${text}`);
   if (answer.type !== 'answer') {
     addStep(answer.type);
+    const {status, meta} = head;
+    if (statesNotRun(status, meta) && !findAnswerFault(status, meta, request.meta.requestId)) {
+      // The head says so; the engine was silent or broke off within the text.
+      sent.finish(refusalOutcome(meta));
+      return {type: 'notRun', isUnsent: false};
+    }
     sent.finish('failed');
     return {type: 'broken'};
   }
