Read objects anew when the store has come back from an older copy

On the users' platform the store may come back from a copy some seconds old; revisions are given out again then, and the header Store-Era rises. A host that had read an object in the lost seconds went on with that content when the same revision was given to another one: a configuration was not in force, an entry of a server that drains was read as ready.

Cause: MetadataStore and StoreFleetSource keep what they have read by name and revision, which names one content only as long as the store never goes back. Ruled out: the follower's side of shared reads, which compares contents.

Adds StoreEra, the one place that knows the latest era, from the first answer on; a position is (era, revision). A store that names no era has one.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -8,3 +8,4 @@
 export * from './session-observer.js';
 export * from './settled-put.js';
 export * from './shard-assignment.js';
+export * from './store-era.js';
--- a/packages/coordination/src/platform.ts
+++ b/packages/coordination/src/platform.ts
@@ -1,6 +1,11 @@
 import {FailureDomain, HostId, OrderId, PoolId, Result} from '@radishgw/core';
+import {StoreEra} from './store-era.js';
 
-/** Position in the store's history: one increasing counter for the whole store; 0 precedes all. */
+/**
+ * Position in the store's history: one increasing counter for the whole store; 0 precedes all. Where
+ * the store may come back from an older copy, revisions are compared within an era only: see
+ * {@link StorePosition}.
+ */
 export type Revision = number;
 
 /** An object in the platform's versioned store. `value` is JSON text of at most one megabyte. */
@@ -19,6 +24,8 @@
 export interface ObjectList {
   readonly objects: readonly PlatformObject[];
   readonly revision: Revision;
+  /** Era of the store at which they were read; missing if the store has only one. */
+  readonly era?: number;
   /** Objects whose content can't be used, as another writer may leave them. */
   readonly unreadable?: readonly UnreadableObject[];
 }
@@ -97,6 +104,8 @@
 
 /** A versioned object store with conditional updates. Implementations never throw. */
 export interface ObjectStore {
+  /** Eras of a store that may come back from an older copy; missing if this one doesn't. */
+  readonly era?: StoreEra;
   get(key: string): PlatformAnswer<PlatformObject>;
   list(prefix: string): PlatformAnswer<ObjectList>;
   put(key: string, value: string, condition?: UpdateCondition): PlatformAnswer<Revision>;
--- a/packages/core/src/bounded-pool.ts
+++ b/packages/core/src/bounded-pool.ts
@@ -1,3 +1,4 @@
+import {IncomingHttpHeaders} from 'node:http';
 import {Dispatcher, Pool} from 'undici';
 import {boundCall} from './bound-call.js';
 import {createConnector} from './connector.js';
@@ -17,6 +18,8 @@
 /** An answer that was read completely. */
 export interface TextAnswer {
   readonly statusCode: number;
+  /** By lower-case name. */
+  readonly headers: IncomingHttpHeaders;
   readonly text: string;
 }
 
@@ -50,7 +53,7 @@
       return await boundCall(timeoutMs, async signal => {
         const answer = await generation.pool.request({...request, signal});
         const text = await readText(answer.body, this.options.maxBodyBytes);
-        return {statusCode: answer.statusCode, text};
+        return {statusCode: answer.statusCode, headers: answer.headers, text};
       });
     } catch (error) {
       if (this.current === generation && !this.isDestroyed) this.current = this.open();
