Compare lists of targets by era and revision of the store

Cause: a list whose revision is below that of the last one was ignored as an older read. After the copy the revisions start again some hundreds below, so that every list was ignored until they had climbed back.

Ruled out: failed reads (lists were read, and not applied); a lower revision alone as the sign of a copy, as a late answer has one, too.

A list has the era in which it was read, also where another host read it; readers name the era to their followers, which learn it by that. The first list of an era is applied whatever its revision. What it may say wrongly is not believed: entries that it lacks are kept for the two seconds in which targets write again, a target that is known to drain stays so, and an entry of an incarnation that had gone isn't used until the target writes it anew, for ten seconds at most.

--- a/packages/relay/src/fleet-duties.ts
+++ b/packages/relay/src/fleet-duties.ts
@@ -122,8 +122,8 @@
     const hosts = readyHosts(deps.registry, this.lastReadMs);
     deps.onEvidence(state.evidence);
     const records = state.hosts.map(omitVolatileFields);
-    deps.reads.publish('hosts', {records, evidence: state.evidence}, sentAt);
-    deps.reads.publish('beats', state.hosts.map(toHeartbeat), sentAt);
+    deps.reads.publish('hosts', {records, evidence: state.evidence}, sentAt, state.era);
+    deps.reads.publish('beats', state.hosts.map(toHeartbeat), sentAt, state.era);
     deps.onHosts();
     const now = readInstant(deps.clock);
     observeLease(this.lease, state.lease?.record, state.lease?.revision ?? 0, now);
--- a/packages/relay/src/model.ts
+++ b/packages/relay/src/model.ts
@@ -114,10 +114,14 @@
   readonly stage: EngineStage | undefined;
   /** Whether the target is preemptible: it may be withdrawn at short notice. */
   readonly isCheap: boolean;
+  /** Revision of the store at which the entry changed last; missing if unknown. */
+  readonly revision?: number;
 }
 
 /** The entries of all targets, as read from the store. */
 export interface TargetList {
+  /** Era of the store at which the list was current; missing if the store has only one. */
+  readonly era?: number;
   /** Revision of the store at which the list was current. */
   readonly revision: number;
   readonly entries: readonly TargetEntry[];
--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -7,7 +7,7 @@
   startTask,
   Task,
 } from '@radishgw/core';
-import {ObjectStore} from '@radishgw/coordination';
+import {ObjectStore, StoreEra} from '@radishgw/coordination';
 import {ClientServer} from './client-server.js';
 import {configAgeMs, createConfigView} from './config-view.js';
 import {readInstant} from './instant.js';
@@ -93,6 +93,7 @@
 export class RelayHost {
   readonly metrics = new RelayMetrics();
   private readonly incarnation: string;
+  private readonly era: StoreEra;
   private readonly configView = createConfigView();
   private readonly registry: HostRegistry = createHostRegistry();
   private readonly usage: UsageLedger = createUsageLedger();
@@ -122,6 +123,8 @@
   constructor(private readonly options: RelayHostOptions) {
     const {settings, clock, random, log} = options;
     this.incarnation = random.nextHex(8);
+    this.era = options.store.era ?? new StoreEra();
+    this.era.subscribe(era => log.write('storeRestored', {era}));
     this.fleetTime = createFleetTime(readInstant(clock));
     this.targets = new TargetPool({
       clock,
@@ -311,6 +314,7 @@
       log,
       peers: this.peers,
       intervals: readIntervals(settings.changeBoundMs),
+      era: this.era,
       findReader: () => findDomainReader(this.listReady(), settings.failureDomain),
     });
   }
--- a/packages/relay/src/shared-kinds.ts
+++ b/packages/relay/src/shared-kinds.ts
@@ -15,9 +15,15 @@
   /** Kind that is fetched at about the same times; both are fetched with one call. */
   readonly companion: SharedKind;
   split(value: unknown): readonly (readonly [string, unknown])[];
-  join(entries: ReadonlyMap<string, unknown>, revision: number | undefined): unknown;
+  join(
+    entries: ReadonlyMap<string, unknown>,
+    revision: number | undefined,
+    era: number | undefined,
+  ): unknown;
   /** Revision of a value, where it has one; a newer value has no lower one. */
   revisionOf?(value: unknown): number;
+  /** Era of the store at which the value was read, where it names one. */
+  eraOf?(value: unknown): number | undefined;
   /** Whether values with the same revision are the same. */
   readonly isIdentifiedByRevision?: boolean;
   /**
@@ -74,8 +80,9 @@
     maxAgeMs: ({directMs}) => directMs + SLOW_CALL_MS,
     companion: 'config',
     split: value => (value as TargetList).entries.map(entry => [entry.id, entry]),
-    join: (entries, revision) => ({entries: [...entries.values()], revision}),
+    join: (entries, revision, era) => ({entries: [...entries.values()], era, revision}),
     revisionOf: value => (value as TargetList).revision,
+    eraOf: value => (value as TargetList).era,
   },
   hosts: {
     maxAgeMs: () => MAX_RECORDS_AGE_MS,
--- a/packages/relay/src/shared-publication.ts
+++ b/packages/relay/src/shared-publication.ts
@@ -34,6 +34,8 @@
   readonly ageMs: number;
   /** Revision of the value, where it has one. */
   readonly revision?: number;
+  /** Era of the store at which the value was read; missing if the store has only one. */
+  readonly era?: number;
   /** Whether `changed` contains all entries. */
   readonly isWhole: boolean;
   /** Key and JSON content of each changed entry. */
@@ -56,6 +58,7 @@
   number: number;
   readAt: Instant;
   revision: number | undefined;
+  era: number;
   readonly entries: Map<string, PublishedEntry>;
   /** Numbers of the versions in which entries were removed, oldest first. */
   readonly removed: Map<string, number>;
@@ -97,6 +100,7 @@
     number: 0,
     readAt,
     revision: undefined,
+    era: 0,
     entries,
     removed: new Map(),
     prunedThroughVersion: 0,
--- a/packages/relay/src/shared-reads.ts
+++ b/packages/relay/src/shared-reads.ts
@@ -1,5 +1,5 @@
 import {call, Clock, Err, EventLog, HostId, Ok, Procedure, Result} from '@radishgw/core';
-import {PlatformAnswer, PlatformError} from '@radishgw/coordination';
+import {PlatformAnswer, PlatformError, StoreEra} from '@radishgw/coordination';
 import {Instant, maxElapsedMs, readInstant} from './instant.js';
 import {HostRecord} from './host-registry.js';
 import {PeerClient} from './peer-client.js';
@@ -39,6 +39,8 @@
   readonly value: T;
   /** Time at which the value was current in the store, or earlier. */
   readonly asOf: Instant;
+  /** Era of the store at which the value was read, or an earlier one. */
+  readonly era: number;
   /** Whether another host read the value. */
   readonly isShared: boolean;
 }
@@ -47,6 +49,7 @@
   version: SharedVersion;
   readonly entries: Map<string, unknown>;
   revision: number | undefined;
+  era: number | undefined;
   value: unknown;
 }
 
@@ -58,6 +61,8 @@
   readonly log: EventLog;
   readonly peers: PeerClient;
   readonly intervals: ReadIntervals;
+  /** Eras of the store. */
+  readonly era: StoreEra;
   /** The host that reads for this host; undefined if none is known. */
   findReader(): HostRecord | undefined;
 }
@@ -93,12 +98,14 @@
     const shared = yield* this.fetch<T>(kind);
     if (shared) return Ok(shared);
     const asOf = readInstant(this.deps.clock);
+    const sentEra = this.deps.era.current;
     const answer = yield* call(readDirectly);
     this.asked.delete(kind);
     if (answer.err) return answer;
     if (KINDS[kind].isIdentifiedByRevision) this.direct.set(kind, answer.val);
-    this.publish(kind, answer.val, asOf);
-    return Ok({value: answer.val, asOf, isShared: false});
+    const era = KINDS[kind].eraOf?.(answer.val) ?? sentEra;
+    this.publish(kind, answer.val, asOf, era);
+    return Ok({value: answer.val, asOf, era, isShared: false});
   }
 
   /** Fetches a value from this host's reader; undefined if there is no reader or fresh value. */
@@ -109,11 +116,14 @@
     if (clock.nowMs() < (this.retryAtMs.get(kind) ?? -Infinity)) return undefined;
     const {sentAt, result: answer} = yield* call(() => this.askOnce(kind, reader.peerAddress));
     let cause = answer.ok ? `read is ${Math.round(answer.val.ageMs)} ms old` : answer.val;
-    if (answer.ok && answer.val.ageMs <= KINDS[kind].maxAgeMs(intervals)) {
+    if (answer.ok && !this.deps.era.observe(answer.val.era)) {
+      cause = `read is of era ${answer.val.era} of the store`;
+    } else if (answer.ok && answer.val.ageMs <= KINDS[kind].maxAgeMs(intervals)) {
       if (answer.val.content === 'withheld') return undefined;
       try {
         const value = this.applyAnswer<T>(kind, answer.val);
-        return {value, asOf: subtractMs(sentAt, answer.val.ageMs), isShared: true};
+        const asOf = subtractMs(sentAt, answer.val.ageMs);
+        return {value, asOf, era: answer.val.era ?? 0, isShared: true};
       } catch (error) {
         this.received.delete(kind); // It may have been changed in part.
         cause = `answer can't be used: ${String(error)}`;
@@ -124,8 +134,11 @@
     return undefined;
   }
 
-  /** Shares a value that this host has read; `readAt` is before the read was sent. */
-  publish(kind: SharedKind, value: unknown, readAt: Instant): void {
+  /**
+   * Shares a value that this host has read in an era of the store; `readAt` is before the read was
+   * sent.
+   */
+  publish(kind: SharedKind, value: unknown, readAt: Instant, era: number): void {
     let published = this.published.get(kind);
     if (!published) {
       published = createPublished(readAt);
@@ -133,6 +146,7 @@
     }
     published.readAt = readAt;
     published.revision = KINDS[kind].revisionOf?.(value);
+    published.era = era;
     if (published.value === value) return;
     published.value = value;
     updatePublished(published, KINDS[kind].split(value));
@@ -149,11 +163,12 @@
     const published = this.published.get(question.kind);
     if (!published) return undefined;
     const {incarnation, clock} = this.deps;
-    const {number, readAt, revision} = published;
+    const {number, readAt, revision, era} = published;
     return {
       version: {incarnation, number},
       ageMs: maxElapsedMs(readAt, readInstant(clock)),
       revision,
+      era: era > 0 ? era : undefined,
       ...selectContent(published, question, incarnation),
     };
   }
@@ -191,30 +206,32 @@
   }
 
   /** Continues from the value that was read directly, which the reader has as `version`. */
-  private adoptDirectValue(kind: SharedKind, version: SharedVersion): void {
+  private adoptDirectValue(kind: SharedKind, {version, era}: SharedReadAnswer): void {
     const value = this.direct.get(kind);
     if (value === undefined) return;
     const {split, revisionOf} = KINDS[kind];
     const entries = new Map(split(value));
-    this.received.set(kind, {version, entries, revision: revisionOf?.(value), value});
+    this.received.set(kind, {version, entries, revision: revisionOf?.(value), era, value});
   }
 
   private applyAnswer<T>(kind: SharedKind, answer: SharedReadAnswer): T {
-    const {version, isWhole, changed, removed, revision} = answer;
-    if (answer.content === 'known') this.adoptDirectValue(kind, version);
+    const {version, isWhole, changed, removed, revision, era} = answer;
+    if (answer.content === 'known') this.adoptDirectValue(kind, answer);
     this.direct.delete(kind);
     let received = this.received.get(kind);
     const isSame = !isWhole && changed.length + removed.length === 0;
-    if (received && isSame && received.revision === revision) return received.value as T;
+    const isSamePosition = received?.revision === revision && received?.era === era;
+    if (received && isSame && isSamePosition) return received.value as T;
     if (!received || isWhole) {
-      received = {version, entries: new Map(), revision, value: undefined};
+      received = {version, entries: new Map(), revision, era, value: undefined};
       this.received.set(kind, received);
     }
     for (const key of removed) received.entries.delete(key);
     for (const [key, content] of changed) received.entries.set(key, decodeShared(content));
     received.version = version;
     received.revision = revision;
-    received.value = KINDS[kind].join(received.entries, revision);
+    received.era = era;
+    received.value = KINDS[kind].join(received.entries, revision, era);
     return received.value as T;
   }
 }
--- a/packages/relay/src/store-sync.ts
+++ b/packages/relay/src/store-sync.ts
@@ -139,6 +139,8 @@
 
 /** Contents of the objects that the hosts write to the store. */
 export interface SharedState {
+  /** Era of the store at which they were read. */
+  readonly era: number;
   /** The newest record of each host. */
   readonly hosts: readonly HostRecord[];
   /** `record` is undefined if the object can't be used. */
@@ -172,7 +174,7 @@
 
   async read(): PlatformAnswer<SharedState> {
     const answer = await this.store.list(STATE_PREFIX);
-    return answer.map(({objects, unreadable = []}) => {
+    return answer.map(({objects, era = 0, unreadable = []}) => {
       const hosts: HostRecord[] = [];
       const frozen = new Map<number, FrozenWindow>();
       const evidence = new Map<HostId, CrashEvidence>();
@@ -201,7 +203,7 @@
           this.rejected.reject(key, summarize(error));
         }
       }
-      return {hosts: selectNewestRecords(hosts), lease, frozen, evidence};
+      return {era, hosts: selectNewestRecords(hosts), lease, frozen, evidence};
     });
   }
 
--- a/packages/relay/src/target-pool.ts
+++ b/packages/relay/src/target-pool.ts
@@ -125,6 +125,7 @@
       kept: ids(kept),
       known: this.targets.size,
       isShared,
+      era: list.era,
       revision: list.revision,
       listAgeMs: Math.round(this.listAgeMs()),
       previousAgeMs: Number.isFinite(previousAgeMs) ? Math.round(previousAgeMs) : undefined,
--- a/packages/relay/src/target-view.ts
+++ b/packages/relay/src/target-view.ts
@@ -1,4 +1,6 @@
+import {comparePositions} from '@radishgw/coordination';
 import {TargetId} from '@radishgw/core';
+import {incarnationKey} from './leaving-targets.js';
 import {TargetEntry, TargetList} from './model.js';
 import {
   createRevisionRate,
@@ -19,10 +21,20 @@
  */
 export const MIN_OUTAGE_MS = 2000;
 
+/** Time for which an incarnation that has gone is remembered; a copy of the store isn't older. */
+const GONE_MEMORY_MS = 60_000;
+
+/**
+ * Time for which an entry that a copy of the store has brought back isn't used: the store removes
+ * the entry of a target that is gone, and a target that leaves is gone.
+ */
+const REVIVED_MS = 10_000;
+
 /** This host's view of the list of targets. */
 export interface TargetView {
   targets: Map<TargetId, TargetEntry>;
-  /** Revision of the store at which the list was read. */
+  /** Era and revision of the store at which the list was read. */
+  era: number;
   revision: number;
   readAtMs: number;
   /** Until this time, entries that are missing from the list are retained. */
@@ -33,6 +45,15 @@
   readonly rate: RevisionRate;
   /** Whether a read has failed since the latest successful one. */
   hasFailedRead: boolean;
+  /** Times at which incarnations have gone, oldest first, by `incarnationKey`. */
+  readonly goneMs: Map<string, number>;
+  /**
+   * Incarnations that had gone and whose entries a copy of the store has brought back, with the
+   * revisions of these entries.
+   */
+  readonly revived: Map<string, number | undefined>;
+  /** Time until which those aren't used. */
+  revivedUntilMs: number;
 }
 
 /** Changes made by a read of the list. */
@@ -47,12 +68,16 @@
 export function createTargetView(): TargetView {
   return {
     targets: new Map(),
+    era: -Infinity,
     revision: -Infinity,
     readAtMs: -Infinity,
     graceUntilMs: -Infinity,
     missing: new Set(),
     rate: createRevisionRate(),
     hasFailedRead: false,
+    goneMs: new Map(),
+    revived: new Map(),
+    revivedUntilMs: -Infinity,
   };
 }
 
@@ -61,6 +86,42 @@
   return a.id === b.id && a.bornMs === b.bornMs && a.address === b.address;
 }
 
+/** Applies the first list after the store has come back from an older copy. */
+function beginEra(view: TargetView, entries: readonly TargetEntry[], nowMs: number): void {
+  // The copy lacks targets that have registered since; they write their entries again.
+  view.graceUntilMs = nowMs + REAPPEARANCE_GRACE_MS;
+  view.revivedUntilMs = nowMs + REVIVED_MS;
+  view.revived.clear();
+  for (const entry of entries) {
+    const key = incarnationKey(entry);
+    if (view.goneMs.has(key)) view.revived.set(key, entry.revision);
+  }
+}
+
+/** Leaves out the entries that a copy of the store has brought back. */
+function omitRevived(
+  view: TargetView,
+  entries: readonly TargetEntry[],
+  nowMs: number,
+): readonly TargetEntry[] {
+  if (nowMs >= view.revivedUntilMs) view.revived.clear();
+  if (view.revived.size === 0) return entries;
+  const revisions = new Map(entries.map(entry => [incarnationKey(entry), entry.revision]));
+  for (const [key, revision] of view.revived) {
+    // A target that is alive has written its entry since.
+    if (!revisions.has(key) || revisions.get(key) !== revision) view.revived.delete(key);
+  }
+  return entries.filter(entry => !view.revived.has(incarnationKey(entry)));
+}
+
+function recordGone(view: TargetView, gone: readonly TargetEntry[], nowMs: number): void {
+  for (const entry of gone) view.goneMs.set(incarnationKey(entry), nowMs);
+  for (const [key, goneMs] of view.goneMs) {
+    if (nowMs - goneMs < GONE_MEMORY_MS) break;
+    view.goneMs.delete(key);
+  }
+}
+
 /** Whether the store was unavailable between the previous list and one of `revision`. */
 function detectOutage(view: TargetView, revision: number, nowMs: number): boolean {
   const gapMs = nowMs - view.readAtMs;
@@ -74,17 +135,22 @@
 
 /**
  * Applies a complete read of the list, which was current in the store at `nowMs`. A list that is
- * older than the previous one is ignored. Its revision decides: a read that was sent earlier may
+ * older than the previous one is ignored. Its position decides: a read that was sent earlier may
  * have been carried out later.
  */
 export function updateTargets(
   view: TargetView,
-  {revision, entries}: TargetList,
+  {era = 0, revision, entries: listed}: TargetList,
   nowMs: number,
 ): TargetChanges {
-  if (revision < view.revision) return {added: [], draining: [], gone: [], kept: []};
-  if (detectOutage(view, revision, nowMs)) view.graceUntilMs = nowMs + REAPPEARANCE_GRACE_MS;
+  if (comparePositions({era, revision}, view) < 0) {
+    return {added: [], draining: [], gone: [], kept: []};
+  }
+  if (era > view.era && view.readAtMs > -Infinity) beginEra(view, listed, nowMs);
+  else if (detectOutage(view, revision, nowMs)) view.graceUntilMs = nowMs + REAPPEARANCE_GRACE_MS;
+  const entries = omitRevived(view, listed, nowMs);
   view.readAtMs = Math.max(view.readAtMs, nowMs);
+  view.era = era;
   view.revision = revision;
   view.hasFailedRead = false;
   const next = new Map(entries.map(entry => [entry.id, entry]));
@@ -114,6 +180,7 @@
       next.set(id, {...entry, isDraining: true});
     }
   }
+  recordGone(view, gone, nowMs);
   view.targets = next;
   view.missing = missing;
   return {added, draining, gone, kept};
--- a/packages/relay/src/unreadable-entries.ts
+++ b/packages/relay/src/unreadable-entries.ts
@@ -39,5 +39,5 @@
   const entries = [...list.entries.filter(({id}) => !unreadable.has(id)), ...kept];
   known.entries.clear();
   for (const entry of entries) known.entries.set(entry.id, entry);
-  return {revision: list.revision, entries};
+  return {era: list.era, revision: list.revision, entries};
 }
--- a/packages/relay/test/shared-reads.test.ts
+++ b/packages/relay/test/shared-reads.test.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {PlatformAnswer} from '@radishgw/coordination';
+import {PlatformAnswer, StoreEra} from '@radishgw/coordination';
 import {
   createHandlers,
   Err,
@@ -74,6 +74,7 @@
       log: {write: (event: string) => void this.events.push(event)},
       peers,
       intervals: readIntervals(),
+      era: new StoreEra(),
       findReader: () => this.record,
     });
   }
