Give each era of the store fencing tokens of its own

Cause: the term of the lease is counted in the record alone. What an era has lost isn't known to anybody for sure, so that no host can tell which terms were given out in it.

Weighed: one more than the highest term that a host has seen. A host that starts after the copy has seen none.

A record names the era in which it was written; the token is the era and the term in one number. A record of an earlier era names no holder: a host waits for the time of a take-over before it takes the lease, also if the record is missing in a store that names eras. A holder whose time isn't over takes it back at once, as nobody can have succeeded it. A write of an earlier era that is carried out late counts for nobody.

--- a/packages/relay/src/fleet-duties.ts
+++ b/packages/relay/src/fleet-duties.ts
@@ -1,3 +1,4 @@
+import {StoreEra} from '@radishgw/coordination';
 import {call, Clock, EventLog, HostId, Procedure, sleep} from '@radishgw/core';
 import {CapacityController} from './capacity-controller.js';
 import {Instant, readInstant} from './instant.js';
@@ -16,7 +17,7 @@
   acceptLease,
   createLeaseView,
   decideLease,
-  heldTerm,
+  heldToken,
   LeaseTimes,
   LeaseView,
   observeLease,
@@ -53,6 +54,8 @@
   readonly registry: HostRegistry;
   readonly monitor: DependencyMonitor;
   readonly reads: SharedReads;
+  /** Eras of the store. */
+  readonly era: StoreEra;
   readonly leaseTimes: LeaseTimes;
   readonly usageWindowMs: number;
   readonly capacity: CapacityController;
@@ -99,7 +102,7 @@
 
   /** Returns the fencing token while this host may act for the fleet, otherwise undefined. */
   currentTerm(): number | undefined {
-    return heldTerm(this.lease, this.deps.leaseTimes, readInstant(this.deps.clock));
+    return heldToken(this.lease, this.deps.leaseTimes, readInstant(this.deps.clock));
   }
 
   private *step(): Procedure<void> {
@@ -126,7 +129,8 @@
     deps.reads.publish('beats', state.hosts.map(toHeartbeat), sentAt, state.era);
     deps.onHosts();
     const now = readInstant(deps.clock);
-    observeLease(this.lease, state.lease?.record, state.lease?.revision ?? 0, now);
+    const {record, revision = 0} = state.lease ?? {};
+    observeLease(this.lease, record, revision, now, state.era);
     if (this.isCandidate()) yield* this.maintainLease();
     this.logHolderChange();
     if (this.currentTerm() === undefined) return;
@@ -190,7 +194,7 @@
     const answer = yield* call(() => deps.shared.writeLease(step.record, lease.revision));
     // If the answer is lost, the next read shows whether the write succeeded, because the record
     // names its holder's incarnation.
-    if (answer.ok) acceptLease(lease, step.record, answer.val, sentAt);
+    if (answer.ok) acceptLease(lease, step.record, answer.val, sentAt, deps.era.current);
   }
 
   private logHolderChange(): void {
@@ -199,6 +203,7 @@
     if (isHolder === this.wasHolder) return;
     this.wasHolder = isHolder;
     this.deps.log.write(isHolder ? 'leaseAcquired' : 'leaseLost', {
+      era: this.lease.record?.era,
       term: this.lease.record?.term,
       holder: this.lease.record?.holder,
     });
--- a/packages/relay/src/lease.ts
+++ b/packages/relay/src/lease.ts
@@ -14,14 +14,29 @@
   readonly holder: HostId;
   /** Incarnation of the holder's process. */
   readonly incarnation: string;
-  /** Fencing token; increases with each change of holder. */
+  /** Era of the store in which the record was written; missing if the store has only one. */
+  readonly era?: number;
+  /** Increases with each change of holder within an era. */
   readonly term: number;
   /** Increases with each renewal, so that the record changes. */
   readonly renewal: number;
 }
 
+/**
+ * Difference between the fencing tokens of one term in two eras: how many terms an era may have. The
+ * terms that an older copy of the store has lost can't be known, so that an era has tokens of its own.
+ */
+const TERMS_PER_ERA = 2 ** 32;
+
+/** Fencing token of a term; increases with each change of holder, also across eras. */
+export function fencingToken({era = 0, term}: Pick<LeaseRecord, 'era' | 'term'>): number {
+  return era * TERMS_PER_ERA + term;
+}
+
 /** This host's view of a lease. */
 export interface LeaseView {
+  /** Latest era in which this host has read the record; undefined before the first read. */
+  era: number | undefined;
   record: LeaseRecord | undefined;
   /** Revision of the record; 0 if there is none. */
   revision: number;
@@ -29,19 +44,36 @@
   seenAt: Instant | undefined;
   /** Time at which the current renewal was sent; undefined if this host isn't the holder. */
   renewedAt: Instant | undefined;
+  /** Time at which this host sent its latest renewal as the holder in an earlier era. */
+  heldBeforeAt: Instant | undefined;
 }
 
 export function createLeaseView(): LeaseView {
-  return {record: undefined, revision: 0, seenAt: undefined, renewedAt: undefined};
+  return {
+    era: undefined,
+    record: undefined,
+    revision: 0,
+    seenAt: undefined,
+    renewedAt: undefined,
+    heldBeforeAt: undefined,
+  };
 }
 
-/** Applies a read of the record. */
+/** Applies a read of the record in an era of the store; one in an earlier era is ignored. */
 export function observeLease(
   view: LeaseView,
   record: LeaseRecord | undefined,
   revision: number,
   now: Instant,
+  era = 0,
 ): void {
+  if (view.era !== undefined && era < view.era) return;
+  if (view.era !== undefined && era > view.era) {
+    view.heldBeforeAt = view.renewedAt ?? view.heldBeforeAt;
+    view.renewedAt = undefined;
+    view.seenAt = undefined;
+  }
+  view.era = era;
   if (view.seenAt && revision === view.revision) return;
   const isOwn = view.record && record && isSameHolder(view.record, record);
   if (!isOwn) view.renewedAt = undefined;
@@ -51,7 +83,8 @@
 }
 
 function isSameHolder(a: LeaseRecord, b: LeaseRecord): boolean {
-  return a.holder === b.holder && a.incarnation === b.incarnation && a.term === b.term;
+  const isSameTerm = a.term === b.term && (a.era ?? 0) === (b.era ?? 0);
+  return a.holder === b.holder && a.incarnation === b.incarnation && isSameTerm;
 }
 
 /** Next action for a lease. */
@@ -65,13 +98,19 @@
   times: LeaseTimes,
   now: Instant,
 ): LeaseStep {
-  const {record} = view;
+  const {record, era = 0} = view;
   if (!view.seenAt) return {type: 'wait'};
-  if (record && record.holder === self.hostId && record.incarnation === self.incarnation) {
+  const isOwn = record?.holder === self.hostId && record.incarnation === self.incarnation;
+  // A record of an earlier era names a holder that may have had a successor since.
+  if (isOwn && (record.era ?? 0) === era) {
     return {type: 'write', record: {...record, renewal: record.renewal + 1}};
   }
-  const exists = record !== undefined || view.revision > 0;
-  if (exists && now.monotonicMs - view.seenAt.monotonicMs < times.takeoverMs) {
+  // Nobody can have succeeded a holder whose time isn't over, whatever the store has lost.
+  const isStillHolder =
+    view.heldBeforeAt !== undefined && maxElapsedMs(view.heldBeforeAt, now) < times.holdMs;
+  // A missing record may have been lost as well, and its holder may still act.
+  const mustWait = !isStillHolder && (era > 0 || record !== undefined || view.revision > 0);
+  if (mustWait && now.monotonicMs - view.seenAt.monotonicMs < times.takeoverMs) {
     return {type: 'wait'};
   }
   // Each term took a write at least, so that the revision of a record that can't be used is higher
@@ -79,17 +118,29 @@
   const term = (record?.term ?? view.revision) + 1;
   return {
     type: 'write',
-    record: {holder: self.hostId, incarnation: self.incarnation, term, renewal: 0},
+    record: {
+      holder: self.hostId,
+      incarnation: self.incarnation,
+      ...(era > 0 && {era}),
+      term,
+      renewal: 0,
+    },
   };
 }
 
-/** Records that the write of `record`, which was sent at `sentAt`, succeeded. */
+/**
+ * Records that the write of `record`, which was sent at `sentAt`, succeeded in an era of the store.
+ * A write of an earlier era that was carried out late doesn't count: the next read shows it.
+ */
 export function acceptLease(
   view: LeaseView,
   record: LeaseRecord,
   revision: number,
   sentAt: Instant,
+  era = 0,
 ): void {
+  if ((record.era ?? 0) !== era) return;
+  view.era = era;
   view.record = record;
   view.revision = revision;
   view.seenAt = sentAt;
@@ -97,7 +148,8 @@
 }
 
 /** Returns the fencing token if this host may act as the holder at `now`, otherwise undefined. */
-export function heldTerm(view: LeaseView, times: LeaseTimes, now: Instant): number | undefined {
+export function heldToken(view: LeaseView, times: LeaseTimes, now: Instant): number | undefined {
   if (!view.renewedAt || !view.record) return undefined;
-  return maxElapsedMs(view.renewedAt, now) < times.holdMs ? view.record.term : undefined;
+  const isHeld = maxElapsedMs(view.renewedAt, now) < times.holdMs;
+  return isHeld ? fencingToken(view.record) : undefined;
 }
--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -347,6 +347,7 @@
       registry: this.registry,
       monitor: this.monitor,
       reads: this.reads,
+      era: this.era,
       leaseTimes: settings.leaseTimes,
       usageWindowMs: settings.usageWindowMs,
       onRecords: records => {
--- a/packages/relay/src/state-schemas.ts
+++ b/packages/relay/src/state-schemas.ts
@@ -35,6 +35,7 @@
 const leaseSchema = z.object({
   holder: nameSchema,
   incarnation: nameSchema,
+  era: countSchema.optional(),
   term: countSchema,
   renewal: countSchema,
 });
