Order the starts of a host across eras of the store

A host that restarted after the store had come back from a copy wasn't listed by the others for 7 to 8 s, while it listed itself and everybody, so that hosts had different lists of each other.

Cause: the generation of an incarnation is one more than that of the record in the store. The copy had the record of two starts ago, so that the same generation was given out again, with low beats, and the others took its records for older ones until its beat had passed the one that they knew.

A record names the era in which its host started, and that goes before the generation.

--- a/packages/relay/src/fleet-duties.ts
+++ b/packages/relay/src/fleet-duties.ts
@@ -60,8 +60,8 @@
   readonly usageWindowMs: number;
   readonly capacity: CapacityController;
   readonly stages: StageController;
-  /** Called with the complete records after a direct read. */
-  onRecords(records: readonly HostRecord[]): void;
+  /** Called with the complete records after a direct read in an era of the store. */
+  onRecords(records: readonly HostRecord[], era: number): void;
   /** Called with the records without what changes often, after a read that another host made. */
   onSharedRecords(records: readonly HostRecord[]): void;
   /** Called with the evidence on crashes of engines, by host, after each read. */
@@ -121,7 +121,7 @@
     const readAt = this.readFleetInstant();
     this.lastReadMs = readAt.monotonicMs;
     deps.onRenewedRecords(updateHosts(deps.registry, state.hosts, readAt));
-    deps.onRecords(state.hosts);
+    deps.onRecords(state.hosts, state.era);
     const hosts = readyHosts(deps.registry, this.lastReadMs);
     deps.onEvidence(state.evidence);
     const records = state.hosts.map(omitVolatileFields);
--- a/packages/relay/src/host-registry.ts
+++ b/packages/relay/src/host-registry.ts
@@ -7,7 +7,12 @@
 export interface HostRecord {
   readonly hostId: HostId;
   readonly incarnation: string;
-  /** Increases with each start of the host, so that records of two incarnations can be ordered. */
+  /** Era of the store in which the incarnation started; missing if the store has only one. */
+  readonly era?: number;
+  /**
+   * Increases with each start of the host within an era, so that records of two incarnations can be
+   * ordered.
+   */
   readonly generation: number;
   readonly failureDomain: FailureDomain;
   /** Address for clients. */
@@ -37,12 +42,20 @@
 /** A host is considered lost when its record hasn't changed for this long: three missed records. */
 export const HOST_TIMEOUT_MS = 3500;
 
+/** Compares the incarnations of two records of one host; positive if that of `a` is later. */
+export function compareIncarnations(
+  a: Pick<HostRecord, 'era' | 'generation'>,
+  b: Pick<HostRecord, 'era' | 'generation'>,
+): number {
+  return (a.era ?? 0) - (b.era ?? 0) || a.generation - b.generation;
+}
+
 /** Compares two records of one host by age; positive if `a` is newer. */
 export function compareRecords(
-  a: Pick<HostRecord, 'generation' | 'beat'>,
-  b: Pick<HostRecord, 'generation' | 'beat'>,
+  a: Pick<HostRecord, 'era' | 'generation' | 'beat'>,
+  b: Pick<HostRecord, 'era' | 'generation' | 'beat'>,
 ): number {
-  return a.generation - b.generation || a.beat - b.beat;
+  return compareIncarnations(a, b) || a.beat - b.beat;
 }
 
 /**
@@ -98,18 +111,19 @@
 /** Fields that change with each record; shared separately from the other fields. */
 export type HostHeartbeat = Pick<
   HostRecord,
-  'hostId' | 'generation' | 'beat' | 'madeMs' | 'madeWallMs'
+  'hostId' | 'era' | 'generation' | 'beat' | 'madeMs' | 'madeWallMs'
 >;
 
 /** Returns the fields of a record that change with each record. */
 export function toHeartbeat({
   hostId,
+  era,
   generation,
   beat,
   madeMs,
   madeWallMs,
 }: HostRecord): HostHeartbeat {
-  return {hostId, generation, beat, madeMs, madeWallMs};
+  return {hostId, era, generation, beat, madeMs, madeWallMs};
 }
 
 /** Returns a record without the fields that change often or that only the lease holder needs. */
@@ -128,7 +142,8 @@
   const byHost = new Map(heartbeats.map(heartbeat => [heartbeat.hostId, heartbeat]));
   return records.map(record => {
     const heartbeat = byHost.get(record.hostId);
-    return heartbeat?.generation === record.generation ? {...record, ...heartbeat} : record;
+    const isSame = heartbeat !== undefined && compareIncarnations(heartbeat, record) === 0;
+    return isSame ? {...record, ...heartbeat} : record;
   });
 }
 
@@ -182,7 +197,7 @@
   for (const id of registry.hosts.keys()) if (!present.has(id)) registry.hosts.delete(id);
   for (const record of records) {
     const seen = registry.hosts.get(record.hostId);
-    if (!seen || record.generation > seen.record.generation) {
+    if (!seen || compareIncarnations(record, seen.record) > 0) {
       registry.hosts.set(record.hostId, createObservation(record, now));
       continue;
     }
--- a/packages/relay/src/record-writer.ts
+++ b/packages/relay/src/record-writer.ts
@@ -46,6 +46,9 @@
   readonly storedBeat: number;
 }
 
+/** Start of an incarnation of a host; see {@link HostRecord}. */
+export type HostStart = Pick<HostRecord, 'era' | 'generation'>;
+
 interface Member {
   record: HostRecord;
   receivedMs: number;
@@ -62,7 +65,7 @@
   readonly monitor: DependencyMonitor;
   /** The host that reads and writes for this host; undefined if none is known. */
   findReader(): HostRecord | undefined;
-  makeRecord(generation: number, beat: number): HostRecord;
+  makeRecord(start: HostStart, beat: number): HostRecord;
   /** Called when a record that was created at `madeAt` is known to be stored. */
   onStored(madeAt: Instant): void;
   isStopping(): boolean;
@@ -74,7 +77,7 @@
  * of hosts. A host whose reader doesn't store its record in time writes directly.
  */
 export class RecordWriter {
-  private generation: number | undefined;
+  private start: HostStart | undefined;
   private beat = 0;
   private readonly members = new Map<HostId, Member>();
   /** Creation times of the records that aren't yet known to be stored, by beat. */
@@ -85,15 +88,15 @@
   constructor(private readonly deps: RecordWriterDependencies) {}
 
   /**
-   * Sets the generation from the newest record of this host's earlier incarnations; undefined if
-   * there is none. Nothing is written before this call.
+   * Sets the generation from the newest record of this host's earlier incarnations, undefined if
+   * there is none, as it was read in an era of the store. Nothing is written before this call.
    */
-  initialize(earlier: HostRecord | undefined): void {
-    this.generation ??= (earlier?.generation ?? 0) + 1;
+  initialize(earlier: HostRecord | undefined, era = 0): void {
+    this.start ??= {...(era > 0 && {era}), generation: (earlier?.generation ?? 0) + 1};
   }
 
   get isInitialized(): boolean {
-    return this.generation !== undefined;
+    return this.start !== undefined;
   }
 
   /** Writes until cancelled. */
@@ -135,7 +138,7 @@
     if (!this.isInitialized || isStopping() || findReader()?.hostId !== hostId) return undefined;
     const known = this.members.get(record.hostId);
     if (!known || compareRecords(record, known.record) > 0) {
-      const isSame = known?.record.generation === record.generation;
+      const isSame = known?.record.incarnation === record.incarnation;
       const storedBeat = isSame ? known.storedBeat : 0;
       this.members.set(record.hostId, {record, receivedMs: clock.nowMs(), storedBeat});
     }
@@ -143,14 +146,14 @@
   }
 
   private makeRecord(): HostRecord | undefined {
-    if (this.generation === undefined) return undefined;
+    if (!this.start) return undefined;
     this.beat++;
     this.pending.set(this.beat, readInstant(this.deps.clock));
     for (const beat of this.pending.keys()) {
       if (this.pending.size <= MAX_PENDING) break;
       this.pending.delete(beat);
     }
-    return this.deps.makeRecord(this.generation, this.beat);
+    return this.deps.makeRecord(this.start, this.beat);
   }
 
   /** Forwards a record to the reader; false if it must be written directly. */
@@ -191,7 +194,7 @@
     this.confirmStored(record.beat);
     for (const stored of members) {
       const member = this.members.get(stored.hostId);
-      if (member?.record.generation === stored.generation) member.storedBeat = stored.beat;
+      if (member?.record.incarnation === stored.incarnation) member.storedBeat = stored.beat;
     }
   }
 
--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -34,7 +34,7 @@
 import {QuotaClient} from './quota-client.js';
 import {keepRunning} from './keep-running.js';
 import {readIntervals} from './read-intervals.js';
-import {RecordWriter} from './record-writer.js';
+import {HostStart, RecordWriter} from './record-writer.js';
 import {RelayDependencies} from './request-context.js';
 import {createBufferedServer, listen, stopListening, waitUntilIdle} from './servers.js';
 import {RelaySettings} from './settings.js';
@@ -329,7 +329,7 @@
       shared: this.shared,
       monitor: this.monitor,
       findReader: () => findDomainReader(this.listReady(), settings.failureDomain),
-      makeRecord: (generation, beat) => this.makeRecord(generation, beat),
+      makeRecord: (start, beat) => this.makeRecord(start, beat),
       onStored: madeAt => this.quota.confirmRecord(madeAt),
       isStopping: () => this.stopAtMs !== undefined,
     });
@@ -350,8 +350,8 @@
       era: this.era,
       leaseTimes: settings.leaseTimes,
       usageWindowMs: settings.usageWindowMs,
-      onRecords: records => {
-        this.restoreUsage(records);
+      onRecords: (records, era) => {
+        this.restoreUsage(records, era);
         this.applyLeaving(records);
       },
       onSharedRecords: records => this.applyLeaving(records),
@@ -431,7 +431,7 @@
     });
   }
 
-  private makeRecord(generation: number, beat: number): HostRecord {
+  private makeRecord(start: HostStart, beat: number): HostRecord {
     const {settings, clock} = this.options;
     const {clientAddress, peerAddress, failureDomain, hostId, processorCapacity} = settings;
     const isReady = this.canServe;
@@ -440,7 +440,7 @@
     return {
       hostId,
       incarnation: this.incarnation,
-      generation,
+      ...start,
       failureDomain,
       address: `${clientAddress.host}:${clientAddress.port}`,
       peerAddress: `${peerAddress.host}:${peerAddress.port}`,
@@ -481,11 +481,11 @@
   }
 
   /** Restores the counts of this host's previous incarnation, which no other host reports. */
-  private restoreUsage(records: readonly HostRecord[]): void {
+  private restoreUsage(records: readonly HostRecord[], era: number): void {
     if (this.records.isInitialized) return;
     const earlier = records.find(record => record.hostId === this.options.settings.hostId);
     if (earlier) mergeCounts(this.usage, earlier.usage);
-    this.records.initialize(earlier);
+    this.records.initialize(earlier, era);
   }
 
   private formatMetrics(): string {
--- a/packages/relay/src/state-schemas.ts
+++ b/packages/relay/src/state-schemas.ts
@@ -18,6 +18,7 @@
 const recordSchema = z.object({
   hostId: nameSchema,
   incarnation: nameSchema,
+  era: countSchema.optional(),
   generation: countSchema,
   failureDomain: nameSchema,
   address: addressSchema,
--- a/packages/relay/test/host-registry.test.ts
+++ b/packages/relay/test/host-registry.test.ts
@@ -104,6 +104,16 @@
     expect(readyHosts(registry, 9000)).to.have.length(1);
   });
 
+  it('lists a host that has restarted from an older copy of the store at once', () => {
+    // Guards against a generation that is given out again, so that new records count as older.
+    const registry = createHostRegistry();
+    read(registry, 8000, {...makeRecord(9, 8000, 2), era: 1, isReady: false});
+    const restarted = {...makeRecord(1, 100, 2), era: 2, madeWallMs: 9000};
+    expect(read(registry, 9000, restarted)).to.equal(true);
+    expect(read(registry, 9500, {...makeRecord(10, 9000, 2), era: 1})).to.equal(true);
+    expect([...registry.hosts.values()][0].record.beat).to.equal(1);
+  });
+
   it('ignores a record that is older than the one it knows', () => {
     // Guards against a late write that reverts a host to an older state.
     const registry = createHostRegistry();
--- a/packages/relay/test/record-writer.test.ts
+++ b/packages/relay/test/record-writer.test.ts
@@ -87,7 +87,7 @@
       },
       monitor: new DependencyMonitor('store', this.clock, log),
       findReader: () => makeRecord(this.readerId, 1, 1),
-      makeRecord: (generation, beat) => makeRecord(id, generation, beat, this.clock.nowMs()),
+      makeRecord: ({generation}, beat) => makeRecord(id, generation, beat, this.clock.nowMs()),
       onStored: madeAt => void this.storedAtMs.set(id, madeAt.monotonicMs),
       isStopping: () => false,
     });
