Keep hosts that an older copy of the store lacks until they write again

After the store comes back from a copy, the records of hosts that started in the lost seconds are missing and the others' are older. The hosts that are listed would share out the attempt budget and the rates of teams among fewer hosts, and their readers and quota owners would change, until the missing ones have written again.

Cause: a record that is missing from a complete read meant that its host is gone, and an unchanged one that it is silent. Neither holds for the first reads of an era.

The registry knows the era of its latest read. When it rises, hosts whose records are missing are kept for the time in which all hosts write again, as after an outage; a read of an earlier era is ignored.

--- a/packages/relay/src/fleet-duties.ts
+++ b/packages/relay/src/fleet-duties.ts
@@ -120,7 +120,7 @@
     const state = answer.val;
     const readAt = this.readFleetInstant();
     this.lastReadMs = readAt.monotonicMs;
-    deps.onRenewedRecords(updateHosts(deps.registry, state.hosts, readAt));
+    deps.onRenewedRecords(updateHosts(deps.registry, state.hosts, readAt, state.era));
     deps.onRecords(state.hosts, state.era);
     const hosts = readyHosts(deps.registry, this.lastReadMs);
     deps.onEvidence(state.evidence);
@@ -168,7 +168,8 @@
       const {monotonicMs, wallMs} = this.readFleetInstant();
       const asOf = {monotonicMs: asOfMs, wallMs: wallMs - (monotonicMs - asOfMs)};
       const records = mergeHeartbeats(hosts.value.records, heartbeats.value);
-      deps.onRenewedRecords(updateHosts(deps.registry, records, asOf));
+      const renewed = updateHosts(deps.registry, records, asOf, heartbeats.era);
+      deps.onRenewedRecords(renewed);
       deps.onHosts();
     }
     this.logHolderChange();
--- a/packages/relay/src/host-registry.ts
+++ b/packages/relay/src/host-registry.ts
@@ -93,7 +93,7 @@
 /** A longer gap between successful reads, with a failed read in between, is a store outage. */
 const MIN_OUTAGE_MS = 2 * HEARTBEAT_INTERVAL_MS;
 
-/** Time that hosts have after an outage to write their records again. */
+/** Time that hosts have after an outage, or after an older copy, to write their records again. */
 const RECOVERY_GRACE_MS = 1.5 * HEARTBEAT_INTERVAL_MS;
 
 /** This host's view of the hosts. */
@@ -102,10 +102,20 @@
   lastReadMs: number;
   /** Whether a read has failed since the latest successful one. */
   hasFailedRead: boolean;
+  /** Era of the store at the latest read; undefined before it. */
+  era: number | undefined;
+  /** Until this time, hosts whose records are missing are kept. */
+  graceUntilMs: number;
 }
 
 export function createHostRegistry(): HostRegistry {
-  return {hosts: new Map(), lastReadMs: -Infinity, hasFailedRead: false};
+  return {
+    hosts: new Map(),
+    lastReadMs: -Infinity,
+    hasFailedRead: false,
+    era: undefined,
+    graceUntilMs: -Infinity,
+  };
 }
 
 /** Fields that change with each record; shared separately from the other fields. */
@@ -180,21 +190,30 @@
 }
 
 /**
- * Applies a complete read of the records, which were current in the store at `now`. Returns those
- * that their hosts have renewed since the last read.
+ * Applies a complete read of the records, which were current at `now` in an era of the store; one
+ * in an earlier era is ignored. Returns those that their hosts have renewed since the last read.
  */
 export function updateHosts(
   registry: HostRegistry,
   records: readonly HostRecord[],
   now: Instant,
+  era = 0,
 ): readonly HostRecord[] {
   const renewed: HostRecord[] = [];
+  if (registry.era !== undefined && era < registry.era) return renewed;
   const gapMs = now.monotonicMs - registry.lastReadMs;
-  if (registry.hasFailedRead && gapMs > MIN_OUTAGE_MS) extendLiveness(registry, now.monotonicMs);
+  const isRestored = registry.era !== undefined && era > registry.era;
+  if (isRestored) registry.graceUntilMs = now.monotonicMs + RECOVERY_GRACE_MS;
+  const wasUnavailable = registry.hasFailedRead && gapMs > MIN_OUTAGE_MS;
+  if (isRestored || wasUnavailable) extendLiveness(registry, now.monotonicMs);
+  registry.era = era;
   registry.lastReadMs = now.monotonicMs;
   registry.hasFailedRead = false;
   const present = new Set(records.map(record => record.hostId));
-  for (const id of registry.hosts.keys()) if (!present.has(id)) registry.hosts.delete(id);
+  const keepsMissing = now.monotonicMs < registry.graceUntilMs;
+  for (const id of registry.hosts.keys()) {
+    if (!present.has(id) && !keepsMissing) registry.hosts.delete(id);
+  }
   for (const record of records) {
     const seen = registry.hosts.get(record.hostId);
     if (!seen || compareIncarnations(record, seen.record) > 0) {
@@ -212,7 +231,7 @@
 
 /**
  * Gives hosts that were live before a store outage time to write again: records can't change while
- * the store is unavailable.
+ * the store is unavailable, and an older copy has lost the latest ones.
  */
 function extendLiveness(registry: HostRegistry, nowMs: number): void {
   const sinceMs = nowMs - HOST_TIMEOUT_MS + RECOVERY_GRACE_MS;
--- a/packages/relay/test/host-registry.test.ts
+++ b/packages/relay/test/host-registry.test.ts
@@ -104,6 +104,22 @@
     expect(readyHosts(registry, 9000)).to.have.length(1);
   });
 
+  it('keeps hosts that an older copy of the store lacks until they can have written again', () => {
+    // Guards against the rest of the hosts sharing out the limits of all of them.
+    const registry = createHostRegistry();
+    for (let nowMs = 0; nowMs <= 5000; nowMs += INTERVAL_MS) {
+      updateHosts(registry, [makeRecord(nowMs, nowMs)], {monotonicMs: nowMs, wallMs: nowMs}, 1);
+    }
+    const readAt = (nowMs: number, era: number) => {
+      updateHosts(registry, [], {monotonicMs: nowMs, wallMs: nowMs}, era);
+      return [readyHosts(registry, nowMs).length, possibleHosts(registry, nowMs).length];
+    };
+    expect(readAt(8000, 2)).to.deep.equal([1, 1]);
+    expect(readAt(9000, 2)).to.deep.equal([1, 1]);
+    expect(readAt(9100, 1)).to.deep.equal([1, 1]);
+    expect(readAt(10_000, 2)).to.deep.equal([0, 0]);
+  });
+
   it('lists a host that has restarted from an older copy of the store at once', () => {
     // Guards against a generation that is given out again, so that new records count as older.
     const registry = createHostRegistry();
