Report usage truthfully when the store comes back from an older copy

Cause: the first step of the holder after the return summed the host records of the copy, which didn't have the window yet (usageFrozen with counts {} at 17.25 s, 0.2 s after the return). A window that had been frozen and reported in the lost seconds was frozen anew by the next holder.

Ruled out: windows that are reported again by the same holder, which remembers them.

Hosts that read the store remember the newest record of each host and the windows whose counts are final. After a return no window is frozen until all hosts can have written their counts again; readers write the final counts of windows that the copy lacks again, and the holder sums the records that it remembers for hosts that are gone.

Not mended: a host that starts again from the copy adds its counts to those of the copy's record, so that what it had counted in between is missing.

--- a/packages/relay/src/fleet-duties.ts
+++ b/packages/relay/src/fleet-duties.ts
@@ -30,19 +30,18 @@
 import {StageController} from './stage-controller.js';
 import {DependencyMonitor, FrozenWindow, SharedState, SharedStore} from './store-sync.js';
 import {sumWindow, windowIndexAt} from './usage-ledger.js';
-
-/**
- * Time after the end of a window until its counts are complete: a host forwards its counts each
- * second, and the host that writes them takes up to half a second more.
- */
-const FREEZE_DELAY_MS = 2500;
+import {
+  createUsageMemory,
+  FREEZE_DELAY_MS,
+  listUsageRecords,
+  mayFreeze,
+  rememberUsage,
+  RETAINED_WINDOWS,
+} from './usage-memory.js';
 
 /** Number of latest complete windows that are still reported. */
 const REPORTABLE_WINDOWS = 3;
 
-/** Number of complete windows that are kept in the store. */
-const RETAINED_WINDOWS = 12;
-
 /** Dependencies of {@link FleetDuties}. */
 export interface FleetDutiesDependencies {
   readonly hostId: HostId;
@@ -83,6 +82,8 @@
   readonly lease: LeaseView = createLeaseView();
   lastReadMs = -Infinity;
   private readonly reported = new Set<number>();
+  /** What the store may have lost of what this host has read. */
+  private readonly memory = createUsageMemory();
   private readonly firstWindow: number;
   private wasHolder = false;
 
@@ -131,6 +132,8 @@
     const now = readInstant(deps.clock);
     const {record, revision = 0} = state.lease ?? {};
     observeLease(this.lease, record, revision, now, state.era);
+    const lost = rememberUsage(this.memory, state, now);
+    for (const window of lost.slice(-REPORTABLE_WINDOWS)) yield* this.restoreWindow(window);
     if (this.isCandidate()) yield* this.maintainLease();
     this.logHolderChange();
     if (this.currentTerm() === undefined) return;
@@ -216,7 +219,7 @@
     const firstIndex = Math.max(this.firstWindow, lastIndex - REPORTABLE_WINDOWS + 1);
     for (let index = firstIndex; index <= lastIndex; index++) {
       if (this.reported.has(index)) continue;
-      const frozen = state.frozen.get(index) ?? (yield* this.freeze(state, index));
+      const frozen = this.memory.frozen.get(index) ?? (yield* this.freeze(index));
       if (frozen) yield* this.reportWindow(frozen);
     }
     for (const index of state.frozen.keys()) {
@@ -233,19 +236,30 @@
     }
   }
 
-  private *freeze(state: SharedState, windowIndex: number): Procedure<FrozenWindow | undefined> {
-    const {deps} = this;
+  private *freeze(windowIndex: number): Procedure<FrozenWindow | undefined> {
+    const {deps, memory} = this;
+    if (!mayFreeze(memory, readInstant(deps.clock))) return undefined;
+    const records = listUsageRecords(memory);
     const counts = sumWindow(
-      state.hosts.map(host => host.usage),
+      records.map(record => record.usage),
       windowIndex,
     );
     const window = {windowIndex, counts};
     const answer = yield* call(() => deps.shared.freezeWindow(window));
     if (answer.err) return undefined; // The next read shows the outcome, even of a lost answer.
-    deps.log.write('usageFrozen', {windowIndex, counts});
+    deps.log.write('usageFrozen', {windowIndex, counts, records: records.length});
     return window;
   }
 
+  /** Writes the counts of a window again that an older copy of the store lacks. */
+  private *restoreWindow(window: FrozenWindow): Procedure<void> {
+    const {deps} = this;
+    const answer = yield* call(() => deps.shared.freezeWindow(window));
+    // Another host may have written them first.
+    const error = answer.err ? answer.val.kind : undefined;
+    deps.log.write('usageRestored', {...window, error});
+  }
+
   private *reportWindow(window: FrozenWindow): Procedure<void> {
     const {deps} = this;
     const term = this.currentTerm();
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -24,3 +24,4 @@
 export * from './target-view.js';
 export * from './team-quota.js';
 export * from './usage-ledger.js';
+export * from './usage-memory.js';
