Write the evidence on crashes again after an older copy of the store

After the store came back from a copy that lacked the evidence on crashes of engines, the prompts that may be their cause would have been let through again.

Cause: evidence that is missing from the store for more than five seconds counts as removed by an operator, and nothing else makes its host write it again.

When the era rises each host keeps its own evidence and writes it again. What an operator had removed in the lost seconds is back, and has to be removed again. The new test of quarantine-service.test.ts fails without the call. Found by reading.

--- a/packages/relay/src/quarantine-service.ts
+++ b/packages/relay/src/quarantine-service.ts
@@ -171,6 +171,11 @@
     this.reportSound();
   }
 
+  /** Writes the evidence again that an older copy of the store may lack. */
+  restore(): void {
+    this.isDirty = true;
+  }
+
   /** Writes this host's evidence whenever it has changed, until cancelled. */
   *run(): Procedure<void> {
     for (;;) {
--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -124,7 +124,10 @@
     const {settings, clock, random, log} = options;
     this.incarnation = random.nextHex(8);
     this.era = options.store.era ?? new StoreEra();
-    this.era.subscribe(era => log.write('storeRestored', {era}));
+    this.era.subscribe(era => {
+      log.write('storeRestored', {era});
+      this.quarantine.restore();
+    });
     this.fleetTime = createFleetTime(readInstant(clock));
     this.targets = new TargetPool({
       clock,
--- a/packages/relay/test/quarantine-service.test.ts
+++ b/packages/relay/test/quarantine-service.test.ts
@@ -107,6 +107,17 @@
     expect(pool.decide('first', 'middle')).to.deep.equal(ALL_ALLOWED);
   });
 
+  it('refuses a part after the store has come back from a copy without the crashes', async () => {
+    // Guards against missing evidence that counts as removed by an operator.
+    await quarantine('first', 'bad');
+    pool.clock.advance(10_000);
+    pool.stored.clear();
+    for (const service of pool.services.values()) service.restore();
+    await pool.share();
+    await pool.share();
+    expect(pool.decide('first', 'bad')).to.deep.equal(ALL_REFUSED);
+  });
+
   it('refuses a part on a host that starts with an empty memory', async () => {
     await quarantine('bad');
     pool.startHost(HOSTS[1]);
