Leave hosts ready while the store has an older configuration than they

After the store came back from a copy with an older configuration, all hosts weren't ready for some time, from three seconds after their last read of the version that is in force, until the operator had written it again; requests were served all the while.

Cause: a host whose configuration is confirmed by no read for 0.6 of the bound on withdrawn keys isn't ready, so that clients use hosts that can confirm theirs. An older version of a copy confirms nothing, on no host.

Ruled out: letting the older version confirm the newer one. A still newer one that takes a key away may have been lost.

While the version of a later era is older than the one in force, a host stays ready until keys must be refused. Event 1204 says so. Not closed: an equal version of a copy confirms the one in force, though a newer one may have been lost; a host that starts then takes the version of the copy for the newest. Both end when the operator has written again.

--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -60,6 +60,11 @@
   },
   promptQuarantineEnded: {number: 1852, level: 'info', text: 'prompt parts are served again'},
   promptProbed: {number: 1853, level: 'info', text: 'request tries quarantined prompt parts'},
+  configLost: {
+    number: 1204,
+    level: 'warn',
+    text: 'store has an older configuration than this host',
+  },
   usageRestored: {number: 1703, level: 'warn', text: 'usage window written to the store again'},
   storeRestored: {number: 1803, level: 'warn', text: 'store came back from an older copy'},
   clockJudged: {number: 1817, level: 'warn', text: 'estimate of the time of day corrected'},
--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -76,7 +76,7 @@
 
 /**
  * Maximum age of the configuration of a ready host, as a share of the revocation limit. A host
- * with an older one isn't ready, so that clients use other hosts.
+ * with an older one isn't ready, so that clients use other hosts, unless those have none either.
  */
 const READY_CONFIG_AGE_SHARE = 0.6;
 
@@ -251,8 +251,10 @@
     if (this.stopAtMs !== undefined || !this.targets.hasSynced || !this.configView.config)
       return false;
 
+    const {revokeMs} = this.options.settings;
     const ageMs = configAgeMs(this.configView, readInstant(this.options.clock));
-    return ageMs < this.options.settings.revokeMs * READY_CONFIG_AGE_SHARE;
+    if (this.configView.awaitsRewrite) return ageMs < revokeMs - REVOKE_MARGIN_MS;
+    return ageMs < revokeMs * READY_CONFIG_AGE_SHARE;
   }
 
   private createDependencies(): RelayDependencies {
--- a/packages/relay/src/store-sync.ts
+++ b/packages/relay/src/store-sync.ts
@@ -88,10 +88,14 @@
     const answer = yield* deps.reads.read('config', () => deps.source.readConfig());
     if (answer.ok) {
       recordReadSuccess(deps, answer.val);
-      const {value, asOf, isShared} = answer.val;
-      if (confirmConfig(deps.configView, value, asOf)) {
+      const {value, asOf, era, isShared} = answer.val;
+      const {awaitsRewrite} = deps.configView;
+      if (confirmConfig(deps.configView, value, asOf, era)) {
         deps.log.write('configApplied', {version: value.version, isShared});
         deps.onConfig(value);
+      } else if (deps.configView.awaitsRewrite && !awaitsRewrite) {
+        const {version: known} = deps.configView.config!;
+        deps.log.write('configLost', {version: value.version, known, era, isShared});
       }
       yield* sleep(intervalAfter(deps, answer.val));
       continue;
--- a/packages/relay/test/views.test.ts
+++ b/packages/relay/test/views.test.ts
@@ -25,6 +25,21 @@
     expect(view.confirmedAt?.monotonicMs).to.equal(100);
   });
 
+  it('is kept, but not confirmed by the older version of a copy of the store', () => {
+    // Guards against going back, and against a key that was taken away in the lost seconds.
+    const view = createConfigView();
+    confirmConfig(view, makeConfig(7), at(100), 1);
+    expect(confirmConfig(view, makeConfig(5), at(4000), 2)).to.equal(false);
+    expect(view.config?.version).to.equal(7);
+    expect(view.awaitsRewrite).to.equal(true);
+    expect(isConfigFresh(view, at(6000), 5000)).to.equal(false);
+    expect(confirmConfig(view, makeConfig(7), at(6000), 2)).to.equal(false);
+    expect(view.awaitsRewrite).to.equal(false);
+    expect(isConfigFresh(view, at(6000), 5000)).to.equal(true);
+    confirmConfig(view, makeConfig(5), at(7000), 2);
+    expect(view.awaitsRewrite).to.equal(false);
+  });
+
   it('is not fresh after a suspension that the monotonic clock does not count', () => {
     // Guards against a revoked key that a host accepts right after a suspension.
     const view = createConfigView();
