Remember a window from the moment its counts are final

Cause: a holder remembered a window that it had frozen only from its next read on, and that read failed.

--- a/packages/relay/src/fleet-duties.ts
+++ b/packages/relay/src/fleet-duties.ts
@@ -247,6 +247,7 @@
     const window = {windowIndex, counts};
     const answer = yield* call(() => deps.shared.freezeWindow(window));
     if (answer.err) return undefined; // The next read shows the outcome, even of a lost answer.
+    memory.frozen.set(windowIndex, window);
     deps.log.write('usageFrozen', {windowIndex, counts, records: records.length});
     return window;
   }
