Keep the lease with its holder through a copy, and tokens apart after late writes

A holder takes its lease back as long as nobody can have succeeded it. A missing record is waited for only if the store has come back from a copy, as this host has seen or the records of hosts from earlier eras show. In a store that names eras the term is the revision of the record that is replaced plus one, which rises whatever the record says.

A test of the holder's retake used the shorter time and uses the longer one. Not closed: a host that starts within a second of a return, from a copy older than all records of hosts, doesn't know of a holder that may still act.

--- a/packages/relay/src/fleet-duties.ts
+++ b/packages/relay/src/fleet-duties.ts
@@ -132,6 +132,8 @@
     const now = readInstant(deps.clock);
     const {record, revision = 0} = state.lease ?? {};
     observeLease(this.lease, record, revision, now, state.era);
+    // A host that has started in an earlier era shows that the store came back from a copy.
+    this.lease.mayLackRecord ||= state.hosts.some(({era = 0}) => era < state.era);
     const lost = rememberUsage(this.memory, state, now);
     for (const window of lost.slice(-REPORTABLE_WINDOWS)) yield* this.restoreWindow(window);
     if (this.isCandidate()) yield* this.maintainLease();
--- a/packages/relay/src/lease.ts
+++ b/packages/relay/src/lease.ts
@@ -16,17 +16,18 @@
   readonly incarnation: string;
   /** Era of the store in which the record was written; missing if the store has only one. */
   readonly era?: number;
-  /** Increases with each change of holder within an era. */
+  /** Increases with each change of holder within an era; at most the revision of the record there. */
   readonly term: number;
   /** Increases with each renewal, so that the record changes. */
   readonly renewal: number;
 }
 
 /**
- * Difference between the fencing tokens of one term in two eras: how many terms an era may have. The
- * terms that an older copy of the store has lost can't be known, so that an era has tokens of its own.
+ * Difference between the fencing tokens of one term in two eras: how many revisions an era may have.
+ * The terms that an older copy of the store has lost can't be known, so that an era has tokens of its
+ * own.
  */
-const TERMS_PER_ERA = 2 ** 32;
+const TERMS_PER_ERA = 2 ** 36;
 
 /** Fencing token of a term; increases with each change of holder, also across eras. */
 export function fencingToken({era = 0, term}: Pick<LeaseRecord, 'era' | 'term'>): number {
@@ -46,6 +47,8 @@
   renewedAt: Instant | undefined;
   /** Time at which this host sent its latest renewal as the holder in an earlier era. */
   heldBeforeAt: Instant | undefined;
+  /** Whether the store has come back from an older copy, which may lack the record of a holder. */
+  mayLackRecord: boolean;
 }
 
 export function createLeaseView(): LeaseView {
@@ -56,6 +59,7 @@
     seenAt: undefined,
     renewedAt: undefined,
     heldBeforeAt: undefined,
+    mayLackRecord: false,
   };
 }
 
@@ -69,6 +73,7 @@
 ): void {
   if (view.era !== undefined && era < view.era) return;
   if (view.era !== undefined && era > view.era) {
+    view.mayLackRecord = true;
     view.heldBeforeAt = view.renewedAt ?? view.heldBeforeAt;
     view.renewedAt = undefined;
     view.seenAt = undefined;
@@ -105,17 +110,21 @@
   if (isOwn && (record.era ?? 0) === era) {
     return {type: 'write', record: {...record, renewal: record.renewal + 1}};
   }
-  // Nobody can have succeeded a holder whose time isn't over, whatever the store has lost.
-  const isStillHolder =
-    view.heldBeforeAt !== undefined && maxElapsedMs(view.heldBeforeAt, now) < times.holdMs;
-  // A missing record may have been lost as well, and its holder may still act.
-  const mustWait = !isStillHolder && (era > 0 || record !== undefined || view.revision > 0);
-  if (mustWait && now.monotonicMs - view.seenAt.monotonicMs < times.takeoverMs) {
+  // Nobody can have succeeded this host yet: others wait for that time from its latest renewal on,
+  // and anew in each era.
+  const isLatestHolder =
+    view.heldBeforeAt !== undefined && maxElapsedMs(view.heldBeforeAt, now) < times.takeoverMs;
+  const mayHaveHolder = record !== undefined || view.revision > 0 || view.mayLackRecord;
+  if (
+    mayHaveHolder &&
+    !isLatestHolder &&
+    now.monotonicMs - view.seenAt.monotonicMs < times.takeoverMs
+  ) {
     return {type: 'wait'};
   }
-  // Each term took a write at least, so that the revision of a record that can't be used is higher
-  // than all terms before it.
-  const term = (record?.term ?? view.revision) + 1;
+  // The revision of the record that is replaced is higher than all terms of its era before it, also
+  // if the record can't be used or a late write has brought back an older one.
+  const term = (era === 0 ? (record?.term ?? view.revision) : view.revision) + 1;
   return {
     type: 'write',
     record: {
--- a/packages/relay/test/lease.test.ts
+++ b/packages/relay/test/lease.test.ts
@@ -45,7 +45,7 @@
     expect(heldToken(view, TIMES, at(2000))).to.equal(undefined);
     const step = decideLease(view, self, TIMES, at(2000));
     expect(step.type === 'write' && step.record.era).to.equal(2);
-    expect(decideLease(view, self, TIMES, at(3000)).type).to.equal('wait');
+    expect(decideLease(view, self, TIMES, at(TIMES.takeoverMs)).type).to.equal('wait');
   });
 
   it('is not taken from a copy that names an earlier holder', () => {
@@ -59,6 +59,17 @@
     expect(step.type).to.equal('wait');
   });
 
+  it('is taken at once at the first start, also if the store names eras', () => {
+    // Guards against duties that nobody has for seconds when a fleet starts.
+    const view = createLeaseView();
+    const now = {monotonicMs: 0, wallMs: 0};
+    observeLease(view, undefined, 0, now, 1);
+    const self = {hostId: toId<HostId>('a'), incarnation: 'x'};
+    expect(decideLease(view, self, TIMES, now).type).to.equal('write');
+    view.mayLackRecord = true;
+    expect(decideLease(view, self, TIMES, now).type).to.equal('wait');
+  });
+
   it('has higher tokens in each era, also when the copy has lost its record', () => {
     // Guards against a token that two holders have, one of them in the lost seconds.
     const self = {hostId: toId<HostId>('b'), incarnation: 'y'};
@@ -164,6 +175,8 @@
       if (random.next() < 0.15) continue; // The read fails.
       const {record, revision = 0} = stored.lease ?? {};
       observeLease(host.view, record, revision, now, era);
+      // The records of the hosts show it to one that hasn't read the store before.
+      if (era > 1) host.view.mayLackRecord = true;
       const step = decideLease(host.view, host, TIMES, now);
       if (step.type === 'wait') continue;
       const ifRevision = host.view.revision;
