--- a/packages/relay/src/target-view.ts
+++ b/packages/relay/src/target-view.ts
@@ -115,7 +115,11 @@
 }
 
 function recordGone(view: TargetView, gone: readonly TargetEntry[], nowMs: number): void {
-  for (const entry of gone) view.goneMs.set(incarnationKey(entry), nowMs);
+  for (const entry of gone) {
+    const key = incarnationKey(entry);
+    view.goneMs.delete(key);
+    view.goneMs.set(key, nowMs);
+  }
   for (const [key, goneMs] of view.goneMs) {
     if (nowMs - goneMs < GONE_MEMORY_MS) break;
     view.goneMs.delete(key);
--- a/packages/relay/test/views.test.ts
+++ b/packages/relay/test/views.test.ts
@@ -95,6 +95,36 @@
     expect([...view.targets.keys()]).to.deep.equal(['a']);
   });
 
+  it('follows the lists of the latest era, whatever their revisions', () => {
+    // Guards against lists that are ignored until revisions have climbed to those before a copy.
+    const view = createTargetView();
+    const read = (era: number, revision: number, nowMs: number, ...ids: readonly string[]) => {
+      updateTargets(view, {era, revision, entries: ids.map(id => makeEntry(id))}, nowMs);
+      return [...view.targets.keys()];
+    };
+    read(1, 500, 0, 'a');
+    expect(read(2, 200, 600, 'a', 'b')).to.deep.equal(['a', 'b']);
+    expect(read(1, 501, 700, 'a')).to.deep.equal(['a', 'b']);
+    expect(read(2, 199, 800, 'a')).to.deep.equal(['a', 'b']);
+    expect(read(3, 100, 1200, 'c', 'a', 'b')).to.deep.equal(['c', 'a', 'b']);
+  });
+
+  it('does not use an entry of a copy whose target has gone until the target writes it', () => {
+    // Guards against requests to a target that has left, and against one that is never used again.
+    const view = createTargetView();
+    const read = (era: number, nowMs: number, ...entries: readonly TargetEntry[]) => {
+      updateTargets(view, {era, revision: nowMs, entries}, nowMs);
+      return [...view.targets.keys()];
+    };
+    const [a, b] = ['a', 'b'].map(id => ({...makeEntry(id), revision: 5}));
+    read(1, 0, a, b);
+    expect(read(1, 600)).to.deep.equal([]);
+    expect(read(2, 1200, a, b)).to.deep.equal([]);
+    expect(read(2, 1800, {...a, revision: 9}, b)).to.deep.equal(['a']);
+    expect(read(2, 11_100, {...a, revision: 9}, b)).to.deep.equal(['a']);
+    expect(read(2, 11_200, {...a, revision: 9}, b)).to.deep.equal(['a', 'b']);
+  });
+
   it('removes a missing entry while the store is available', () => {
     // Guards against new requests to a target that has left.
     const view = createTargetView();
