Count the fencing token of an era in the term itself

In a rolling restart a host of the version before takes the lease over with the term of the record plus one. As the era was added to the term only when a token was sent, that host's tokens would have been lower than those before it (ONE).

The term in the record is the token now: the era, the revision of the record that is replaced, and one, or one more than the record's term if that is higher.

--- a/packages/relay/src/lease.ts
+++ b/packages/relay/src/lease.ts
@@ -16,24 +16,18 @@
   readonly incarnation: string;
   /** Era of the store in which the record was written; missing if the store has only one. */
   readonly era?: number;
-  /** Increases with each change of holder within an era; at most the revision of the record there. */
+  /** Fencing token; increases with each change of holder, also across eras. */
   readonly term: number;
   /** Increases with each renewal, so that the record changes. */
   readonly renewal: number;
 }
 
 /**
- * Difference between the fencing tokens of one term in two eras: how many revisions an era may have.
- * The terms that an older copy of the store has lost can't be known, so that an era has tokens of its
- * own.
+ * Number of terms of an era: how many revisions it may have. The terms that an older copy of the
+ * store has lost can't be known, so that an era has terms of its own.
  */
 const TERMS_PER_ERA = 2 ** 36;
 
-/** Fencing token of a term; increases with each change of holder, also across eras. */
-export function fencingToken({era = 0, term}: Pick<LeaseRecord, 'era' | 'term'>): number {
-  return era * TERMS_PER_ERA + term;
-}
-
 /** This host's view of a lease. */
 export interface LeaseView {
   /** Latest era in which this host has read the record; undefined before the first read. */
@@ -122,9 +116,10 @@
   ) {
     return {type: 'wait'};
   }
-  // The revision of the record that is replaced is higher than all terms of its era before it, also
-  // if the record can't be used or a late write has brought back an older one.
-  const term = (era === 0 ? (record?.term ?? view.revision) : view.revision) + 1;
+  // The revision of the record that is replaced rises within an era, also if the record can't be used
+  // or a late write has brought back an older one.
+  const lowest = record ? record.term : view.revision;
+  const term = Math.max(lowest, era && era * TERMS_PER_ERA + view.revision) + 1;
   return {
     type: 'write',
     record: {
@@ -160,5 +155,5 @@
 export function heldToken(view: LeaseView, times: LeaseTimes, now: Instant): number | undefined {
   if (!view.renewedAt || !view.record) return undefined;
   const isHeld = maxElapsedMs(view.renewedAt, now) < times.holdMs;
-  return isHeld ? fencingToken(view.record) : undefined;
+  return isHeld ? view.record.term : undefined;
 }
--- a/packages/relay/test/lease.test.ts
+++ b/packages/relay/test/lease.test.ts
@@ -4,7 +4,6 @@
   acceptLease,
   createLeaseView,
   decideLease,
-  fencingToken,
   heldToken,
   LeaseRecord,
   LeaseView,
@@ -70,6 +69,21 @@
     expect(decideLease(view, self, TIMES, now).type).to.equal('wait');
   });
 
+  it('has tokens that rise although a host of a version without eras takes it over', () => {
+    // Guards against lower tokens in a rolling restart.
+    const view = createLeaseView();
+    const self = {hostId: toId<HostId>('b'), incarnation: 'y'};
+    const late = {monotonicMs: 9000, wallMs: 9000};
+    const start = {monotonicMs: 0, wallMs: 0};
+    observeLease(view, undefined, 0, start, 1);
+    const first = decideLease(view, self, TIMES, late);
+    const term = first.type === 'write' ? first.record.term + 1 : NaN;
+    const old: LeaseRecord = {holder: toId('a'), incarnation: 'x', term, renewal: 0};
+    observeLease(view, old, 7, start, 1);
+    const step = decideLease(view, self, TIMES, late);
+    expect(step.type === 'write' && step.record.term).to.be.greaterThan(term);
+  });
+
   it('has higher tokens in each era, also when the copy has lost its record', () => {
     // Guards against a token that two holders have, one of them in the lost seconds.
     const self = {hostId: toId<HostId>('b'), incarnation: 'y'};
@@ -78,7 +92,7 @@
       const view = createLeaseView();
       observeLease(view, undefined, 0, {monotonicMs: 0, wallMs: 0}, era);
       const step = decideLease(view, self, TIMES, late);
-      return step.type === 'write' ? fencingToken(step.record) : NaN;
+      return step.type === 'write' ? step.record.term : NaN;
     });
     expect(tokens[1]).to.be.greaterThan(tokens[0]);
     expect(Number.isSafeInteger(tokens[1])).to.equal(true);
