--- a/packages/relay/src/lease.ts
+++ b/packages/relay/src/lease.ts
@@ -106,8 +106,11 @@
   }
   // Nobody can have succeeded this host yet: others wait for that time from its latest renewal on,
   // and anew in each era.
+  const isTaken = record?.era !== undefined && record.era === era;
   const isLatestHolder =
-    view.heldBeforeAt !== undefined && maxElapsedMs(view.heldBeforeAt, now) < times.takeoverMs;
+    !isTaken &&
+    view.heldBeforeAt !== undefined &&
+    maxElapsedMs(view.heldBeforeAt, now) < times.takeoverMs;
   const mayHaveHolder = record !== undefined || view.revision > 0 || view.mayLackRecord;
   if (
     mayHaveHolder &&
