Don't take an owner's record of an older copy for that of a new host

A host that started beside a copy of the fleet's first seconds granted the rate of a team at once, as the records of the others looked like those of hosts that had just started for the first time, although they had long been owners.

A record of an era below that of other records isn't that of a new host.

--- a/packages/relay/src/quota-ownership.ts
+++ b/packages/relay/src/quota-ownership.ts
@@ -67,7 +67,11 @@
     for (const [hostId, untilMs] of this.listedUntilMs) {
       if (nowMs - untilMs >= RIGHT_MS) this.listedUntilMs.delete(hostId);
     }
-    const areOthersNew = hosts.every(host => host.hostId === this.self || isNew(host));
+    // A record of an earlier era may be an old one that a copy of the store has brought back.
+    const era = Math.max(0, ...hosts.map(host => host.era ?? 0));
+    const areOthersNew = hosts.every(
+      host => host.hostId === this.self || (isNew(host) && (host.era ?? 0) === era),
+    );
     this.lists = [{hosts, sinceMs: nowMs, areOthersNew}, ...this.lists].slice(0, MAX_HOST_LISTS);
     this.recent = undefined;
     for (const [team, choice] of this.choices) this.renewChoice(team, choice);
