Keep hosts as possible owners for as long as a lost record entitles them

A host whose latest record the copy has lost, and that is cut off from the store then, may go on granting quota for as long as that record entitles it to; the others dropped it up to two seconds earlier, and its successor didn't wait. A host of the version before, which names no era, was never listed again after a rollback, as it counted as one of an earlier era.

After a copy all hosts that were possible stay so for the whole timeout. An era is compared only where both records name one. The test of the hosts that the copy lacks expects them to be possible for longer, and to be ready no longer than before.

--- a/packages/relay/src/host-registry.ts
+++ b/packages/relay/src/host-registry.ts
@@ -47,7 +47,9 @@
   a: Pick<HostRecord, 'era' | 'generation'>,
   b: Pick<HostRecord, 'era' | 'generation'>,
 ): number {
-  return (a.era ?? 0) - (b.era ?? 0) || a.generation - b.generation;
+  // A version that knows no eras goes by the generation alone.
+  const hasEras = a.era !== undefined && b.era !== undefined;
+  return (hasEras ? a.era - b.era : 0) || a.generation - b.generation;
 }
 
 /** Compares two records of one host by age; positive if `a` is newer. */
@@ -203,7 +205,7 @@
   if (registry.era !== undefined && era < registry.era) return renewed;
   const gapMs = now.monotonicMs - registry.lastReadMs;
   const isRestored = registry.era !== undefined && era > registry.era;
-  if (isRestored) registry.graceUntilMs = now.monotonicMs + RECOVERY_GRACE_MS;
+  if (isRestored) keepPossible(registry, now.monotonicMs);
   const wasUnavailable = registry.hasFailedRead && gapMs > MIN_OUTAGE_MS;
   if (isRestored || wasUnavailable) extendLiveness(registry, now.monotonicMs);
   registry.era = era;
@@ -243,6 +245,18 @@
   }
 }
 
+/**
+ * Keeps the hosts that may take requests: one whose latest record the copy has lost may go on with
+ * what that record entitles it to, although it can't reach the store.
+ */
+function keepPossible(registry: HostRegistry, nowMs: number): void {
+  registry.graceUntilMs = nowMs + HOST_TIMEOUT_MS;
+  for (const seen of registry.hosts.values()) {
+    const wasPossible = registry.lastReadMs - seen.lastChangeMs < HOST_TIMEOUT_MS;
+    if (wasPossible) seen.lastChangeMs = nowMs;
+  }
+}
+
 /**
  * Creates the observation of a new incarnation. Its liveness is dated by the record's age because
  * the record may be the last one of a host that is gone.
