Mark entries of a copy instead of sharing their revisions

Where targets renew their entries with a new revision, nearly the whole list would have been sent to each host at each read that hosts share: the revision had become a part of each entry, to tell one that a copy has brought back from one that has been written since.

--- a/packages/relay/src/model.ts
+++ b/packages/relay/src/model.ts
@@ -114,8 +114,8 @@
   readonly stage: EngineStage | undefined;
   /** Whether the target is preemptible: it may be withdrawn at short notice. */
   readonly isCheap: boolean;
-  /** Revision of the store at which the entry changed last; missing if unknown. */
-  readonly revision?: number;
+  /** Set if the store came back from an older copy and the entry hasn't been written since. */
+  readonly isFromCopy?: true;
 }
 
 /** The entries of all targets, as read from the store. */
--- a/packages/relay/src/target-view.ts
+++ b/packages/relay/src/target-view.ts
@@ -47,11 +47,8 @@
   hasFailedRead: boolean;
   /** Times at which incarnations have gone, oldest first, by `incarnationKey`. */
   readonly goneMs: Map<string, number>;
-  /**
-   * Incarnations that had gone and whose entries a copy of the store has brought back, with the
-   * revisions of these entries.
-   */
-  readonly revived: Map<string, number | undefined>;
+  /** Incarnations that had gone and whose entries a copy of the store has brought back. */
+  readonly revived: Set<string>;
   /** Time until which those aren't used. */
   revivedUntilMs: number;
 }
@@ -76,7 +73,7 @@
     rate: createRevisionRate(),
     hasFailedRead: false,
     goneMs: new Map(),
-    revived: new Map(),
+    revived: new Set(),
     revivedUntilMs: -Infinity,
   };
 }
@@ -94,7 +91,7 @@
   view.revived.clear();
   for (const entry of entries) {
     const key = incarnationKey(entry);
-    if (view.goneMs.has(key)) view.revived.set(key, entry.revision);
+    if (entry.isFromCopy && view.goneMs.has(key)) view.revived.add(key);
   }
 }
 
@@ -106,11 +103,8 @@
 ): readonly TargetEntry[] {
   if (nowMs >= view.revivedUntilMs) view.revived.clear();
   if (view.revived.size === 0) return entries;
-  const revisions = new Map(entries.map(entry => [incarnationKey(entry), entry.revision]));
-  for (const [key, revision] of view.revived) {
-    // A target that is alive has written its entry since.
-    if (!revisions.has(key) || revisions.get(key) !== revision) view.revived.delete(key);
-  }
+  const copied = new Set(entries.filter(entry => entry.isFromCopy).map(incarnationKey));
+  for (const key of view.revived) if (!copied.has(key)) view.revived.delete(key);
   return entries.filter(entry => !view.revived.has(incarnationKey(entry)));
 }
 
--- a/packages/relay/test/views.test.ts
+++ b/packages/relay/test/views.test.ts
@@ -116,13 +116,14 @@
       updateTargets(view, {era, revision: nowMs, entries}, nowMs);
       return [...view.targets.keys()];
     };
-    const [a, b] = ['a', 'b'].map(id => ({...makeEntry(id), revision: 5}));
-    read(1, 0, a, b);
+    const written = ['a', 'b'].map(id => makeEntry(id));
+    const [a, b] = written.map(entry => ({...entry, isFromCopy: true as const}));
+    read(1, 0, ...written);
     expect(read(1, 600)).to.deep.equal([]);
     expect(read(2, 1200, a, b)).to.deep.equal([]);
-    expect(read(2, 1800, {...a, revision: 9}, b)).to.deep.equal(['a']);
-    expect(read(2, 11_100, {...a, revision: 9}, b)).to.deep.equal(['a']);
-    expect(read(2, 11_200, {...a, revision: 9}, b)).to.deep.equal(['a', 'b']);
+    expect(read(2, 1800, written[0], b)).to.deep.equal(['a']);
+    expect(read(2, 11_100, written[0], b)).to.deep.equal(['a']);
+    expect(read(2, 11_200, written[0], b)).to.deep.equal(['a', 'b']);
   });
 
   it('removes a missing entry while the store is available', () => {
