Read directly beside a reader that names no era

In a rolling restart a host behind a reader of the version before followed no list: the reader's values named no era, and the host had learned one from the store, so that each value counted as one of an earlier era while the read counted as a success.

A value without an era is used only if the host knows none either; otherwise it reads directly. Found by the review; its test in store-copies.test.ts failed before.

--- a/packages/relay/src/shared-reads.ts
+++ b/packages/relay/src/shared-reads.ts
@@ -116,7 +116,7 @@
     if (clock.nowMs() < (this.retryAtMs.get(kind) ?? -Infinity)) return undefined;
     const {sentAt, result: answer} = yield* call(() => this.askOnce(kind, reader.peerAddress));
     let cause = answer.ok ? `read is ${Math.round(answer.val.ageMs)} ms old` : answer.val;
-    if (answer.ok && !this.deps.era.observe(answer.val.era)) {
+    if (answer.ok && !this.isOfEra(answer.val)) {
       cause = `read is of era ${answer.val.era} of the store`;
     } else if (answer.ok && answer.val.ageMs <= KINDS[kind].maxAgeMs(intervals)) {
       if (answer.val.content === 'withheld') return undefined;
@@ -152,6 +152,11 @@
     updatePublished(published, KINDS[kind].split(value));
   }
 
+  /** Whether a reader's value is of the latest era; one of a version without eras may be older. */
+  private isOfEra({era}: SharedReadAnswer): boolean {
+    return era === undefined ? this.deps.era.current === 0 : this.deps.era.observe(era);
+  }
+
   /** Answers another host; undefined if this host hasn't read a value of that kind. */
   answer(question: SharedReadQuestion): SharedReadAnswer | undefined {
     const own = this.answerOne(question);
