Keep quarantines while evidence is being written again

After a copy without the evidence on crashes a quarantine ended for a moment: a host had written its own evidence again, and then applied a list that was read before that, and the evidence of the other hosts was missing until they had written theirs.

For the time in which such reads are applied, evidence that is missing doesn't count as removed, whoever has written it.

--- a/packages/relay/src/quarantine-service.ts
+++ b/packages/relay/src/quarantine-service.ts
@@ -70,7 +70,7 @@
   /** Time of the latest whole run with a part, oldest first. */
   private readonly soundMs = new Map<PromptPartId, number>();
   private own: CrashEvidence = {crashes: [], sound: []};
-  private others: readonly CrashEvidence[] = [];
+  private others: ReadonlyMap<HostId, CrashEvidence> = new Map();
   private quarantines: readonly Quarantine[] = [];
   private suspicions: ReadonlyMap<PromptPartId, number> = new Map();
   /** Request that probes a quarantine, by its key. */
@@ -78,6 +78,8 @@
   private knownKeys = new Set<string>();
   private hasRead = false;
   private isDirty = false;
+  /** Until this time, evidence that is missing from the store doesn't count as removed. */
+  private keepUntilMs = -Infinity;
 
   constructor(private readonly deps: QuarantineDependencies) {}
 
@@ -154,18 +156,17 @@
   applyEvidence(evidence: ReadonlyMap<HostId, CrashEvidence>): void {
     const {hostId} = this.deps;
     const stored = evidence.get(hostId) ?? {crashes: [], sound: []};
-    this.others = [...evidence].filter(([id]) => id !== hostId).map(([, entry]) => entry);
+    const isKept = this.deps.clock.nowMs() < this.keepUntilMs;
+    const others = new Map([...evidence].filter(([id]) => id !== hostId));
+    if (isKept) for (const [id, entry] of this.others) others.set(id, merge(entry, others.get(id)));
+    this.others = others;
     // What operators have removed from the store is removed here as well.
     const isRecent = ({atMs}: {readonly atMs: number}) =>
-      this.isDirty || this.wallMs() - atMs < READ_DELAY_MS;
-    this.own = {
-      crashes: mergeBy(
-        stored.crashes,
-        this.own.crashes.filter(isRecent),
-        crash => crash.incarnation,
-      ).slice(-MAX_CRASHES),
-      sound: mergeBy(stored.sound, this.own.sound.filter(isRecent), ({part}) => part),
-    };
+      this.isDirty || isKept || this.wallMs() - atMs < READ_DELAY_MS;
+    this.own = merge(stored, {
+      crashes: this.own.crashes.filter(isRecent),
+      sound: this.own.sound.filter(isRecent),
+    });
     this.hasRead = true;
     this.decide();
     this.reportSound();
@@ -174,6 +175,7 @@
   /** Writes the evidence again that an older copy of the store may lack. */
   restore(): void {
     this.isDirty = true;
+    this.keepUntilMs = this.deps.clock.nowMs() + READ_DELAY_MS;
   }
 
   /** Writes this host's evidence whenever it has changed, until cancelled. */
@@ -210,7 +212,7 @@
       hasChanged = true;
     }
     if (!hasChanged) return;
-    const evidence = [this.own, ...this.others];
+    const evidence = [this.own, ...this.others.values()];
     const crashes = evidence.flatMap(entry => entry.crashes);
     const runs = crashes.flatMap(crash => crash.runs);
     const crashParts = new Set(runs.flatMap(({parts}) => parts));
@@ -225,7 +227,7 @@
 
   private decide(): void {
     const nowMs = this.wallMs();
-    const evidence = [this.own, ...this.others];
+    const evidence = [this.own, ...this.others.values()];
     if (evidence.every(({crashes}) => crashes.length === 0) && this.quarantines.length === 0) {
       this.suspicions = new Map();
       return;
@@ -260,6 +262,18 @@
   return [...crashes, ...sound].every(({atMs}) => nowMs - atMs > EVIDENCE_MS);
 }
 
+/** Merges two states of the evidence of one host; what the second one says goes before. */
+function merge(
+  first: CrashEvidence,
+  second: CrashEvidence = {crashes: [], sound: []},
+): CrashEvidence {
+  const crashes = mergeBy(first.crashes, second.crashes, crash => crash.incarnation);
+  return {
+    crashes: crashes.slice(-MAX_CRASHES),
+    sound: mergeBy(first.sound, second.sound, ({part}) => part),
+  };
+}
+
 /** Merges two lists; the entries of the second one replace those with the same key. */
 function mergeBy<T>(first: readonly T[], second: readonly T[], keyOf: (item: T) => string): T[] {
   const merged = new Map<string, T>();
--- a/packages/relay/test/quarantine-service.test.ts
+++ b/packages/relay/test/quarantine-service.test.ts
@@ -235,4 +235,20 @@
     expect(hasExpired(evidence, nowMs)).to.equal(false);
     expect(hasExpired(evidence, nowMs + EVIDENCE_MS + 5000)).to.equal(true);
   });
+
+  it('keeps a quarantine while a read from before the write of the evidence is applied', async () => {
+    // Guards against a quarantine that ends for a moment after an older copy of the store.
+    await quarantine('bad');
+    pool.clock.advance(6000);
+    await pool.share();
+    expect(pool.host(0).count).to.equal(1);
+    // The store comes back without evidence; a list is read, then this host writes its own again.
+    for (const id of HOSTS) pool.host(HOSTS.indexOf(id)).restore();
+    const before = new Map<HostId, CrashEvidence>();
+    pool.clock.advance(1500);
+    for (let i = 0; i < 20; i++) await Promise.resolve();
+    expect(pool.writeCount).to.be.greaterThan(1);
+    pool.host(0).applyEvidence(before);
+    expect(pool.host(0).count).to.equal(1);
+  });
 });
