Keep the counts of a host that starts again from an older copy

The holder takes the higher count of each team and window over the incarnations of a host. Its lease is renewed before lost windows are written, as the time to take it back is running. What a killed host had counted and nobody had read stays lost.

--- a/packages/relay/src/fleet-duties.ts
+++ b/packages/relay/src/fleet-duties.ts
@@ -135,8 +135,8 @@
     // A host that has started in an earlier era shows that the store came back from a copy.
     this.lease.mayLackRecord ||= state.hosts.some(({era = 0}) => era < state.era);
     const lost = rememberUsage(this.memory, state, now);
-    for (const window of lost.slice(-REPORTABLE_WINDOWS)) yield* this.restoreWindow(window);
     if (this.isCandidate()) yield* this.maintainLease();
+    for (const window of lost.slice(-REPORTABLE_WINDOWS)) yield* this.restoreWindow(window);
     this.logHolderChange();
     if (this.currentTerm() === undefined) return;
     yield* this.reportUsage(state);
--- a/packages/relay/src/usage-memory.ts
+++ b/packages/relay/src/usage-memory.ts
@@ -1,5 +1,5 @@
 import {HostId} from '@radishgw/core';
-import {compareRecords, HostRecord} from './host-registry.js';
+import {compareIncarnations, compareRecords, HostRecord} from './host-registry.js';
 import {Instant} from './instant.js';
 import {FrozenWindow, SharedState} from './store-sync.js';
 
@@ -28,7 +28,15 @@
   /** Counts of windows that are final. */
   readonly frozen: Map<number, FrozenWindow>;
   /** Newest record of each host, and the time at which it was read last. */
-  readonly records: Map<HostId, {readonly record: HostRecord; readonly readMs: number}>;
+  readonly records: Map<HostId, RememberedRecord>;
+}
+
+interface RememberedRecord {
+  readonly record: HostRecord;
+  /** Time at which a record of the host was read last. */
+  readonly readMs: number;
+  /** Highest counts of the host's earlier incarnations, of which a later one may know less. */
+  readonly earlier: HostRecord['usage'];
 }
 
 export function createUsageMemory(): UsageMemory {
@@ -47,7 +55,11 @@
   for (const record of state.hosts) {
     const known = memory.records.get(record.hostId);
     const newest = known && compareRecords(known.record, record) > 0 ? known.record : record;
-    memory.records.set(record.hostId, {record: newest, readMs: monotonicMs});
+    const hasRestarted = known && compareIncarnations(known.record, newest) !== 0;
+    const earlier = hasRestarted
+      ? maxCounts(known.record.usage, known.earlier)
+      : (known?.earlier ?? {});
+    memory.records.set(record.hostId, {record: newest, readMs: monotonicMs, earlier});
   }
   for (const [hostId, {readMs}] of memory.records) {
     if (monotonicMs - readMs > RECORD_MEMORY_MS) memory.records.delete(hostId);
@@ -73,5 +85,22 @@
 
 /** Records from which the counts of a window are summed. */
 export function listUsageRecords({records}: UsageMemory): readonly HostRecord[] {
-  return [...records.values()].map(({record}) => record);
+  return [...records.values()].map(({record, earlier}) => ({
+    ...record,
+    usage: maxCounts(record.usage, earlier),
+  }));
+}
+
+/** The higher count of each team in each window. */
+function maxCounts(a: HostRecord['usage'], b: HostRecord['usage']): HostRecord['usage'] {
+  const result: Record<string, Record<string, number>> = {};
+  for (const usage of [a, b]) {
+    for (const [index, counts] of Object.entries(usage)) {
+      const window = (result[index] ??= {});
+      for (const [team, count] of Object.entries(counts)) {
+        window[team] = Math.max(window[team] ?? 0, count);
+      }
+    }
+  }
+  return result;
 }
