--- a/packages/relay/test/quota-fleet.ts
+++ b/packages/relay/test/quota-fleet.ts
@@ -46,6 +46,8 @@
   lastReadMs = -Infinity;
   knownHosts = '';
   beat = 0;
+  /** As the store told it at the start. */
+  begun: Pick<HostRecord, 'era' | 'generation'> | undefined;
 
   constructor(
     readonly fleet: QuotaCuts,
@@ -89,7 +91,9 @@
   readonly bounds = {overageShare: 0.1, slackCost: 190_000};
   /** Pairs of hosts, "from to", between which messages are lost, and hosts that lose the store. */
   readonly lost = new Map<string, number>();
-  private readonly records = new Map<HostId, HostRecord>();
+  private records = new Map<HostId, HostRecord>();
+  /** Era of the store, which rises when it comes back from a copy. */
+  private era = 1;
   private readonly random: RandomSource;
 
   constructor(
@@ -137,6 +141,22 @@
     this.lost.set(key, Math.max(untilMs, this.lost.get(key) ?? 0));
   }
 
+  takeCopy(): ReadonlyMap<HostId, HostRecord> {
+    return new Map(this.records);
+  }
+
+  /** Lets the store come back from a copy after it was away. */
+  comeBack(copy: ReadonlyMap<HostId, HostRecord>, awayMs: number): void {
+    for (const hostId of this.hostIds) {
+      this.cut(hostId, 'store', awayMs);
+      this.cut('store', hostId, awayMs);
+    }
+    this.clock.setTimer(awayMs, () => {
+      this.records = new Map(copy);
+      this.era++;
+    });
+  }
+
   /** Ends the process of a host, which starts again later. */
   restart(hostId: HostId, downMs: number): void {
     const host = this.hosts.get(hostId)!;
@@ -209,22 +229,29 @@
       if (host.isDown) return;
       this.clock.setTimer(RECORD_INTERVAL_MS, step);
       if (this.isLost(hostId, 'store')) return;
-      this.writeRecord(host);
+      if (host.begun) {
+        this.writeRecord(host);
+        this.readRecords(host);
+        return;
+      }
+      const before = this.records.get(hostId)?.generation ?? 0;
+      host.begun = {era: this.era, generation: before + 1};
       this.readRecords(host);
+      this.clock.setTimer(50, () => this.writeRecord(host));
     };
     this.clock.setTimer(this.nextInt(RECORD_INTERVAL_MS / 2), step);
   }
 
   private writeRecord(host: SimulatedHost): void {
-    const {hostId, generation} = host;
-    if (this.isLost(hostId, 'store')) return;
+    const {hostId, generation, begun} = host;
+    if (!begun || host.isDown || this.isLost(hostId, 'store')) return;
     const now = readInstant(this.clock);
     const isReady = !host.isStopping;
     if (!isReady) host.client.interrupt();
     this.records.set(hostId, {
       hostId,
       incarnation: `${hostId}/${generation}`,
-      generation,
+      ...begun,
       failureDomain: toId<FailureDomain>('a'),
       address: hostId,
       peerAddress: hostId,
@@ -240,7 +267,7 @@
   private readRecords(host: SimulatedHost): void {
     const now = readInstant(this.clock);
     host.lastReadMs = now.monotonicMs;
-    updateHosts(host.registry, [...this.records.values()], now);
+    updateHosts(host.registry, [...this.records.values()], now, this.era);
     const possible = possibleHosts(host.registry, host.lastReadMs);
     const ids = possible
       .map(({hostId, incarnation}) => `${hostId} ${incarnation}`)
