--- a/packages/relay/src/fleet-duties.ts
+++ b/packages/relay/src/fleet-duties.ts
@@ -1,3 +1,4 @@
+import {StoreEra} from '@radishgw/coordination';
 import {call, Clock, EventLog, HostId, Procedure, sleep} from '@radishgw/core';
 import {CapacityController} from './capacity-controller.js';
 import {Instant, readInstant} from './instant.js';
@@ -16,7 +17,7 @@
   acceptLease,
   createLeaseView,
   decideLease,
-  heldTerm,
+  heldToken,
   LeaseTimes,
   LeaseView,
   observeLease,
@@ -29,19 +30,18 @@
 import {StageController} from './stage-controller.js';
 import {DependencyMonitor, FrozenWindow, SharedState, SharedStore} from './store-sync.js';
 import {sumWindow, windowIndexAt} from './usage-ledger.js';
-
-/**
- * Time after the end of a window until its counts are complete: a host forwards its counts each
- * second, and the host that writes them takes up to half a second more.
- */
-const FREEZE_DELAY_MS = 2500;
+import {
+  createUsageMemory,
+  FREEZE_DELAY_MS,
+  listUsageRecords,
+  mayFreeze,
+  rememberUsage,
+  RETAINED_WINDOWS,
+} from './usage-memory.js';
 
 /** Number of latest complete windows that are still reported. */
 const REPORTABLE_WINDOWS = 3;
 
-/** Number of complete windows that are kept in the store. */
-const RETAINED_WINDOWS = 12;
-
 /** Dependencies of {@link FleetDuties}. */
 export interface FleetDutiesDependencies {
   readonly hostId: HostId;
@@ -53,12 +53,14 @@
   readonly registry: HostRegistry;
   readonly monitor: DependencyMonitor;
   readonly reads: SharedReads;
+  /** Eras of the store. */
+  readonly era: StoreEra;
   readonly leaseTimes: LeaseTimes;
   readonly usageWindowMs: number;
   readonly capacity: CapacityController;
   readonly stages: StageController;
-  /** Called with the complete records after a direct read. */
-  onRecords(records: readonly HostRecord[]): void;
+  /** Called with the complete records after a direct read in an era of the store. */
+  onRecords(records: readonly HostRecord[], era: number): void;
   /** Called with the records without what changes often, after a read that another host made. */
   onSharedRecords(records: readonly HostRecord[]): void;
   /** Called with the evidence on crashes of engines, by host, after each read. */
@@ -80,6 +82,8 @@
   readonly lease: LeaseView = createLeaseView();
   lastReadMs = -Infinity;
   private readonly reported = new Set<number>();
+  /** What the store may have lost of what this host has read. */
+  private readonly memory = createUsageMemory();
   private readonly firstWindow: number;
   private wasHolder = false;
 
@@ -99,7 +103,7 @@
 
   /** Returns the fencing token while this host may act for the fleet, otherwise undefined. */
   currentTerm(): number | undefined {
-    return heldTerm(this.lease, this.deps.leaseTimes, readInstant(this.deps.clock));
+    return heldToken(this.lease, this.deps.leaseTimes, readInstant(this.deps.clock));
   }
 
   private *step(): Procedure<void> {
@@ -117,16 +121,19 @@
     const state = answer.val;
     const readAt = this.readFleetInstant();
     this.lastReadMs = readAt.monotonicMs;
-    deps.onRenewedRecords(updateHosts(deps.registry, state.hosts, readAt));
-    deps.onRecords(state.hosts);
+    deps.onRenewedRecords(updateHosts(deps.registry, state.hosts, readAt, state.era));
+    deps.onRecords(state.hosts, state.era);
     const hosts = readyHosts(deps.registry, this.lastReadMs);
     deps.onEvidence(state.evidence);
     const records = state.hosts.map(omitVolatileFields);
-    deps.reads.publish('hosts', {records, evidence: state.evidence}, sentAt);
-    deps.reads.publish('beats', state.hosts.map(toHeartbeat), sentAt);
+    deps.reads.publish('hosts', {records, evidence: state.evidence}, sentAt, state.era);
+    deps.reads.publish('beats', state.hosts.map(toHeartbeat), sentAt, state.era);
     deps.onHosts();
     const now = readInstant(deps.clock);
-    observeLease(this.lease, state.lease?.record, state.lease?.revision ?? 0, now);
+    const {record, revision = 0} = state.lease ?? {};
+    observeLease(this.lease, record, revision, now, state.era);
+    const lost = rememberUsage(this.memory, state, now);
+    for (const window of lost.slice(-REPORTABLE_WINDOWS)) yield* this.restoreWindow(window);
     if (this.isCandidate()) yield* this.maintainLease();
     this.logHolderChange();
     if (this.currentTerm() === undefined) return;
@@ -164,7 +171,8 @@
       const {monotonicMs, wallMs} = this.readFleetInstant();
       const asOf = {monotonicMs: asOfMs, wallMs: wallMs - (monotonicMs - asOfMs)};
       const records = mergeHeartbeats(hosts.value.records, heartbeats.value);
-      deps.onRenewedRecords(updateHosts(deps.registry, records, asOf));
+      const renewed = updateHosts(deps.registry, records, asOf, heartbeats.era);
+      deps.onRenewedRecords(renewed);
       deps.onHosts();
     }
     this.logHolderChange();
@@ -190,7 +198,7 @@
     const answer = yield* call(() => deps.shared.writeLease(step.record, lease.revision));
     // If the answer is lost, the next read shows whether the write succeeded, because the record
     // names its holder's incarnation.
-    if (answer.ok) acceptLease(lease, step.record, answer.val, sentAt);
+    if (answer.ok) acceptLease(lease, step.record, answer.val, sentAt, deps.era.current);
   }
 
   private logHolderChange(): void {
@@ -199,6 +207,7 @@
     if (isHolder === this.wasHolder) return;
     this.wasHolder = isHolder;
     this.deps.log.write(isHolder ? 'leaseAcquired' : 'leaseLost', {
+      era: this.lease.record?.era,
       term: this.lease.record?.term,
       holder: this.lease.record?.holder,
     });
@@ -210,7 +219,7 @@
     const firstIndex = Math.max(this.firstWindow, lastIndex - REPORTABLE_WINDOWS + 1);
     for (let index = firstIndex; index <= lastIndex; index++) {
       if (this.reported.has(index)) continue;
-      const frozen = state.frozen.get(index) ?? (yield* this.freeze(state, index));
+      const frozen = this.memory.frozen.get(index) ?? (yield* this.freeze(index));
       if (frozen) yield* this.reportWindow(frozen);
     }
     for (const index of state.frozen.keys()) {
@@ -227,19 +236,30 @@
     }
   }
 
-  private *freeze(state: SharedState, windowIndex: number): Procedure<FrozenWindow | undefined> {
-    const {deps} = this;
+  private *freeze(windowIndex: number): Procedure<FrozenWindow | undefined> {
+    const {deps, memory} = this;
+    if (!mayFreeze(memory, readInstant(deps.clock))) return undefined;
+    const records = listUsageRecords(memory);
     const counts = sumWindow(
-      state.hosts.map(host => host.usage),
+      records.map(record => record.usage),
       windowIndex,
     );
     const window = {windowIndex, counts};
     const answer = yield* call(() => deps.shared.freezeWindow(window));
     if (answer.err) return undefined; // The next read shows the outcome, even of a lost answer.
-    deps.log.write('usageFrozen', {windowIndex, counts});
+    deps.log.write('usageFrozen', {windowIndex, counts, records: records.length});
     return window;
   }
 
+  /** Writes the counts of a window again that an older copy of the store lacks. */
+  private *restoreWindow(window: FrozenWindow): Procedure<void> {
+    const {deps} = this;
+    const answer = yield* call(() => deps.shared.freezeWindow(window));
+    // Another host may have written them first.
+    const error = answer.err ? answer.val.kind : undefined;
+    deps.log.write('usageRestored', {...window, error});
+  }
+
   private *reportWindow(window: FrozenWindow): Procedure<void> {
     const {deps} = this;
     const term = this.currentTerm();
--- a/packages/relay/src/host-registry.ts
+++ b/packages/relay/src/host-registry.ts
@@ -7,7 +7,12 @@
 export interface HostRecord {
   readonly hostId: HostId;
   readonly incarnation: string;
-  /** Increases with each start of the host, so that records of two incarnations can be ordered. */
+  /** Era of the store in which the incarnation started; missing if the store has only one. */
+  readonly era?: number;
+  /**
+   * Increases with each start of the host within an era, so that records of two incarnations can be
+   * ordered.
+   */
   readonly generation: number;
   readonly failureDomain: FailureDomain;
   /** Address for clients. */
@@ -37,12 +42,20 @@
 /** A host is considered lost when its record hasn't changed for this long: three missed records. */
 export const HOST_TIMEOUT_MS = 3500;
 
+/** Compares the incarnations of two records of one host; positive if that of `a` is later. */
+export function compareIncarnations(
+  a: Pick<HostRecord, 'era' | 'generation'>,
+  b: Pick<HostRecord, 'era' | 'generation'>,
+): number {
+  return (a.era ?? 0) - (b.era ?? 0) || a.generation - b.generation;
+}
+
 /** Compares two records of one host by age; positive if `a` is newer. */
 export function compareRecords(
-  a: Pick<HostRecord, 'generation' | 'beat'>,
-  b: Pick<HostRecord, 'generation' | 'beat'>,
+  a: Pick<HostRecord, 'era' | 'generation' | 'beat'>,
+  b: Pick<HostRecord, 'era' | 'generation' | 'beat'>,
 ): number {
-  return a.generation - b.generation || a.beat - b.beat;
+  return compareIncarnations(a, b) || a.beat - b.beat;
 }
 
 /**
@@ -80,7 +93,7 @@
 /** A longer gap between successful reads, with a failed read in between, is a store outage. */
 const MIN_OUTAGE_MS = 2 * HEARTBEAT_INTERVAL_MS;
 
-/** Time that hosts have after an outage to write their records again. */
+/** Time that hosts have after an outage, or after an older copy, to write their records again. */
 const RECOVERY_GRACE_MS = 1.5 * HEARTBEAT_INTERVAL_MS;
 
 /** This host's view of the hosts. */
@@ -89,27 +102,38 @@
   lastReadMs: number;
   /** Whether a read has failed since the latest successful one. */
   hasFailedRead: boolean;
+  /** Era of the store at the latest read; undefined before it. */
+  era: number | undefined;
+  /** Until this time, hosts whose records are missing are kept. */
+  graceUntilMs: number;
 }
 
 export function createHostRegistry(): HostRegistry {
-  return {hosts: new Map(), lastReadMs: -Infinity, hasFailedRead: false};
+  return {
+    hosts: new Map(),
+    lastReadMs: -Infinity,
+    hasFailedRead: false,
+    era: undefined,
+    graceUntilMs: -Infinity,
+  };
 }
 
 /** Fields that change with each record; shared separately from the other fields. */
 export type HostHeartbeat = Pick<
   HostRecord,
-  'hostId' | 'generation' | 'beat' | 'madeMs' | 'madeWallMs'
+  'hostId' | 'era' | 'generation' | 'beat' | 'madeMs' | 'madeWallMs'
 >;
 
 /** Returns the fields of a record that change with each record. */
 export function toHeartbeat({
   hostId,
+  era,
   generation,
   beat,
   madeMs,
   madeWallMs,
 }: HostRecord): HostHeartbeat {
-  return {hostId, generation, beat, madeMs, madeWallMs};
+  return {hostId, era, generation, beat, madeMs, madeWallMs};
 }
 
 /** Returns a record without the fields that change often or that only the lease holder needs. */
@@ -128,7 +152,8 @@
   const byHost = new Map(heartbeats.map(heartbeat => [heartbeat.hostId, heartbeat]));
   return records.map(record => {
     const heartbeat = byHost.get(record.hostId);
-    return heartbeat?.generation === record.generation ? {...record, ...heartbeat} : record;
+    const isSame = heartbeat !== undefined && compareIncarnations(heartbeat, record) === 0;
+    return isSame ? {...record, ...heartbeat} : record;
   });
 }
 
@@ -165,24 +190,33 @@
 }
 
 /**
- * Applies a complete read of the records, which were current in the store at `now`. Returns those
- * that their hosts have renewed since the last read.
+ * Applies a complete read of the records, which were current at `now` in an era of the store; one
+ * in an earlier era is ignored. Returns those that their hosts have renewed since the last read.
  */
 export function updateHosts(
   registry: HostRegistry,
   records: readonly HostRecord[],
   now: Instant,
+  era = 0,
 ): readonly HostRecord[] {
   const renewed: HostRecord[] = [];
+  if (registry.era !== undefined && era < registry.era) return renewed;
   const gapMs = now.monotonicMs - registry.lastReadMs;
-  if (registry.hasFailedRead && gapMs > MIN_OUTAGE_MS) extendLiveness(registry, now.monotonicMs);
+  const isRestored = registry.era !== undefined && era > registry.era;
+  if (isRestored) registry.graceUntilMs = now.monotonicMs + RECOVERY_GRACE_MS;
+  const wasUnavailable = registry.hasFailedRead && gapMs > MIN_OUTAGE_MS;
+  if (isRestored || wasUnavailable) extendLiveness(registry, now.monotonicMs);
+  registry.era = era;
   registry.lastReadMs = now.monotonicMs;
   registry.hasFailedRead = false;
   const present = new Set(records.map(record => record.hostId));
-  for (const id of registry.hosts.keys()) if (!present.has(id)) registry.hosts.delete(id);
+  const keepsMissing = now.monotonicMs < registry.graceUntilMs;
+  for (const id of registry.hosts.keys()) {
+    if (!present.has(id) && !keepsMissing) registry.hosts.delete(id);
+  }
   for (const record of records) {
     const seen = registry.hosts.get(record.hostId);
-    if (!seen || record.generation > seen.record.generation) {
+    if (!seen || compareIncarnations(record, seen.record) > 0) {
       registry.hosts.set(record.hostId, createObservation(record, now));
       continue;
     }
@@ -197,7 +231,7 @@
 
 /**
  * Gives hosts that were live before a store outage time to write again: records can't change while
- * the store is unavailable.
+ * the store is unavailable, and an older copy has lost the latest ones.
  */
 function extendLiveness(registry: HostRegistry, nowMs: number): void {
   const sinceMs = nowMs - HOST_TIMEOUT_MS + RECOVERY_GRACE_MS;
--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -7,7 +7,7 @@
   startTask,
   Task,
 } from '@radishgw/core';
-import {ObjectStore} from '@radishgw/coordination';
+import {ObjectStore, StoreEra} from '@radishgw/coordination';
 import {ClientServer} from './client-server.js';
 import {configAgeMs, createConfigView} from './config-view.js';
 import {readInstant} from './instant.js';
@@ -34,7 +34,7 @@
 import {QuotaClient} from './quota-client.js';
 import {keepRunning} from './keep-running.js';
 import {readIntervals} from './read-intervals.js';
-import {RecordWriter} from './record-writer.js';
+import {HostStart, RecordWriter} from './record-writer.js';
 import {RelayDependencies} from './request-context.js';
 import {createBufferedServer, listen, stopListening, waitUntilIdle} from './servers.js';
 import {RelaySettings} from './settings.js';
@@ -93,6 +93,7 @@
 export class RelayHost {
   readonly metrics = new RelayMetrics();
   private readonly incarnation: string;
+  private readonly era: StoreEra;
   private readonly configView = createConfigView();
   private readonly registry: HostRegistry = createHostRegistry();
   private readonly usage: UsageLedger = createUsageLedger();
@@ -122,6 +123,8 @@
   constructor(private readonly options: RelayHostOptions) {
     const {settings, clock, random, log} = options;
     this.incarnation = random.nextHex(8);
+    this.era = options.store.era ?? new StoreEra();
+    this.era.subscribe(era => log.write('storeRestored', {era}));
     this.fleetTime = createFleetTime(readInstant(clock));
     this.targets = new TargetPool({
       clock,
@@ -311,6 +314,7 @@
       log,
       peers: this.peers,
       intervals: readIntervals(settings.changeBoundMs),
+      era: this.era,
       findReader: () => findDomainReader(this.listReady(), settings.failureDomain),
     });
   }
@@ -325,7 +329,7 @@
       shared: this.shared,
       monitor: this.monitor,
       findReader: () => findDomainReader(this.listReady(), settings.failureDomain),
-      makeRecord: (generation, beat) => this.makeRecord(generation, beat),
+      makeRecord: (start, beat) => this.makeRecord(start, beat),
       onStored: madeAt => this.quota.confirmRecord(madeAt),
       isStopping: () => this.stopAtMs !== undefined,
     });
@@ -343,10 +347,11 @@
       registry: this.registry,
       monitor: this.monitor,
       reads: this.reads,
+      era: this.era,
       leaseTimes: settings.leaseTimes,
       usageWindowMs: settings.usageWindowMs,
-      onRecords: records => {
-        this.restoreUsage(records);
+      onRecords: (records, era) => {
+        this.restoreUsage(records, era);
         this.applyLeaving(records);
       },
       onSharedRecords: records => this.applyLeaving(records),
@@ -426,7 +431,7 @@
     });
   }
 
-  private makeRecord(generation: number, beat: number): HostRecord {
+  private makeRecord(start: HostStart, beat: number): HostRecord {
     const {settings, clock} = this.options;
     const {clientAddress, peerAddress, failureDomain, hostId, processorCapacity} = settings;
     const isReady = this.canServe;
@@ -435,7 +440,7 @@
     return {
       hostId,
       incarnation: this.incarnation,
-      generation,
+      ...start,
       failureDomain,
       address: `${clientAddress.host}:${clientAddress.port}`,
       peerAddress: `${peerAddress.host}:${peerAddress.port}`,
@@ -476,11 +481,11 @@
   }
 
   /** Restores the counts of this host's previous incarnation, which no other host reports. */
-  private restoreUsage(records: readonly HostRecord[]): void {
+  private restoreUsage(records: readonly HostRecord[], era: number): void {
     if (this.records.isInitialized) return;
     const earlier = records.find(record => record.hostId === this.options.settings.hostId);
     if (earlier) mergeCounts(this.usage, earlier.usage);
-    this.records.initialize(earlier);
+    this.records.initialize(earlier, era);
   }
 
   private formatMetrics(): string {
--- a/packages/relay/src/state-schemas.ts
+++ b/packages/relay/src/state-schemas.ts
@@ -18,6 +18,7 @@
 const recordSchema = z.object({
   hostId: nameSchema,
   incarnation: nameSchema,
+  era: countSchema.optional(),
   generation: countSchema,
   failureDomain: nameSchema,
   address: addressSchema,
@@ -35,6 +36,7 @@
 const leaseSchema = z.object({
   holder: nameSchema,
   incarnation: nameSchema,
+  era: countSchema.optional(),
   term: countSchema,
   renewal: countSchema,
 });
--- a/packages/relay/test/host-registry.test.ts
+++ b/packages/relay/test/host-registry.test.ts
@@ -104,6 +104,32 @@
     expect(readyHosts(registry, 9000)).to.have.length(1);
   });
 
+  it('keeps hosts that an older copy of the store lacks until they can have written again', () => {
+    // Guards against the rest of the hosts sharing out the limits of all of them.
+    const registry = createHostRegistry();
+    for (let nowMs = 0; nowMs <= 5000; nowMs += INTERVAL_MS) {
+      updateHosts(registry, [makeRecord(nowMs, nowMs)], {monotonicMs: nowMs, wallMs: nowMs}, 1);
+    }
+    const readAt = (nowMs: number, era: number) => {
+      updateHosts(registry, [], {monotonicMs: nowMs, wallMs: nowMs}, era);
+      return [readyHosts(registry, nowMs).length, possibleHosts(registry, nowMs).length];
+    };
+    expect(readAt(8000, 2)).to.deep.equal([1, 1]);
+    expect(readAt(9000, 2)).to.deep.equal([1, 1]);
+    expect(readAt(9100, 1)).to.deep.equal([1, 1]);
+    expect(readAt(10_000, 2)).to.deep.equal([0, 0]);
+  });
+
+  it('lists a host that has restarted from an older copy of the store at once', () => {
+    // Guards against a generation that is given out again, so that new records count as older.
+    const registry = createHostRegistry();
+    read(registry, 8000, {...makeRecord(9, 8000, 2), era: 1, isReady: false});
+    const restarted = {...makeRecord(1, 100, 2), era: 2, madeWallMs: 9000};
+    expect(read(registry, 9000, restarted)).to.equal(true);
+    expect(read(registry, 9500, {...makeRecord(10, 9000, 2), era: 1})).to.equal(true);
+    expect([...registry.hosts.values()][0].record.beat).to.equal(1);
+  });
+
   it('ignores a record that is older than the one it knows', () => {
     // Guards against a late write that reverts a host to an older state.
     const registry = createHostRegistry();
