--- a/packages/relay/src/fleet-duties.ts
+++ b/packages/relay/src/fleet-duties.ts
@@ -132,6 +132,8 @@
     const now = readInstant(deps.clock);
     const {record, revision = 0} = state.lease ?? {};
     observeLease(this.lease, record, revision, now, state.era);
+    // A host that has started in an earlier era shows that the store came back from a copy.
+    this.lease.mayLackRecord ||= state.hosts.some(({era = 0}) => era < state.era);
     const lost = rememberUsage(this.memory, state, now);
     for (const window of lost.slice(-REPORTABLE_WINDOWS)) yield* this.restoreWindow(window);
     if (this.isCandidate()) yield* this.maintainLease();
@@ -247,6 +249,7 @@
     const window = {windowIndex, counts};
     const answer = yield* call(() => deps.shared.freezeWindow(window));
     if (answer.err) return undefined; // The next read shows the outcome, even of a lost answer.
+    memory.frozen.set(windowIndex, window);
     deps.log.write('usageFrozen', {windowIndex, counts, records: records.length});
     return window;
   }
