Count the soak's calls to leaving servers from the answer's delivery

The check counted from the time at which the server wrote its answer, also where the proxy before it held the answer back or cut it, and to the arrival of the call, also where the proxy had held the call back. The check of pauses counted in the same way.

The proxies record what they have forwarded, and both checks count from the delivery of the answer's head to the time at which the host sent the call. The bounds are the same.

--- a/packages/testkit/src/fault-proxy.ts
+++ b/packages/testkit/src/fault-proxy.ts
@@ -55,18 +55,33 @@
   cutWith: 'rst',
 };
 
+/** What has been forwarded in one direction of one connection. */
+export interface FlowRecord {
+  readonly bytes: number;
+  /** Time for which the data that was forwarded last had been held back. */
+  readonly heldMs: number;
+  /** Whether nothing more is forwarded. */
+  readonly isClosed: boolean;
+}
+
 /** One direction of one connection. */
-interface Flow {
+interface Flow extends FlowRecord {
   readonly direction: Direction;
   readonly source: Socket;
   readonly sink: Socket;
   bytes: number;
+  heldMs: number;
+  isClosed: boolean;
   frozen: boolean;
   /**
    * Data held back by a delay or a freeze, oldest first. An entry without data is the end of the
    * stream.
    */
-  readonly queue: {readonly data: Buffer | undefined; readonly dueMs: number}[];
+  readonly queue: {
+    readonly data: Buffer | undefined;
+    readonly readMs: number;
+    readonly dueMs: number;
+  }[];
 }
 
 /** TCP proxy that injects faults. The seed and the order of reads determine the random faults. */
@@ -112,6 +127,14 @@
     for (const flow of [...this.flows]) this.cut(flow, mode);
   }
 
+  /** One direction of an open connection, which the target knows by its remote port. */
+  findFlow(direction: Direction, remotePort: number | undefined): FlowRecord | undefined {
+    return [...this.flows].find(flow => {
+      const target = flow.direction === 'toTarget' ? flow.sink : flow.source;
+      return flow.direction === direction && target.localPort === remotePort;
+    });
+  }
+
   async stop(): Promise<void> {
     this.cutAll('rst');
     for (const socket of this.sockets) socket.destroy();
@@ -144,6 +167,8 @@
       source,
       sink,
       bytes: 0,
+      heldMs: 0,
+      isClosed: false,
       frozen: false,
       queue: [],
     };
@@ -152,10 +177,10 @@
     source.on('end', () => this.enqueue(flow, undefined));
     source.once('close', hadError => {
       if (hadError) sink.destroy();
-      if (sink.destroyed) this.flows.delete(flow);
+      if (sink.destroyed) this.remove(flow);
     });
     sink.once('close', () => {
-      this.flows.delete(flow);
+      this.remove(flow);
       source.destroy();
     });
   }
@@ -163,7 +188,8 @@
   private enqueue(flow: Flow, data: Buffer | undefined): void {
     const {delayMs, dropProbability} = this.faults[flow.direction];
     if (data && dropProbability > 0 && this.random.next() < dropProbability) return;
-    flow.queue.push({data, dueMs: performance.now() + delayMs});
+    const readMs = performance.now();
+    flow.queue.push({data, readMs, dueMs: readMs + delayMs});
     if (delayMs > 0) setTimeout(() => this.forwardDue(flow), delayMs);
     else this.forwardDue(flow);
   }
@@ -172,19 +198,25 @@
     while (flow.queue.length > 0 && this.flows.has(flow)) {
       const faults = this.faults[flow.direction];
       if (faults.frozen || flow.frozen) return;
-      const {data, dueMs} = flow.queue[0];
+      const {data, readMs, dueMs} = flow.queue[0];
       const remainingMs = dueMs - performance.now();
       if (remainingMs > 1) {
         setTimeout(() => this.forwardDue(flow), remainingMs);
         return;
       }
       flow.queue.shift();
-      if (data) this.forward(flow, data, faults);
+      flow.heldMs = performance.now() - readMs;
+      if (data) this.forward(flow, data, readMs, faults);
       else flow.sink.end();
     }
   }
 
-  private forward(flow: Flow, data: Buffer, faults: DirectionFaults): void {
+  private remove(flow: Flow): void {
+    this.flows.delete(flow);
+    flow.isClosed = true;
+  }
+
+  private forward(flow: Flow, data: Buffer, readMs: number, faults: DirectionFaults): void {
     const limits = [faults.cutAfterBytes, faults.freezeAfterBytes].filter(limit => limit > 0);
     const remainingBytes = Math.max(0, Math.min(...limits, Number.MAX_SAFE_INTEGER) - flow.bytes);
     const forwarded = data.subarray(0, remainingBytes);
@@ -196,7 +228,7 @@
       this.cut(flow, faults.cutWith);
     } else if (forwarded.length < data.length) {
       flow.frozen = true;
-      flow.queue.unshift({data: data.subarray(forwarded.length), dueMs: 0});
+      flow.queue.unshift({data: data.subarray(forwarded.length), readMs, dueMs: 0});
     }
   }
 
@@ -204,7 +236,7 @@
     if (!this.flows.has(flow)) return;
     this.record.cuts++;
     for (const other of [...this.flows]) {
-      if (other.source === flow.source || other.source === flow.sink) this.flows.delete(other);
+      if (other.source === flow.source || other.source === flow.sink) this.remove(other);
     }
     for (const socket of [flow.source, flow.sink]) {
       if (mode === 'rst') socket.resetAndDestroy();
