Remember final counts beside a window of another writer

A window with a very high number, as another writer may leave one in the store, made a host forget the final counts of all others: it would have frozen each window again, failed as the store has it, and reported none.

Cause: windows were forgotten by their distance from the highest number. They are forgotten in the order in which they were read last now, and the store's own counts go before the remembered ones. The new test of usage-memory.test.ts failed before.

--- a/packages/relay/src/fleet-duties.ts
+++ b/packages/relay/src/fleet-duties.ts
@@ -221,7 +221,8 @@
     const firstIndex = Math.max(this.firstWindow, lastIndex - REPORTABLE_WINDOWS + 1);
     for (let index = firstIndex; index <= lastIndex; index++) {
       if (this.reported.has(index)) continue;
-      const frozen = this.memory.frozen.get(index) ?? (yield* this.freeze(index));
+      const known = state.frozen.get(index) ?? this.memory.frozen.get(index);
+      const frozen = known ?? (yield* this.freeze(index));
       if (frozen) yield* this.reportWindow(frozen);
     }
     for (const index of state.frozen.keys()) {
--- a/packages/relay/src/usage-memory.ts
+++ b/packages/relay/src/usage-memory.ts
@@ -13,6 +13,9 @@
 /** Number of complete windows that are kept in the store. */
 export const RETAINED_WINDOWS = 12;
 
+/** Number of windows that a host remembers; of those in the store others may have written some. */
+const MAX_REMEMBERED_WINDOWS = 3 * RETAINED_WINDOWS;
+
 /** Time for which records are remembered; no window is reported that late. */
 const RECORD_MEMORY_MS = 60_000;
 
@@ -25,7 +28,7 @@
   era: number | undefined;
   /** Time of the first read after the store came back from an older copy. */
   restoredAtMs: number;
-  /** Counts of windows that are final. */
+  /** Counts of windows that are final; those that were read or written last come last. */
   readonly frozen: Map<number, FrozenWindow>;
   /** Newest record of each host, and the time at which it was read last. */
   readonly records: Map<HostId, RememberedRecord>;
@@ -67,10 +70,13 @@
   const isLost = ({windowIndex}: FrozenWindow) => isRestored && !state.frozen.has(windowIndex);
   const lost = [...memory.frozen.values()].filter(isLost);
   lost.sort((a, b) => a.windowIndex - b.windowIndex);
-  for (const [index, window] of state.frozen) memory.frozen.set(index, window);
-  const lastIndex = Math.max(-Infinity, ...memory.frozen.keys());
+  for (const [index, window] of state.frozen) {
+    memory.frozen.delete(index);
+    memory.frozen.set(index, window);
+  }
   for (const index of memory.frozen.keys()) {
-    if (index <= lastIndex - RETAINED_WINDOWS) memory.frozen.delete(index);
+    if (memory.frozen.size <= MAX_REMEMBERED_WINDOWS) break;
+    memory.frozen.delete(index);
   }
   return lost;
 }
--- a/packages/relay/test/usage-memory.test.ts
+++ b/packages/relay/test/usage-memory.test.ts
@@ -71,4 +71,18 @@
     expect(read(2, window(5, 1))).to.deep.equal([]);
     expect(memory.frozen.get(7)).to.deep.equal(window(7, 3));
   });
+
+  it('keeps final counts beside a window of another writer with a high number', () => {
+    // Guards against windows that are frozen again, and never reported, because of one odd entry.
+    const memory = createUsageMemory();
+    const odd = window(Number.MAX_SAFE_INTEGER, 1);
+    for (let index = 5; index < 200; index++) {
+      const frozen = new Map([window(index, index), odd].map(entry => [entry.windowIndex, entry]));
+      rememberUsage(memory, {era: 1, hosts: [], frozen}, {monotonicMs: index});
+      expect(memory.frozen.get(index)).to.deep.equal(window(index, index));
+      if (index > 5)
+        expect(memory.frozen.get(index - 1)).to.deep.equal(window(index - 1, index - 1));
+    }
+    expect(memory.frozen.size).to.be.lessThan(100);
+  });
 });
