Log what ran at a plain server that crashes

A server that ended under calls left no line: crashes were looked for at engines only, and runs were named by ids that are new with each repeat. Calls are now runs in progress at their target too, a lost connection of a call is checked like that of a stream, and event 1850 (now targetCrashed) names a digest of team, method, path and body for each run, which is the same on all hosts. It is computed at a crash only. No decision changes.

--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -52,7 +52,7 @@
   quotaFallback: {number: 1820, level: 'warn', text: 'quota decided without its owner'},
   leaseAcquired: {number: 1830, level: 'info', text: 'fleet lease acquired'},
   leaseLost: {number: 1831, level: 'warn', text: 'fleet lease lost'},
-  engineCrashed: {number: 1850, level: 'warn', text: 'engine crashed with runs in progress'},
+  targetCrashed: {number: 1850, level: 'warn', text: 'target crashed with runs in progress'},
   promptQuarantined: {
     number: 1851,
     level: 'error',
--- a/packages/relay/src/crash-monitor.ts
+++ b/packages/relay/src/crash-monitor.ts
@@ -1,22 +1,24 @@
 import {connect} from 'node:net';
-import {Clock, EventLog, RequestId} from '@radishgw/core';
+import {Clock, EventLog} from '@radishgw/core';
 import {RelayMetrics} from './metrics.js';
-import {PromptPartId} from './model.js';
+import {RunInProgress} from './run-identity.js';
 import {PooledTarget} from './target-pool.js';
 
 /** Timeout of the connection that tells a crash from a lost connection. */
 const PROBE_TIMEOUT_MS = 300;
 
-/** Connections that an engine loses within this time are checked once. */
+/** Connections that a target loses within this time are checked once. */
 const SAME_LOSS_MS = 20;
 
 /** Maximum number of runs that are named in the log. */
 const MAX_LOGGED_RUNS = 16;
 
-/** A crash of an engine and the runs of this host that were in progress there. */
+/** A crash of a target and the runs of this host that were in progress there. */
 export interface ObservedCrash {
   readonly target: PooledTarget;
-  readonly runs: readonly (readonly [RequestId, readonly PromptPartId[]])[];
+  /** Monotonic time at which this host lost its connection. */
+  readonly lostMs: number;
+  readonly runs: readonly RunInProgress[];
 }
 
 /** Dependencies of {@link CrashMonitor}. */
@@ -33,15 +35,15 @@
   readonly result: Promise<boolean>;
 }
 
-/** Tells whether an engine that has lost the connection of a run has crashed. */
+/** Tells whether a target that has lost the connection of a run has crashed. */
 export class CrashMonitor {
   private readonly checks = new WeakMap<PooledTarget, Check>();
 
   constructor(private readonly deps: CrashMonitorDependencies) {}
 
   /**
-   * Whether an engine has crashed that ended a connection with a run in progress: its process is
-   * gone and it wasn't leaving. An engine that is cut off or silent doesn't refuse connections.
+   * Whether a target has crashed that ended a connection with a run in progress: its process is
+   * gone and it wasn't leaving. A target that is cut off or silent doesn't refuse connections.
    */
   check(target: PooledTarget): Promise<boolean> {
     if (target.entry.isDraining) return Promise.resolve(false);
@@ -49,10 +51,10 @@
     const earlier = this.checks.get(target);
     if (earlier && (earlier.hasCrashed || nowMs - earlier.startedMs < SAME_LOSS_MS))
       return earlier.result;
-    const runs = [...target.runs];
+    const runs = [...target.runs.values()];
     const result = isRefused(target.entry.address).then(hasCrashed => {
       check.hasCrashed = hasCrashed && !target.entry.isDraining;
-      if (check.hasCrashed) this.report({target, runs});
+      if (check.hasCrashed) this.report({target, lostMs: nowMs, runs});
       return check.hasCrashed;
     });
     const check: Check = {startedMs: nowMs, hasCrashed: false, result};
@@ -62,11 +64,15 @@
 
   private report(crash: ObservedCrash): void {
     const {log, metrics} = this.deps;
-    metrics.count('engine_crashes_total');
-    log.write('engineCrashed', {
+    metrics.count('target_crashes_total');
+    log.write('targetCrashed', {
       target: crash.target.entry.id,
       runCount: crash.runs.length,
-      runs: crash.runs.slice(-MAX_LOGGED_RUNS).map(([request, parts]) => ({request, parts})),
+      runs: crash.runs.slice(-MAX_LOGGED_RUNS).map(({identity}) => ({
+        request: identity.requestId,
+        digest: identity.fingerprint.digest,
+        parts: identity.sharedParts,
+      })),
     });
     this.deps.onCrash(crash);
   }
--- a/packages/relay/src/quarantine-service.ts
+++ b/packages/relay/src/quarantine-service.ts
@@ -137,9 +137,9 @@
   /** Records a crash of an engine, unless the prompts that ran there are known to be sound. */
   recordCrash({target, runs}: ObservedCrash): void {
     const suspectRuns = runs
-      .map(([requestId, parts]) => ({
-        requestId,
-        parts: this.listSuspects(parts).slice(0, MAX_PARTS),
+      .map(({identity}) => ({
+        requestId: identity.requestId,
+        parts: this.listSuspects(identity.sharedParts).slice(0, MAX_PARTS),
       }))
       .filter(({parts}) => parts.length > 0)
       .slice(-MAX_RUNS);
--- a/packages/relay/src/relay-stream.ts
+++ b/packages/relay/src/relay-stream.ts
@@ -215,7 +215,7 @@
 /** Counts a crash under a prompt that may be the cause once it is known. */
 function recordLostConnection(state: StreamState, target: PooledTarget): void {
   const {crashes, quarantine} = state.deps;
-  const hasSuspects = quarantine.hasSuspects(state.request.sharedParts);
+  const hasSuspects = quarantine.hasSuspects(state.request.identity.sharedParts);
   void crashes.check(target).then(hasCrashed => {
     if (hasSuspects && hasCrashed) state.crashCount++;
   });
--- a/packages/relay/src/request-context.ts
+++ b/packages/relay/src/request-context.ts
@@ -14,10 +14,11 @@
 import {DemandMeter} from './demand-meter.js';
 import {AttemptBudget, AttemptBudgetSettings} from './attempt-budget.js';
 import {RelayMetrics} from './metrics.js';
-import {PromptPartId, RelayCodec, RequestMeta, Route, ServiceName, Team} from './model.js';
+import {RelayCodec, RequestMeta, Route, ServiceName, Team} from './model.js';
 import {PendingAverage} from './pending-average.js';
 import {QuarantineService} from './quarantine-service.js';
 import {QuotaClient} from './quota-client.js';
+import {RunIdentity} from './run-identity.js';
 import {RetryRefusal} from './serve-outcome.js';
 import {TargetConnection} from './target-connections.js';
 import {TargetPool} from './target-pool.js';
@@ -64,8 +65,8 @@
 export interface AdmittedRequest {
   readonly exchange: ClientExchange;
   readonly meta: RequestMeta;
-  /** Parts of the prompt that other requests may share. */
-  readonly sharedParts: readonly PromptPartId[];
+  /** What the hosts know its runs by. */
+  readonly identity: RunIdentity;
   readonly route: Route;
   readonly service: ServiceName;
   readonly team: Team | undefined;
--- /dev/null
+++ b/packages/relay/src/run-identity.ts
@@ -0,0 +1,65 @@
+import {createHmac} from 'node:crypto';
+import {Branded, RequestId, TeamId, toId} from '@radishgw/core';
+import {PromptPartId} from './model.js';
+
+/**
+ * Digest of what a client repeats when it sends a request again: its team, method, path and body.
+ * It is the same on all hosts and holds nothing of the request but the size of its body.
+ */
+export type RequestDigest = Branded<'RequestDigest'>;
+
+/** What identifies a request besides its id, which is new each time that it is sent. */
+export interface RequestContent {
+  readonly team: TeamId | undefined;
+  readonly method: string;
+  readonly host: string;
+  /** Path and query, as sent by the client. */
+  readonly path: string;
+  readonly body: Buffer;
+}
+
+/** A colon can't occur in the id of a prompt part, so that no client can name a digest. */
+const DIGEST_PREFIX = 'request:';
+
+/** Length of a digest in base64url, 132 bits. */
+const DIGEST_LENGTH = 22;
+
+/** Computes the digest of a request when it is first wanted: most requests never need theirs. */
+export class RequestFingerprint {
+  private computed: RequestDigest | undefined;
+
+  constructor(private readonly content: RequestContent) {}
+
+  get bodyBytes(): number {
+    return this.content.body.length;
+  }
+
+  get digest(): RequestDigest {
+    this.computed ??= computeDigest(this.content);
+    return this.computed;
+  }
+}
+
+function computeDigest({team, method, host, path, body}: RequestContent): RequestDigest {
+  const hash = createHmac('sha256', `radishgw request ${team ?? ''}`)
+    .update(JSON.stringify([method, host.toLowerCase(), path]))
+    .update(body)
+    .digest('base64url')
+    .slice(0, DIGEST_LENGTH);
+  return toId<RequestDigest>(`${DIGEST_PREFIX}${body.length}:${hash}`);
+}
+
+/** What the hosts know a run by, if its target crashes. */
+export interface RunIdentity {
+  readonly requestId: RequestId;
+  /** Parts of the prompt that other requests may share. */
+  readonly sharedParts: readonly PromptPartId[];
+  readonly fingerprint: RequestFingerprint;
+}
+
+/** A run of this host that is in progress at a target. */
+export interface RunInProgress {
+  readonly identity: RunIdentity;
+  /** Monotonic time at which it was sent. */
+  readonly sentMs: number;
+}
--- a/packages/relay/src/serve-call.ts
+++ b/packages/relay/src/serve-call.ts
@@ -114,7 +114,10 @@
       yield* call(() => waitForEvent(deps.clock, waiting, untilMs - nowMs));
     }
   } finally {
-    for (const {sent} of attempts) sent.finish('cancelled');
+    for (const {sent} of attempts) {
+      sent.target.runs.delete(request.meta.requestId);
+      sent.finish('cancelled');
+    }
   }
 }
 
@@ -130,6 +133,7 @@
   tried.add(target.entry.id);
   progress.addRun(target.entry.id);
   const outgoing = writeTargetRequest(deps, request, target);
+  target.runs.set(request.meta.requestId, {identity: request.identity, sentMs: deps.clock.nowMs()});
   const sent = sendToTarget(deps, request, target, outgoing, mayRepeat);
   attempts.add({sent, collector: new AnswerCollector(), wasSilent: false});
   state.dueMs = deps.clock.nowMs() + attemptTimeoutMs(deps, request);
@@ -170,6 +174,7 @@
       if (!answer) continue;
       attempts.delete(attempt);
       const result = classifyAnswer(deps, request, sent, answer);
+      sent.target.runs.delete(request.meta.requestId);
       recordStep(request, `${sent.target.entry.id}:${result.note}`);
       if (result.type !== 'final' && !result.mayHaveRun) {
         request.progress.withdrawRun(sent.target.entry.id);
@@ -208,6 +213,7 @@
     return {type: 'retry', note: 'silent', mayHaveRun: true};
   }
   if (answer.type === 'failed') {
+    if (answer.wasSent) void deps.crashes.check(sent.target);
     sent.finish(answer.wasSent ? 'failed' : 'unreachable');
     const type = answer.wasSent ? 'retry' : 'unsent';
     return {type, note: answer.detail, mayHaveRun: answer.wasSent};
--- a/packages/relay/src/serve-request.ts
+++ b/packages/relay/src/serve-request.ts
@@ -7,6 +7,7 @@
 import {RefusalName, REFUSALS, writeRefusal} from './refusals.js';
 import {AdmittedRequest, RelayDependencies, RequestProgress} from './request-context.js';
 import {chooseService, findRoute} from './route-table.js';
+import {RequestFingerprint, RunIdentity} from './run-identity.js';
 import {serveCall} from './serve-call.js';
 import {ServeOutcome} from './serve-outcome.js';
 import {serveStream} from './serve-stream.js';
@@ -148,13 +149,14 @@
   deps.demand.record(service, meta.promptTokens ?? 0, deps.clock.nowMs());
   const quotaRefusal = yield* takeRequestQuota(deps, team, meta);
   if (quotaRefusal) return quotaRefusal;
+  const admittedTeam = team === 'anonymous' ? undefined : team;
   return {
     exchange,
     meta,
-    sharedParts,
+    identity: identifyRun(exchange, meta, admittedTeam),
     route,
     service,
-    team: team === 'anonymous' ? undefined : team,
+    team: admittedTeam,
     urgency: team === 'anonymous' ? route.priority : (team.priority ?? route.priority),
     deadlineAtMs,
     progress: new RequestProgress(),
@@ -163,6 +165,18 @@
   };
 }
 
+function identifyRun(
+  {method, host, path, body}: ClientExchange,
+  {requestId, promptParts}: RequestMeta,
+  team: Team | undefined,
+): RunIdentity {
+  return {
+    requestId,
+    sharedParts: sharedPartIds(promptParts),
+    fingerprint: new RequestFingerprint({team: team?.id, method, host, path, body}),
+  };
+}
+
 function refuse(refusal: RefusalName): RefusedRequest {
   return {type: 'refused', refusal};
 }
--- a/packages/relay/src/serve-stream.ts
+++ b/packages/relay/src/serve-stream.ts
@@ -295,7 +295,8 @@
  * crashed under it. One more run of a prompt that may be the cause resumes those that aren't.
  */
 function mayRun({deps, request, crashCount}: StreamState): boolean {
-  const {meta, sharedParts} = request;
+  const {meta, identity} = request;
+  const {sharedParts} = identity;
   const admission = deps.quarantine.admit(meta.requestId, sharedParts);
   if (admission.type === 'refused') return false;
   if (crashCount === 0) return true;
@@ -355,7 +356,7 @@
   source?: CacheSource,
 ): Procedure<RunResult> {
   const {deps, request} = state;
-  const {progress, meta, sharedParts} = request;
+  const {progress, meta, identity} = request;
   const target = placement.decode as PooledTarget;
   state.tried.add(target.entry.id);
   const outgoing = writeTargetRequest(deps, request, target, {
@@ -365,9 +366,9 @@
   progress.addRun(target.entry.id);
   const removePending = source ? () => undefined : addPendingTokens(target, state);
   if (source) recordParts(target, meta.promptParts, deps.clock.nowMs());
-  target.runs.set(meta.requestId, sharedParts);
-  const sent = sendToTarget(deps, request, target, outgoing, state.mayRepeat);
   const sentMs = deps.clock.nowMs();
+  target.runs.set(meta.requestId, {identity, sentMs});
+  const sent = sendToTarget(deps, request, target, outgoing, state.mayRepeat);
   const run: EngineRun = {
     target,
     sent,
@@ -423,7 +424,8 @@
 /** Records what the end of a run says about its engine and its prompt. */
 function* recordEnd(state: StreamState, target: PooledTarget, result: RunResult): Procedure<void> {
   const {crashes, quarantine} = state.deps;
-  const {sharedParts, progress} = state.request;
+  const {identity, progress} = state.request;
+  const {sharedParts} = identity;
   const hasSuspects = quarantine.hasSuspects(sharedParts);
   if (result.type === 'broken' && result.hasLostConnection) {
     const check = crashes.check(target);
--- a/packages/relay/src/target-pool.ts
+++ b/packages/relay/src/target-pool.ts
@@ -24,14 +24,8 @@
   listShared,
   recordLeaving,
 } from './leaving-targets.js';
-import {
-  AnswerMeta,
-  PromptPartId,
-  RelayCodec,
-  ServiceName,
-  TargetEntry,
-  TargetList,
-} from './model.js';
+import {AnswerMeta, RelayCodec, ServiceName, TargetEntry, TargetList} from './model.js';
+import {RunInProgress} from './run-identity.js';
 import {backoffUntil} from './target-backoff.js';
 import {Attempt, OutgoingRequest, TargetConnections} from './target-connections.js';
 import {createTargetState, TargetState} from './target-state.js';
@@ -47,8 +41,8 @@
 /** A target with its connections. */
 export interface PooledTarget extends TargetState {
   readonly connections: TargetConnections;
-  /** Runs of this host that are in progress, with the shared parts of their prompts. */
-  readonly runs: Map<RequestId, readonly PromptPartId[]>;
+  /** Runs of this host that are in progress. */
+  readonly runs: Map<RequestId, RunInProgress>;
 }
 
 /** Statuses with which a target refuses requests for a time that it may name. */
--- a/packages/relay/test/crash-monitor.test.ts
+++ b/packages/relay/test/crash-monitor.test.ts
@@ -10,9 +10,9 @@
 import {expect} from 'chai';
 import {CrashMonitor, ObservedCrash} from '../src/crash-monitor.js';
 import {RelayMetrics} from '../src/metrics.js';
-import {PromptPartId, ServiceName} from '../src/index.js';
+import {ServiceName} from '../src/index.js';
 import {PooledTarget, TargetPool} from '../src/target-pool.js';
-import {ENGINES, makeEntry, readAnswer} from './fixtures.js';
+import {ENGINES, makeEntry, makeIdentity, readAnswer} from './fixtures.js';
 
 describe('crash monitor', () => {
   const clock = new SystemClock();
@@ -38,7 +38,8 @@
     const entry = makeEntry('engine', {address: `127.0.0.1:${port}`});
     pool.update({revision: 1, entries: [entry]});
     [target] = pool.forService(ENGINES as ServiceName);
-    target.runs.set(toId<RequestId>('r-1'), [toId<PromptPartId>('part')]);
+    const identity = makeIdentity(toId<RequestId>('r-1'), ['part']);
+    target.runs.set(identity.requestId, {identity, sentMs: 0});
   });
   afterEach(() => {
     for (const socket of sockets.splice(0)) socket.destroy();
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -1,4 +1,4 @@
-import {FailureDomain, TargetId, TeamId, toId} from '@radishgw/core';
+import {FailureDomain, RequestId, TargetId, TeamId, toId} from '@radishgw/core';
 import {
   AnswerMeta,
   PromptPart,
@@ -10,6 +10,7 @@
   ServiceName,
   TargetEntry,
 } from '../src/index.js';
+import {RequestFingerprint, RunIdentity} from '../src/run-identity.js';
 
 export const ENGINES = toId<ServiceName>('engines');
 export const TEAM = toId<TeamId>('team');
@@ -28,6 +29,25 @@
   };
 }
 
+/** Identity of a request that is alike for all requests with the same body. */
+export function makeIdentity(
+  requestId: RequestId,
+  parts: readonly string[],
+  body = String(requestId),
+): RunIdentity {
+  return {
+    requestId,
+    sharedParts: parts.map(part => toId<PromptPartId>(part)),
+    fingerprint: new RequestFingerprint({
+      team: TEAM,
+      method: 'POST',
+      host: 'host.example',
+      path: '/a/x',
+      body: Buffer.from(body),
+    }),
+  };
+}
+
 export function makeEntry(id: string, fields: Partial<TargetEntry> = {}): TargetEntry {
   return {
     id: toId<TargetId>(id),
--- a/packages/relay/test/quarantine-service.test.ts
+++ b/packages/relay/test/quarantine-service.test.ts
@@ -6,7 +6,7 @@
 import {PromptPartId} from '../src/index.js';
 import {CrashEvidence, EVIDENCE_MS, QUARANTINE_MS, SOUND_MS} from '../src/prompt-quarantine.js';
 import {hasExpired, QuarantineService} from '../src/quarantine-service.js';
-import {makeEntry} from './fixtures.js';
+import {makeEntry, makeIdentity} from './fixtures.js';
 
 const HOSTS = ['host-a', 'host-b', 'host-c'].map(id => toId<HostId>(id));
 const ids = (...names: readonly string[]) => names.map(name => toId<PromptPartId>(name));
@@ -62,7 +62,9 @@
     this.clock.advance(1000);
     const request = this.nextRequest();
     const target = {entry: makeEntry(`engine-${request}`)} as ObservedCrash['target'];
-    this.host(host).recordCrash({target, runs: [[request, ids(...names)]]});
+    const sentMs = this.clock.nowMs();
+    const runs = [{identity: makeIdentity(request, names), sentMs}];
+    this.host(host).recordCrash({target, lostMs: sentMs, runs});
   }
 
   /** Lets all hosts read and write twice, so that answers to suspicions arrive as well. */
@@ -203,11 +205,13 @@
       Array.from({length: count}, (_, i) => `${name}-${i}`);
     for (let i = 0; i < 20; i++) {
       pool.clock.advance(1000);
-      const runs = random(64, `run-${i}`).map(
-        name => [toId<RequestId>(name), ids(...random(40, name))] as const,
-      );
+      const sentMs = pool.clock.nowMs();
+      const runs = random(64, `run-${i}`).map(name => ({
+        identity: makeIdentity(toId<RequestId>(name), random(40, name)),
+        sentMs,
+      }));
       const target = {entry: makeEntry(`engine-${i}`)} as ObservedCrash['target'];
-      pool.host(0).recordCrash({target, runs});
+      pool.host(0).recordCrash({target, lostMs: sentMs, runs});
       pool.host(0).recordWhole(ids(...random(9000, `whole-${i}`)));
     }
     await pool.share();
