Keep connections open whose answers wait for their clients as a host stops

Callers: a client that reads slowly lost the rest of its answer when the host closed its listening socket, with seconds of the grace left (3,919,872 of 7,340,032 bytes).

Cause: Server.close() and closeIdleConnections() of Node.js 20 destroy a connection once end() was called on its response, though its bytes still wait in the socket. The host waits for such answers afterwards, when their connections are gone, and its log says that the request has finished.

Change: the host counts the requests on each connection until their responses are closed, stops accepting by the method of net.Server, and closes the connections without any.

--- a/packages/relay/src/client-server.ts
+++ b/packages/relay/src/client-server.ts
@@ -1,5 +1,6 @@
 import {createServer, IncomingMessage, Server, ServerResponse} from 'node:http';
 import {createHandlers, startTask} from '@radishgw/core';
+import {ClientConnections} from './client-connections.js';
 import {ClientExchange} from './client-exchange.js';
 import {ClientLimits} from './model.js';
 import {RelayDependencies} from './request-context.js';
@@ -24,7 +25,7 @@
 export class ClientServer {
   readonly server: Server;
   private readonly handlers;
-  private inFlightCount = 0;
+  private readonly connections: ClientConnections;
 
   constructor(private readonly deps: RelayDependencies) {
     this.handlers = createHandlers(deps.clock);
@@ -37,12 +38,13 @@
       },
       (request, response) => void this.handle(request, response),
     );
+    this.connections = new ClientConnections(this.server);
     this.server.on('connection', () => deps.targets.readGate.hold());
     this.applyLimits();
   }
 
   get inFlight(): number {
-    return this.inFlightCount;
+    return this.connections.requestCount;
   }
 
   private get limits(): ClientLimits {
@@ -55,9 +57,13 @@
     this.server.keepAliveTimeout = this.limits.idleTimeoutMs;
   }
 
+  /** Stops accepting connections and closes those without a request in progress. */
+  stopAccepting(): void {
+    this.connections.stopAccepting();
+  }
+
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    this.inFlightCount++;
-    response.once('close', () => this.inFlightCount--);
+    this.connections.begin(request, response);
     const isStopping = () => this.deps.isStopping();
     const exchange = new ClientExchange(request, response, this.deps.clock, isStopping);
     const {headerBytes, bodyBytes} = this.limits;
--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -36,7 +36,7 @@
 import {readIntervals} from './read-intervals.js';
 import {HostStart, RecordWriter} from './record-writer.js';
 import {RelayDependencies} from './request-context.js';
-import {createBufferedServer, listen, stopListening, waitUntilIdle} from './servers.js';
+import {createBufferedServer, listen, waitUntilIdle} from './servers.js';
 import {RelaySettings} from './settings.js';
 import {SharedReads} from './shared-reads.js';
 import {StageController} from './stage-controller.js';
@@ -219,7 +219,7 @@
     const lastUseMs = startMs + DELISTING_MS + maxAddressUseMs(settings);
     const listenUntilMs = Math.min(this.stopAtMs - LAST_ANSWER_MARGIN_MS, lastUseMs);
     await waitUntilIdle(clock, () => false, listenUntilMs);
-    stopListening(this.clientServer.server);
+    this.clientServer.stopAccepting();
     await waitUntilIdle(clock, () => this.clientServer.inFlight === 0, this.stopAtMs);
     await this.quota.release();
     for (const task of this.tasks) task.cancel();
--- a/packages/relay/src/servers.ts
+++ b/packages/relay/src/servers.ts
@@ -71,12 +71,6 @@
   response.end(body);
 }
 
-/** Stops accepting connections and closes the idle ones. */
-export function stopListening(server: Server): void {
-  server.close();
-  server.closeIdleConnections();
-}
-
 /** Interval at which a stopping host checks whether its requests have finished. */
 const IDLE_POLL_INTERVAL_MS = 50;
 
