Close connections of a stopping host as soon as they are idle

Callers: a whole request on a kept connection was passed on and got no answer when the process exited under it.

Cause: a host that stops waits until no request is in progress, then gives up its quota rights, which takes a round trip or 80 ms. Connections whose last answer began before SIGTERM stay open meanwhile, as that answer had no 'Connection: close', and a request that arrives on one is served.

Change: once the host accepts no connections it closes each as soon as it is idle, and reads no further request from it, so that none can follow the last one.

--- a/packages/relay/src/client-server.ts
+++ b/packages/relay/src/client-server.ts
@@ -63,7 +63,7 @@
   }
 
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    this.connections.begin(request, response);
+    if (!this.connections.begin(request, response)) return;
     const isStopping = () => this.deps.isStopping();
     const exchange = new ClientExchange(request, response, this.deps.clock, isStopping);
     const {headerBytes, bodyBytes} = this.limits;
