Serve the requests of a client's connection one after the other

Callers: a request that was sent before the answer to an earlier one on its connection reached a server, also if it may not be repeated, and was lost when that answer closed the connection: as the host stops (Connection: close), or as a stream breaks off.

Cause: Node.js emits a request as soon as it has been read, and the host served it at once. The order of answers is kept, but the connection ends with the first one that closes it.

Change: a request waits until the answers to earlier ones on its connection have been sent, and isn't served if the connection is closed then (RFC 9112, 9.6). A connection that carries one request at a time, as usual, waits for nothing.

--- a/packages/relay/src/client-connections.ts
+++ b/packages/relay/src/client-connections.ts
@@ -1,34 +1,52 @@
 import {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {Server as NetServer, Socket} from 'node:net';
 
-/** Counts the requests in progress on each connection of clients, and closes those without any. */
+/** The requests on a connection whose answers haven't been sent completely. */
+interface ConnectionState {
+  requestCount: number;
+  /** Resolves when the latest of them has been answered. */
+  latestAnswered: Promise<void>;
+}
+
+/** Tracks the requests in progress on each connection of clients. */
 export class ClientConnections {
-  private readonly requestCounts = new Map<Socket, number>();
+  private readonly connections = new Map<Socket, ConnectionState>();
   private isAccepting = true;
 
   constructor(private readonly server: Server) {
     server.on('connection', (socket: Socket) => {
-      this.requestCounts.set(socket, 0);
-      socket.once('close', () => this.requestCounts.delete(socket));
+      this.connections.set(socket, {requestCount: 0, latestAnswered: Promise.resolve()});
+      socket.once('close', () => this.connections.delete(socket));
     });
   }
 
   /** Number of requests whose answers haven't been sent completely. */
   get requestCount(): number {
     let sum = 0;
-    for (const count of this.requestCounts.values()) sum += count;
+    for (const {requestCount} of this.connections.values()) sum += requestCount;
     return sum;
   }
 
   /**
-   * Counts a request until its answer has been sent or its connection is closed; false if its
-   * connection is being closed.
+   * Counts a request until its answer has been sent or its connection is closed. Resolves when the
+   * answers to earlier requests on the connection have been sent, with false if it is closed then:
+   * the request mustn't be served, as it can't be answered.
    */
-  begin({socket}: IncomingMessage, response: ServerResponse): boolean {
-    if (!this.requestCounts.has(socket)) return false;
-    this.add(socket, 1);
-    response.once('close', () => this.add(socket, -1));
-    return true;
+  async begin({socket}: IncomingMessage, response: ServerResponse): Promise<boolean> {
+    const connection = this.connections.get(socket);
+    if (!connection) return false;
+    const {latestAnswered: earlierAnswered} = connection;
+    const hasEarlier = connection.requestCount++ > 0;
+    connection.latestAnswered = new Promise(resolve => {
+      response.once('close', resolve);
+      if (hasEarlier) socket.once('close', () => resolve());
+    });
+    response.once('close', () => {
+      connection.requestCount--;
+      if (!this.isAccepting && connection.requestCount === 0) this.close(socket);
+    });
+    if (hasEarlier) await earlierAnswered;
+    return this.connections.has(socket) && socket.writable;
   }
 
   /**
@@ -39,18 +57,13 @@
   stopAccepting(): void {
     this.isAccepting = false;
     NetServer.prototype.close.call(this.server);
-    for (const [socket, count] of this.requestCounts) if (count === 0) this.close(socket);
-  }
-
-  private add(socket: Socket, change: number): void {
-    const count = this.requestCounts.get(socket);
-    if (count === undefined) return;
-    this.requestCounts.set(socket, count + change);
-    if (!this.isAccepting && count + change === 0) this.close(socket);
+    for (const [socket, {requestCount}] of this.connections) {
+      if (requestCount === 0) this.close(socket);
+    }
   }
 
   private close(socket: Socket): void {
-    this.requestCounts.delete(socket);
+    this.connections.delete(socket);
     socket.destroySoon();
   }
 }
--- a/packages/relay/src/client-server.ts
+++ b/packages/relay/src/client-server.ts
@@ -63,9 +63,9 @@
   }
 
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    if (!this.connections.begin(request, response)) return;
     const isStopping = () => this.deps.isStopping();
     const exchange = new ClientExchange(request, response, this.deps.clock, isStopping);
+    if (!(await this.connections.begin(request, response))) return;
     const {headerBytes, bodyBytes} = this.limits;
     if (countHeaderBytes(request) > headerBytes) {
       this.refuseAndClose(response, 'headerTooLarge');
