Refuse requests that have crashed three targets on all hosts

Cause: what a host learned from a crash stayed with it and was held against the target alone. Crashes of plain servers weren't looked for, and no identity said that two requests are the same. Ruled out: overload of servers that are just back (the test's are idle) and several causes (all crashes of a trace on name one digest).

Change: a digest of team, method, path and body is one more suspect of a run beside the parts of its prompt (decision 0018). Crashes are pooled as before; three at distinct moments without a whole run quarantine the request on all hosts, with 503 before quota is taken and before each attempt. A request under which two targets have crashed isn't sent on. A request that ran whole within 10 s, which each host remembers without computing a digest, isn't suspected, and one whose crashes were close together is tried again after 10 s. Evidence is bounded by runs instead of crashes, and crashes that a quarantine is based on are kept.

Tests changed: "writes nothing for crashes without a suspect" runs a request that is known to be sound as a whole, as its parts alone no longer are enough; the others name suspects instead of parts.

--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -60,6 +60,13 @@
   },
   promptQuarantineEnded: {number: 1852, level: 'info', text: 'prompt parts are served again'},
   promptProbed: {number: 1853, level: 'info', text: 'request tries quarantined prompt parts'},
+  requestQuarantined: {
+    number: 1854,
+    level: 'error',
+    text: 'request crashes targets and is refused',
+  },
+  requestQuarantineEnded: {number: 1855, level: 'info', text: 'request is served again'},
+  requestProbed: {number: 1856, level: 'info', text: 'quarantined request is tried'},
   configLost: {
     number: 1204,
     level: 'warn',
--- a/packages/relay/src/fleet-duties.ts
+++ b/packages/relay/src/fleet-duties.ts
@@ -23,7 +23,7 @@
   observeLease,
 } from './lease.js';
 import {DutyClient} from './model.js';
-import {CrashEvidence} from './prompt-quarantine.js';
+import {CrashEvidence} from './quarantine.js';
 import {hasExpired} from './quarantine-service.js';
 import {SharedHosts} from './shared-kinds.js';
 import {SharedReads} from './shared-reads.js';
--- a/packages/relay/src/quarantine-service.ts
+++ b/packages/relay/src/quarantine-service.ts
@@ -1,29 +1,43 @@
-import {call, Clock, EventLog, HostId, Procedure, RequestId, sleep} from '@radishgw/core';
+import {
+  call,
+  Clock,
+  EventLog,
+  HostId,
+  LogEventName,
+  Procedure,
+  RequestId,
+  sleep,
+} from '@radishgw/core';
 import {PlatformAnswer} from '@radishgw/coordination';
 import {ObservedCrash} from './crash-monitor.js';
 import {RelayMetrics} from './metrics.js';
-import {PromptPartId} from './model.js';
 import {
   countSuspicions,
   CrashEvidence,
   decideQuarantines,
-  EngineCrash,
   EVIDENCE_MS,
   findSuspects,
   isCovered,
   Quarantine,
-  QUARANTINE_MS,
   quarantineKey,
-  SOUND_MS,
-  SoundPart,
-} from './prompt-quarantine.js';
+  quarantineMs,
+  soundForMs,
+  SoundRun,
+  Suspect,
+  TargetCrash,
+} from './quarantine.js';
+import {RecentRequests} from './recent-requests.js';
 import {rankByKey} from './rendezvous.js';
+import {bodyBytesOf, isRequestDigest, RunIdentity} from './run-identity.js';
+
+/** Maximum number of suspects whose latest whole run is remembered. */
+const MAX_SOUND_SUSPECTS = 8192;
 
-/** Maximum number of parts whose latest whole run is remembered. */
-const MAX_SOUND_PARTS = 8192;
+/** Maximum number of crashes that a host reports. */
+const MAX_CRASHES = 64;
 
-/** Maximum number of crashes that a host reports, newest first. */
-const MAX_CRASHES = 16;
+/** Maximum number of runs that a host reports, over all crashes. */
+const MAX_REPORTED_RUNS = 256;
 
 /** Maximum number of runs of one crash that a host reports; the latest are the most likely cause. */
 const MAX_RUNS = 16;
@@ -31,11 +45,11 @@
 /** Maximum number of parts of one run that a host reports. */
 const MAX_PARTS = 8;
 
-/** Maximum number of sound parts that a host reports, newest first. */
+/** Maximum number of sound suspects that a host reports, newest first. */
 const MAX_REPORTED_SOUND = 256;
 
-/** A whole run is reported again only if it is newer than the reported one by this much. */
-const SOUND_RENEWAL_MS = SOUND_MS / 2;
+/** Share of the time for which a whole run speaks after which a newer one is reported. */
+const SOUND_RENEWAL_SHARE = 0.5;
 
 /** Minimum time between writes of a host's evidence. */
 const WRITE_INTERVAL_MS = 300;
@@ -43,11 +57,11 @@
 /** Time for which evidence of this host may be missing from reads that were sent before its write. */
 const READ_DELAY_MS = 5000;
 
-/** What is decided about a request by the parts of its prompt. */
+/** What is decided about a request by the parts of its prompt and by its digest. */
 export type Admission =
   | {readonly type: 'allowed'}
   | {readonly type: 'refused'; readonly quarantine: Quarantine}
-  /** The request tries whether the engines have been mended; it has one attempt. */
+  /** The request tries whether the targets have been mended; it has one attempt. */
   | {readonly type: 'probe'; readonly quarantine: Quarantine};
 
 /** Dependencies of {@link QuarantineService}. */
@@ -65,14 +79,38 @@
 
 const ALLOWED: Admission = {type: 'allowed'};
 
-/** Pools crashes of engines with the other hosts and decides which prompts may run. */
+/** What a quarantine refuses: prompts with certain parts, or repeats of one request. */
+export type QuarantineKind = 'prompt' | 'request';
+
+/** Log events by kind of quarantine. */
+const EVENTS = {
+  prompt: {
+    begun: 'promptQuarantined',
+    ended: 'promptQuarantineEnded',
+    probed: 'promptProbed',
+  },
+  request: {
+    begun: 'requestQuarantined',
+    ended: 'requestQuarantineEnded',
+    probed: 'requestProbed',
+  },
+} as const satisfies Record<QuarantineKind, Record<string, LogEventName>>;
+
+function kindOf(suspects: readonly string[]): QuarantineKind {
+  return suspects.every(isRequestDigest) ? 'request' : 'prompt';
+}
+
+/** Pools crashes of targets with the other hosts and decides which requests may run. */
 export class QuarantineService {
-  /** Time of the latest whole run with a part, oldest first. */
-  private readonly soundMs = new Map<PromptPartId, number>();
+  /** Time of the latest whole run with a suspect, oldest first. */
+  private readonly soundMs = new Map<Suspect, number>();
+  private readonly recent = new RecentRequests();
   private own: CrashEvidence = {crashes: [], sound: []};
   private others: ReadonlyMap<HostId, CrashEvidence> = new Map();
   private quarantines: readonly Quarantine[] = [];
-  private suspicions: ReadonlyMap<PromptPartId, number> = new Map();
+  private suspicions: ReadonlyMap<Suspect, number> = new Map();
+  /** Sizes of the bodies of suspected requests; no request of another size is one of them. */
+  private suspectedBodyBytes: ReadonlySet<number> = new Set();
   /** Request that probes a quarantine, by its key. */
   private readonly probes = new Map<string, RequestId>();
   private knownKeys = new Set<string>();
@@ -83,23 +121,29 @@
 
   constructor(private readonly deps: QuarantineDependencies) {}
 
-  get count(): number {
-    return this.quarantines.length;
+  /** Number of quarantines in force, by kind. */
+  countByKind(): Readonly<Record<QuarantineKind, number>> {
+    const counts = {prompt: 0, request: 0};
+    for (const {suspects} of this.quarantines) counts[kindOf(suspects)]++;
+    return counts;
   }
 
-  /** Decides whether a request may run at an engine. */
-  admit(requestId: RequestId, parts: readonly PromptPartId[]): Admission {
+  /** Decides whether a request may run at a target. */
+  admit(run: RunIdentity): Admission {
     if (this.quarantines.length === 0) return ALLOWED;
-    const quarantine = this.quarantines.find(entry => isCovered(entry, parts));
+    const suspects = this.identify(run);
+    const quarantine = this.quarantines.find(entry => isCovered(entry, suspects));
     if (!quarantine) return ALLOWED;
+    const {requestId} = run;
     const key = quarantineKey(quarantine);
     if (this.probes.get(key) === requestId) return {type: 'probe', quarantine};
-    const isOver = this.wallMs() - quarantine.lastCrashMs >= QUARANTINE_MS;
+    const isOver = this.wallMs() - quarantine.lastCrashMs >= quarantineMs(quarantine);
     if (!isOver || this.probes.has(key) || !this.isProber(key)) {
       return {type: 'refused', quarantine};
     }
     this.probes.set(key, requestId);
-    this.deps.log.write('promptProbed', {request: requestId, parts: quarantine.parts});
+    const {probed} = EVENTS[kindOf(quarantine.suspects)];
+    this.deps.log.write(probed, {request: requestId, suspects: quarantine.suspects});
     return {type: 'probe', quarantine};
   }
 
@@ -108,48 +152,58 @@
     for (const [key, probe] of this.probes) if (probe === requestId) this.probes.delete(key);
   }
 
-  /** Whether a prompt has parts without a whole run on this host within the last minute. */
-  hasSuspects(parts: readonly PromptPartId[]): boolean {
-    return this.listSuspects(parts).length > 0;
+  /** Whether a run is suspected, or has prompt parts without a recent whole run on this host. */
+  hasSuspects(run: RunIdentity): boolean {
+    return this.listUnproven(run.sharedParts).length > 0 || this.suspicionOf(run) > 0;
   }
 
-  /** Highest number of crashes in which a part of the prompt is suspected. */
-  suspicionOf(parts: readonly PromptPartId[]): number {
-    return Math.max(0, ...this.listSuspects(parts).map(part => this.suspicions.get(part) ?? 0));
+  /** Highest number of crashes in which a suspect of the run was running. */
+  suspicionOf(run: RunIdentity): number {
+    if (this.suspicions.size === 0) return 0;
+    const suspects = this.listUnproven(this.identify(run));
+    return Math.max(0, ...suspects.map(suspect => this.suspicions.get(suspect) ?? 0));
   }
 
-  /** Records a run that ended whole at an engine that has not crashed. */
-  recordWhole(parts: readonly PromptPartId[]): void {
+  /** Records a run that ended whole at a target that has not crashed. */
+  recordWhole(run: RunIdentity): void {
     const nowMs = this.wallMs();
+    this.recent.add(run.fingerprint, nowMs);
     let isNews = false;
-    for (const part of parts) {
-      this.soundMs.delete(part);
-      this.soundMs.set(part, nowMs);
-      isNews ||= this.suspicions.has(part);
+    for (const suspect of this.identify(run)) {
+      this.soundMs.delete(suspect);
+      this.soundMs.set(suspect, nowMs);
+      isNews ||= this.suspicions.has(suspect);
     }
-    for (const part of this.soundMs.keys()) {
-      if (this.soundMs.size <= MAX_SOUND_PARTS) break;
-      this.soundMs.delete(part);
+    for (const suspect of this.soundMs.keys()) {
+      if (this.soundMs.size <= MAX_SOUND_SUSPECTS) break;
+      this.soundMs.delete(suspect);
     }
     if (isNews) this.reportSound();
   }
 
-  /** Records a crash of an engine, unless the prompts that ran there are known to be sound. */
-  recordCrash({target, runs}: ObservedCrash): void {
+  /** Records a crash of a target, unless all that ran there is known to be sound. */
+  recordCrash({target, lostMs, runs}: ObservedCrash): void {
+    const wallMsOf = (monotonicMs: number) =>
+      this.wallMs() - (this.deps.clock.nowMs() - monotonicMs);
     const suspectRuns = runs
-      .map(({identity}) => ({
-        requestId: identity.requestId,
-        parts: this.listSuspects(identity.sharedParts).slice(0, MAX_PARTS),
+      .slice(-MAX_RUNS)
+      .map(({identity: {requestId, sharedParts, fingerprint}, sentMs}) => ({
+        requestId,
+        sentAtMs: wallMsOf(sentMs),
+        suspects: [
+          ...this.listUnproven([fingerprint.digest]),
+          ...this.listUnproven(sharedParts).slice(0, MAX_PARTS),
+        ],
       }))
-      .filter(({parts}) => parts.length > 0)
-      .slice(-MAX_RUNS);
+      .filter(({suspects}) => suspects.length > 0);
     if (suspectRuns.length === 0) return;
     const {id, bornMs} = target.entry;
     const incarnation = `${id}/${bornMs ?? ''}`;
-    const crash: EngineCrash = {incarnation, atMs: this.wallMs(), runs: suspectRuns};
-    this.own = {...this.own, crashes: [...this.own.crashes, crash].slice(-MAX_CRASHES)};
+    const crash: TargetCrash = {incarnation, atMs: wallMsOf(lostMs), runs: suspectRuns};
+    this.own = {...this.own, crashes: this.limitCrashes([...this.own.crashes, crash])};
     this.isDirty = true;
     this.decide();
+    this.reportSound();
   }
 
   /** Applies a read of the evidence of all hosts, by host. */
@@ -163,10 +217,11 @@
     // What operators have removed from the store is removed here as well.
     const isRecent = ({atMs}: {readonly atMs: number}) =>
       this.isDirty || isKept || this.wallMs() - atMs < READ_DELAY_MS;
-    this.own = merge(stored, {
+    const own = merge(stored, {
       crashes: this.own.crashes.filter(isRecent),
       sound: this.own.sound.filter(isRecent),
     });
+    this.own = {...own, crashes: this.limitCrashes(own.crashes)};
     this.hasRead = true;
     this.decide();
     this.reportSound();
@@ -194,31 +249,57 @@
     return this.deps.fleetNowMs();
   }
 
-  private listSuspects(parts: readonly PromptPartId[]): readonly PromptPartId[] {
-    const sinceMs = this.wallMs() - SOUND_MS;
-    return parts.filter(part => (this.soundMs.get(part) ?? -Infinity) < sinceMs);
+  /** The parts of a run's prompt, and its digest if any suspected request has a body of its size. */
+  private identify({sharedParts, fingerprint}: RunIdentity): readonly Suspect[] {
+    if (!this.suspectedBodyBytes.has(fingerprint.bodyBytes)) return sharedParts;
+    return [...sharedParts, fingerprint.digest];
+  }
+
+  /** The suspects without a whole run on this host that still speaks for them. */
+  private listUnproven(suspects: readonly Suspect[]): readonly Suspect[] {
+    const nowMs = this.wallMs();
+    return suspects.filter(suspect => this.wholeMs(suspect) < nowMs - soundForMs(suspect));
+  }
+
+  /** Time of the latest whole run with a suspect on this host; -Infinity if there was none. */
+  private wholeMs(suspect: Suspect): number {
+    const knownMs = this.soundMs.get(suspect) ?? -Infinity;
+    if (!isRequestDigest(suspect)) return knownMs;
+    return Math.max(knownMs, this.recent.find(suspect) ?? -Infinity);
+  }
+
+  /** Drops crashes beyond the bounds, first the oldest that no quarantine is based on. */
+  private limitCrashes(crashes: readonly TargetCrash[]): readonly TargetCrash[] {
+    const kept = [...crashes].sort((a, b) => a.atMs - b.atMs);
+    const isNeeded = ({runs}: TargetCrash) =>
+      this.quarantines.some(entry => runs.some(({suspects}) => isCovered(entry, suspects)));
+    const countRuns = () => kept.reduce((sum, {runs}) => sum + runs.length, 0);
+    while (kept.length > MAX_CRASHES || countRuns() > MAX_REPORTED_RUNS) {
+      const index = kept.findIndex(crash => !isNeeded(crash));
+      kept.splice(Math.max(0, index), 1);
+    }
+    return kept;
   }
 
-  /** Reports whole runs with parts that are suspected by some host. */
+  /** Reports whole runs of what is suspected by some host. */
   private reportSound(): void {
-    const reported = new Map(this.own.sound.map(({part, atMs}) => [part, atMs]));
+    const reported = new Map(this.own.sound.map(({suspect, atMs}) => [suspect, atMs]));
     let hasChanged = false;
-    for (const part of this.suspicions.keys()) {
-      const atMs = this.soundMs.get(part);
-      if (atMs === undefined || atMs - (reported.get(part) ?? -Infinity) < SOUND_RENEWAL_MS) {
-        continue;
-      }
-      reported.set(part, atMs);
+    for (const suspect of this.suspicions.keys()) {
+      const atMs = this.wholeMs(suspect);
+      const renewalMs = soundForMs(suspect) * SOUND_RENEWAL_SHARE;
+      if (atMs === -Infinity || atMs - (reported.get(suspect) ?? -Infinity) < renewalMs) continue;
+      reported.set(suspect, atMs);
       hasChanged = true;
     }
     if (!hasChanged) return;
     const evidence = [this.own, ...this.others.values()];
     const crashes = evidence.flatMap(entry => entry.crashes);
     const runs = crashes.flatMap(crash => crash.runs);
-    const crashParts = new Set(runs.flatMap(({parts}) => parts));
-    const sound: SoundPart[] = [...reported]
-      .filter(([part]) => crashParts.has(part))
-      .map(([part, atMs]) => ({part, atMs}));
+    const suspected = new Set(runs.flatMap(({suspects}) => suspects));
+    const sound: SoundRun[] = [...reported]
+      .filter(([suspect]) => suspected.has(suspect))
+      .map(([suspect, atMs]) => ({suspect, atMs}));
     sound.sort((a, b) => a.atMs - b.atMs);
     this.own = {...this.own, sound: sound.slice(-MAX_REPORTED_SOUND)};
     this.isDirty = true;
@@ -230,10 +311,15 @@
     const evidence = [this.own, ...this.others.values()];
     if (evidence.every(({crashes}) => crashes.length === 0) && this.quarantines.length === 0) {
       this.suspicions = new Map();
+      this.suspectedBodyBytes = new Set();
+      this.recent.clearIndex();
       return;
     }
     this.quarantines = decideQuarantines(evidence, nowMs);
     this.suspicions = countSuspicions(findSuspects(evidence, nowMs));
+    const digests = [...this.suspicions.keys()].filter(isRequestDigest);
+    this.suspectedBodyBytes = new Set(digests.map(bodyBytesOf));
+    if (digests.length === 0) this.recent.clearIndex();
     this.logChanges();
   }
 
@@ -242,11 +328,14 @@
     const keys = new Set(this.quarantines.map(quarantineKey));
     for (const quarantine of this.quarantines) {
       if (this.knownKeys.has(quarantineKey(quarantine))) continue;
-      metrics.count('prompt_quarantines_total');
-      log.write('promptQuarantined', {...quarantine});
+      const kind = kindOf(quarantine.suspects);
+      metrics.count('quarantines_total', `kind="${kind}"`);
+      log.write(EVENTS[kind].begun, {...quarantine});
     }
     for (const key of this.knownKeys) {
-      if (!keys.has(key)) log.write('promptQuarantineEnded', {parts: key.split(' ')});
+      if (keys.has(key)) continue;
+      const suspects = key.split(' ');
+      log.write(EVENTS[kindOf(suspects)].ended, {suspects});
     }
     this.knownKeys = keys;
   }
@@ -267,10 +356,9 @@
   first: CrashEvidence,
   second: CrashEvidence = {crashes: [], sound: []},
 ): CrashEvidence {
-  const crashes = mergeBy(first.crashes, second.crashes, crash => crash.incarnation);
   return {
-    crashes: crashes.slice(-MAX_CRASHES),
-    sound: mergeBy(first.sound, second.sound, ({part}) => part),
+    crashes: mergeBy(first.crashes, second.crashes, crash => crash.incarnation),
+    sound: mergeBy(first.sound, second.sound, ({suspect}) => suspect),
   };
 }
 
--- a/packages/relay/src/refusals.ts
+++ b/packages/relay/src/refusals.ts
@@ -9,7 +9,7 @@
   configNotFresh: {status: 503, retryAfterMs: 200},
   stopping: {status: 503, retryAfterMs: 50},
   noTarget: {status: 503, retryAfterMs: 300},
-  promptQuarantined: {status: 503, retryAfterMs: 10_000},
+  quarantined: {status: 503, retryAfterMs: 10_000},
   overloaded: {status: 503, retryAfterMs: 500},
   notRunInTime: {status: 503, retryAfterMs: 300},
   internalError: {status: 503, retryAfterMs: 300},
--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -500,7 +500,9 @@
       `radishgw_in_flight ${this.clientServer.inFlight}`,
       `radishgw_connections_opened ${opened}`,
       `radishgw_buffered_answer_bytes ${this.targets.bufferedBytes}`,
-      `radishgw_prompt_quarantines ${this.quarantine.count}`,
+      ...Object.entries(this.quarantine.countByKind()).map(
+        ([kind, count]) => `radishgw_quarantines{kind="${kind}"} ${count}`,
+      ),
       `radishgw_rejected_entries ${this.options.source.rejectedCount + this.shared.rejectedCount}`,
       `radishgw_ready ${this.isReady ? 1 : 0}`,
     ];
--- a/packages/relay/src/relay-stream.ts
+++ b/packages/relay/src/relay-stream.ts
@@ -3,6 +3,7 @@
 import {StreamEvent} from './events.js';
 import {recordStep} from './request-context.js';
 import {releaseReturn, RunResult, StreamState} from './stream-state.js';
+import {checkLoss} from './suspect-runs.js';
 import {
   findAnswerFault,
   mayPassOn,
@@ -13,7 +14,7 @@
   statesNotRun,
 } from './target-answer.js';
 import {AnswerHead, AttemptEvent, waitForEvent} from './target-connections.js';
-import {PooledAttempt, PooledTarget} from './target-pool.js';
+import {PooledAttempt} from './target-pool.js';
 import {createAnswerReader} from './target-request.js';
 import {recordLoad} from './target-state.js';
 
@@ -206,21 +207,12 @@
     recordStep(request, `${target.entry.id}:${progress.detail}, after a silence`);
     state.failed.add(target.entry.id);
     sent.finish('failed');
-    if (progress.hasLostConnection) recordLostConnection(state, target);
+    if (progress.hasLostConnection) checkLoss(state.deps, request, target);
     endStandby(state);
   }
   return false;
 }
 
-/** Counts a crash under a prompt that may be the cause once it is known. */
-function recordLostConnection(state: StreamState, target: PooledTarget): void {
-  const {crashes, quarantine} = state.deps;
-  const hasSuspects = quarantine.hasSuspects(state.request.identity.sharedParts);
-  void crashes.check(target).then(hasCrashed => {
-    if (hasSuspects && hasCrashed) state.crashCount++;
-  });
-}
-
 /** Bytes of incomplete events that are held for a stream. */
 function pendingBytes({standby}: StreamState, run: EngineRun): number {
   const others = standby && standby !== run ? standby.splitter.pendingBytes : 0;
--- a/packages/relay/src/request-context.ts
+++ b/packages/relay/src/request-context.ts
@@ -89,6 +89,10 @@
   /** Why the request got no further attempt when one was last wanted, for the log. */
   retryRefusal: RetryRefusal | undefined;
   hasCountedUsage = false;
+  /** Number of targets that are known to have crashed under the request. */
+  crashCount = 0;
+  /** Checks whether targets that have closed the connection of a run have crashed. */
+  readonly lossChecks: Promise<void>[] = [];
   /** Time to the first event of a stream; undefined before it. */
   firstEventMs: number | undefined;
   /** How the last run of a stream ended, for the log; undefined if it was cut off. */
--- a/packages/relay/src/run-identity.ts
+++ b/packages/relay/src/run-identity.ts
@@ -40,6 +40,16 @@
   }
 }
 
+/** Whether a suspect is a request as a whole. */
+export function isRequestDigest(suspect: string): suspect is RequestDigest {
+  return suspect.startsWith(DIGEST_PREFIX);
+}
+
+/** Size of the body of a request, from its digest. */
+export function bodyBytesOf(digest: RequestDigest): number {
+  return Number(digest.slice(DIGEST_PREFIX.length, digest.lastIndexOf(':')));
+}
+
 function computeDigest({team, method, host, path, body}: RequestContent): RequestDigest {
   const hash = createHmac('sha256', `radishgw request ${team ?? ''}`)
     .update(JSON.stringify([method, host.toLowerCase(), path]))
--- a/packages/relay/src/serve-call.ts
+++ b/packages/relay/src/serve-call.ts
@@ -1,5 +1,6 @@
 import {call, Procedure, TargetId} from '@radishgw/core';
 import {recordRequest} from './attempt-budget.js';
+import {RefusalName} from './refusals.js';
 import {AdmittedRequest, recordStep, RelayDependencies} from './request-context.js';
 import {mayRetry, ServeOutcome} from './serve-outcome.js';
 import {placeRequest} from './service-placement.js';
@@ -15,6 +16,7 @@
 } from './target-answer.js';
 import {waitForEvent} from './target-connections.js';
 import {PooledAttempt, PooledTarget} from './target-pool.js';
+import {awaitLossChecks, checkLoss, mayRun} from './suspect-runs.js';
 import {sendToTarget, writeTargetRequest} from './target-request.js';
 import {recordLoad} from './target-state.js';
 import {waitForTarget} from './wait-for-target.js';
@@ -54,6 +56,8 @@
   fallback: FinalAnswer | undefined;
   /** Time at which the fallback is sent if there is one. */
   fallbackAtMs: number;
+  /** Why no attempt could be started, if the request hasn't run. */
+  refusal: RefusalName;
 }
 
 /**
@@ -76,25 +80,28 @@
     dueMs: 0,
     fallback: undefined,
     fallbackAtMs: 0,
+    refusal: 'noTarget',
   };
   recordRequest(deps.attemptBudgets.get(service)!, deps.attemptBudgetSettings, deps.clock.nowMs());
   try {
-    if (!(yield* startAttempt(state))) return {type: 'refused', refusal: 'noTarget'};
+    if (!(yield* startAttempt(state))) return {type: 'refused', refusal: state.refusal};
     for (;;) {
       const result = takeResult(state);
       if (result?.type === 'final') return {...result.answer, type: 'answered'};
+      if (result && mayRepeat) yield* awaitLossChecks(deps, request);
       const nowMs = deps.clock.nowMs();
       if (result) {
         state.fallback = result.fallback ?? state.fallback;
         const isUnsent = result.type === 'unsent';
         const hasTarget = attempts.size === 0 || findTarget(state) !== undefined;
-        const mayStart = hasTarget && mayRetry(deps, request, {mayRepeat, isUnsent});
+        const isAllowed = hasTarget && mayRunNow(state);
+        const mayStart = isAllowed && mayRetry(deps, request, {mayRepeat, isUnsent});
         if (mayStart && (yield* startAttempt(state))) continue;
         state.dueMs = Math.min(state.dueMs, nowMs + SILENCE_CHECK_MS);
         state.fallbackAtMs = Math.min(state.fallbackAtMs, nowMs + SOUND_SILENCE_MS);
         if (attempts.size > 0) continue;
         if (state.fallback) return {...state.fallback, type: 'answered'};
-        const notRun = isUnsent || mayStart ? 'noTarget' : 'overloaded';
+        const notRun = isUnsent || mayStart || !isAllowed ? state.refusal : 'overloaded';
         const refusal = request.progress.mayHaveRun ? 'outcomeUnknown' : notRun;
         return {type: 'refused', refusal};
       }
@@ -127,7 +134,7 @@
   const {progress} = request;
   let target = findTarget(state);
   while (!target) {
-    if (!(yield* waitForTarget(deps, request, tried))) return false;
+    if (!(yield* waitForTarget(deps, request, tried)) || !mayRunNow(state)) return false;
     target = findTarget(state);
   }
   tried.add(target.entry.id);
@@ -141,6 +148,12 @@
   return true;
 }
 
+function mayRunNow(state: CallState): boolean {
+  if (mayRun(state.deps, state.request)) return true;
+  state.refusal = 'quarantined';
+  return false;
+}
+
 function findTarget({deps, request, tried}: CallState): PooledTarget | undefined {
   const targets = deps.targets.forService(request.service);
   return placeRequest(targets, tried, deps.clock.nowMs(), deps.random);
@@ -152,7 +165,8 @@
  */
 function leaveSilent(state: CallState): boolean {
   const {deps, request, mayRepeat, attempts} = state;
-  if (!findTarget(state) || !mayRetry(deps, request, {mayRepeat})) return false;
+  if (!findTarget(state) || !mayRunNow(state)) return false;
+  if (!mayRetry(deps, request, {mayRepeat})) return false;
   const latest = [...attempts].at(-1)!;
   recordStep(request, `${latest.sent.target.entry.id}:silent`);
   if (!latest.wasSilent) latest.sent.recordSilence();
@@ -213,7 +227,7 @@
     return {type: 'retry', note: 'silent', mayHaveRun: true};
   }
   if (answer.type === 'failed') {
-    if (answer.wasSent) void deps.crashes.check(sent.target);
+    if (answer.wasSent) checkLoss(deps, request, sent.target);
     sent.finish(answer.wasSent ? 'failed' : 'unreachable');
     const type = answer.wasSent ? 'retry' : 'unsent';
     return {type, note: answer.detail, mayHaveRun: answer.wasSent};
@@ -241,6 +255,7 @@
     return {type: 'retry', note: `status ${status}`, mayHaveRun: true};
   }
   sent.finish('finished');
+  if (status < MIN_SERVER_ERROR_STATUS) deps.quarantine.recordWhole(request.identity);
   return {type: 'final', note: `status ${status}`, answer};
 }
 
--- a/packages/relay/src/serve-request.ts
+++ b/packages/relay/src/serve-request.ts
@@ -3,7 +3,7 @@
 import {configAgeMs, isConfigFresh} from './config-view.js';
 import {maxElapsedMs, readInstant} from './instant.js';
 import {RelayConfig, RequestMeta, Route, Team} from './model.js';
-import {sharedPartIds} from './prompt-quarantine.js';
+import {sharedPartIds} from './quarantine.js';
 import {RefusalName, REFUSALS, writeRefusal} from './refusals.js';
 import {AdmittedRequest, RelayDependencies, RequestProgress} from './request-context.js';
 import {chooseService, findRoute} from './route-table.js';
@@ -141,19 +141,19 @@
   if (deps.isTooLateToServe(deadlineAtMs)) return refuse('stopping');
   const service = chooseService(route, deps.random);
   if (!service || !config.services.has(service)) return refuse('noTarget');
-  const sharedParts = sharedPartIds(meta.promptParts);
-  const admission = deps.quarantine.admit(meta.requestId, sharedParts);
+  const admittedTeam = team === 'anonymous' ? undefined : team;
+  const identity = identifyRun(exchange, meta, admittedTeam);
+  const admission = deps.quarantine.admit(identity);
   if (admission.type === 'refused') {
-    return {...refuse('promptQuarantined'), inputs: {quarantine: admission.quarantine}};
+    return {...refuse('quarantined'), inputs: {quarantine: admission.quarantine}};
   }
   deps.demand.record(service, meta.promptTokens ?? 0, deps.clock.nowMs());
   const quotaRefusal = yield* takeRequestQuota(deps, team, meta);
   if (quotaRefusal) return quotaRefusal;
-  const admittedTeam = team === 'anonymous' ? undefined : team;
   return {
     exchange,
     meta,
-    identity: identifyRun(exchange, meta, admittedTeam),
+    identity,
     route,
     service,
     team: admittedTeam,
--- a/packages/relay/src/serve-stream.ts
+++ b/packages/relay/src/serve-stream.ts
@@ -1,4 +1,4 @@
-import {call, Procedure, sleep} from '@radishgw/core';
+import {Procedure, sleep} from '@radishgw/core';
 import {
   confirmDecode,
   DEFAULT_ENGINE_ESTIMATES,
@@ -24,6 +24,7 @@
   useReserved,
 } from './serve-outcome.js';
 import {releaseReturn, RunResult, StreamState} from './stream-state.js';
+import {awaitLossChecks, checkLoss, mayRun} from './suspect-runs.js';
 import {SILENCE_CHECK_MS} from './target-answer.js';
 import {PooledTarget} from './target-pool.js';
 import {sendToTarget, writeTargetRequest} from './target-request.js';
@@ -43,9 +44,6 @@
 /** Pause between two attempts to return to an engine. */
 const RETURN_PAUSE_MS = 2 * SILENCE_CHECK_MS;
 
-/** Number of engines that may crash under a prompt that may be the cause. */
-const MAX_CRASHES = 2;
-
 /** Serves an event stream from an engine and resumes it at another one if the route allows it. */
 export function* serveStream(
   deps: RelayDependencies,
@@ -63,7 +61,6 @@
     leftEngine: undefined,
     lastEventId: meta.lastEventId,
     eventCount: 0,
-    crashCount: 0,
     hasPrefilled: false,
     mayLeave: run => mayLeave(state, run),
   };
@@ -136,7 +133,7 @@
     outcome: failStream(state, refusal),
   });
   for (;;) {
-    if (!mayRun(state)) return fail('promptQuarantined');
+    if (!mayRun(deps, request)) return fail('quarantined');
     // A return has one attempt; a prefill at another engine might be an extra one.
     const placement = choosePlacement(state, !exchange.hasStarted && !state.leftEngine);
     if (placement.type === 'none') {
@@ -212,7 +209,7 @@
 function mayLeave(state: StreamState, {target, lostMs}: EngineRun): boolean {
   const {deps, request, mayRepeat} = state;
   // A silent engine isn't left for one that was left before: it may be sound itself.
-  if (!mayRun(state) || !hasPlacement(state)) return false;
+  if (!mayRun(deps, request) || !hasPlacement(state)) return false;
   const hadReturn = state.returnAttempt !== undefined;
   if (!hadReturn && isReturn(state, target)) {
     state.returnAttempt = reserveAttempt(deps, request.service);
@@ -290,21 +287,7 @@
   });
 }
 
-/**
- * Whether a prompt may be sent to an engine, by what is known of it and by the engines that have
- * crashed under it. One more run of a prompt that may be the cause resumes those that aren't.
- */
-function mayRun({deps, request, crashCount}: StreamState): boolean {
-  const {meta, identity} = request;
-  const {sharedParts} = identity;
-  const admission = deps.quarantine.admit(meta.requestId, sharedParts);
-  if (admission.type === 'refused') return false;
-  if (crashCount === 0) return true;
-  if (admission.type === 'probe' || crashCount >= MAX_CRASHES) return false;
-  return deps.quarantine.suspicionOf(sharedParts) < MAX_CRASHES;
-}
-
-type StreamRefusal = 'noTarget' | 'overloaded' | 'promptQuarantined';
+type StreamRefusal = 'noTarget' | 'overloaded' | 'quarantined';
 
 function failStream({request}: StreamState, refusal: StreamRefusal): ServeOutcome {
   if (request.exchange.hasStarted) return {type: 'brokenOff'};
@@ -325,7 +308,7 @@
   let isSourceUsed = false;
   try {
     for (;;) {
-      if (!mayRun(state)) return {type: 'notRun', isUnsent: true};
+      if (!mayRun(deps, request)) return {type: 'notRun', isUnsent: true};
       const nowMs = deps.clock.nowMs();
       const decode = confirmDecode(listEngines(state), placement, tried, {
         nowMs,
@@ -421,24 +404,22 @@
   }
 }
 
-/** Records what the end of a run says about its engine and its prompt. */
+/** Records what the end of a run says about its engine and its request. */
 function* recordEnd(state: StreamState, target: PooledTarget, result: RunResult): Procedure<void> {
-  const {crashes, quarantine} = state.deps;
-  const {identity, progress} = state.request;
-  const {sharedParts} = identity;
-  const hasSuspects = quarantine.hasSuspects(sharedParts);
+  const {deps, request} = state;
+  const {crashes, quarantine} = deps;
+  const {identity, progress} = request;
   if (result.type === 'broken' && result.hasLostConnection) {
-    const check = crashes.check(target);
-    // Only a prompt that may be the cause has to wait.
-    if (hasSuspects && (yield* call(() => check))) state.crashCount++;
+    checkLoss(deps, request, target);
+    yield* awaitLossChecks(deps, request);
     return;
   }
   if (result.type !== 'done' || result.outcome.type !== 'streamed') return;
-  if (progress.streamEnd?.framing !== 'connection') quarantine.recordWhole(sharedParts);
-  else if (hasSuspects) {
+  if (progress.streamEnd?.framing !== 'connection') quarantine.recordWhole(identity);
+  else if (quarantine.hasSuspects(identity)) {
     // A crash between two events closes the connection as well.
     void crashes.check(target).then(hasCrashed => {
-      if (!hasCrashed) quarantine.recordWhole(sharedParts);
+      if (!hasCrashed) quarantine.recordWhole(identity);
     });
   }
 }
--- a/packages/relay/src/store-sync.ts
+++ b/packages/relay/src/store-sync.ts
@@ -7,7 +7,7 @@
 import {ReadIntervals} from './read-intervals.js';
 import {RejectedEntries} from './rejected-entries.js';
 import {decodeHostObject, decodeLease, decodeWindow} from './state-schemas.js';
-import {CrashEvidence, parseEvidence} from './prompt-quarantine.js';
+import {CrashEvidence, parseEvidence} from './quarantine.js';
 import {DatedValue, SharedReads} from './shared-reads.js';
 import {createKnownEntries, keepUnreadable} from './unreadable-entries.js';
 
--- a/packages/relay/src/stream-state.ts
+++ b/packages/relay/src/stream-state.ts
@@ -37,8 +37,6 @@
   lastEventId: string | undefined;
   /** Number of events received, over all runs. */
   eventCount: number;
-  /** Number of engines that have crashed under this stream, if it may be the cause. */
-  crashCount: number;
   /** Whether the prompt has been prefilled once; another prefill is an extra attempt. */
   hasPrefilled: boolean;
 }
--- /dev/null
+++ b/packages/relay/src/suspect-runs.ts
@@ -0,0 +1,46 @@
+import {call, Procedure} from '@radishgw/core';
+import {AdmittedRequest, RelayDependencies} from './request-context.js';
+import {PooledTarget} from './target-pool.js';
+
+/** Number of targets that may crash under one request. */
+const MAX_CRASHES = 2;
+
+/**
+ * Whether a request may be sent to a target, by what the hosts know of it and by the targets that
+ * have crashed under it. Another run of a request that may be the cause serves those that aren't.
+ */
+export function mayRun(deps: RelayDependencies, {identity, progress}: AdmittedRequest): boolean {
+  const admission = deps.quarantine.admit(identity);
+  if (admission.type === 'refused') return false;
+  if (progress.crashCount === 0) return true;
+  if (admission.type === 'probe' || progress.crashCount >= MAX_CRASHES) return false;
+  return deps.quarantine.suspicionOf(identity) < MAX_CRASHES;
+}
+
+/**
+ * Checks whether a target has crashed that has closed the connection of a run. Must be called while
+ * the run counts as in progress.
+ */
+export function checkLoss(
+  deps: RelayDependencies,
+  {progress}: AdmittedRequest,
+  target: PooledTarget,
+): void {
+  const check = deps.crashes.check(target).then(hasCrashed => {
+    if (hasCrashed) progress.crashCount++;
+  });
+  progress.lossChecks.push(check);
+}
+
+/** Waits for the checks of lost connections if another run depends on them. */
+export function* awaitLossChecks(
+  deps: RelayDependencies,
+  {identity, progress}: AdmittedRequest,
+): Procedure<void> {
+  const {lossChecks} = progress;
+  if (lossChecks.length === 0) return;
+  // The first crash under a request that nobody suspects doesn't keep it from another run.
+  if (lossChecks.length > 1 || deps.quarantine.hasSuspects(identity)) {
+    yield* call(() => Promise.all(lossChecks));
+  }
+}
--- a/packages/relay/test/quarantine-service.test.ts
+++ b/packages/relay/test/quarantine-service.test.ts
@@ -3,13 +3,18 @@
 import {expect} from 'chai';
 import {ObservedCrash} from '../src/crash-monitor.js';
 import {RelayMetrics} from '../src/metrics.js';
-import {PromptPartId} from '../src/index.js';
-import {CrashEvidence, EVIDENCE_MS, QUARANTINE_MS, SOUND_MS} from '../src/prompt-quarantine.js';
+import {
+  BRIEF_QUARANTINE_MS,
+  CrashEvidence,
+  EVIDENCE_MS,
+  QUARANTINE_MS,
+  SOUND_MS,
+} from '../src/quarantine.js';
 import {hasExpired, QuarantineService} from '../src/quarantine-service.js';
+import {RunIdentity} from '../src/run-identity.js';
 import {makeEntry, makeIdentity} from './fixtures.js';
 
 const HOSTS = ['host-a', 'host-b', 'host-c'].map(id => toId<HostId>(id));
-const ids = (...names: readonly string[]) => names.map(name => toId<PromptPartId>(name));
 
 /** Hosts that share their evidence through a map instead of a store. */
 class Pool {
@@ -21,6 +26,7 @@
   isStoreDown = false;
   private readonly tasks: Task<void>[] = [];
   private requestCount = 0;
+  private crashCount = 0;
 
   constructor() {
     for (const id of HOSTS) this.startHost(id);
@@ -57,14 +63,18 @@
     return toId<RequestId>(`r-${this.requestCount++}`);
   }
 
-  /** Crashes an engine a second later under a request of one host. */
+  /** Crashes a target a second later under a new request of one host. */
   crash(host: number, ...names: readonly string[]): void {
+    this.crashUnder(host, makeIdentity(this.nextRequest(), names));
+  }
+
+  /** Crashes a target a second later under requests of one host. */
+  crashUnder(host: number, ...requests: readonly RunIdentity[]): void {
     this.clock.advance(1000);
-    const request = this.nextRequest();
-    const target = {entry: makeEntry(`engine-${request}`)} as ObservedCrash['target'];
-    const sentMs = this.clock.nowMs();
-    const runs = [{identity: makeIdentity(request, names), sentMs}];
-    this.host(host).recordCrash({target, lostMs: sentMs, runs});
+    const target = {entry: makeEntry(`engine-${this.crashCount++}`)} as ObservedCrash['target'];
+    const lostMs = this.clock.nowMs();
+    const runs = requests.map(identity => ({identity, sentMs: lostMs}));
+    this.host(host).recordCrash({target, lostMs, runs});
   }
 
   /** Lets all hosts read and write twice, so that answers to suspicions arrive as well. */
@@ -82,7 +92,7 @@
   decide(...names: readonly string[]): readonly string[] {
     return [...this.services.values()].map(service => {
       const request = this.nextRequest();
-      const {type} = service.admit(request, ids(...names));
+      const {type} = service.admit(makeIdentity(request, names));
       service.release(request);
       return type;
     });
@@ -136,7 +146,7 @@
   });
 
   it('lets hosts that know of whole runs clear what others suspect', async () => {
-    pool.host(2).recordWhole(ids('rare'));
+    pool.host(2).recordWhole(makeIdentity(pool.nextRequest(), ['rare']));
     for (let i = 0; i < 4; i++) pool.crash(i % 2, 'rare');
     await pool.share();
     expect(pool.decide('rare')).to.deep.equal(ALL_ALLOWED);
@@ -144,16 +154,16 @@
 
   it('ends a quarantine when a run ends whole on any host', async () => {
     await quarantine('part');
-    pool.host(1).recordWhole(ids('part'));
+    pool.host(1).recordWhole(makeIdentity(pool.nextRequest(), ['part']));
     await pool.share();
     expect(pool.decide('part')).to.deep.equal(ALL_ALLOWED);
     expect(pool.events.map(({event}) => event)).to.include('promptQuarantineEnded');
   });
 
   it('writes nothing for crashes without a suspect', async () => {
-    pool.host(0).recordWhole(ids('first'));
-    pool.crash(0, 'first');
-    pool.crash(0);
+    pool.host(0).recordWhole(makeIdentity(pool.nextRequest(), ['first'], 'known'));
+    pool.crashUnder(0, makeIdentity(pool.nextRequest(), ['first'], 'known'));
+    pool.crashUnder(0);
     await pool.share();
     expect(pool.writeCount).to.equal(0);
   });
@@ -163,12 +173,18 @@
     pool.clock.advance(QUARANTINE_MS);
     const requests = [0, 1, 2].map(() => pool.nextRequest());
     const tryAll = () =>
-      [...pool.services.values()].map((service, i) => service.admit(requests[i], ids('bad')).type);
+      [...pool.services.values()].map(
+        (service, i) => service.admit(makeIdentity(requests[i], ['bad'])).type,
+      );
     expect(tryAll().sort()).to.deep.equal(['probe', 'refused', 'refused']);
     const prober = tryAll().indexOf('probe');
-    expect(pool.host(prober).admit(pool.nextRequest(), ids('bad')).type).to.equal('refused');
+    expect(pool.host(prober).admit(makeIdentity(pool.nextRequest(), ['bad'])).type).to.equal(
+      'refused',
+    );
     pool.host(prober).release(requests[prober]);
-    expect(pool.host(prober).admit(pool.nextRequest(), ids('bad')).type).to.equal('probe');
+    expect(pool.host(prober).admit(makeIdentity(pool.nextRequest(), ['bad'])).type).to.equal(
+      'probe',
+    );
   });
 
   it('starts anew after a crash of the request that tried', async () => {
@@ -212,7 +228,7 @@
       }));
       const target = {entry: makeEntry(`engine-${i}`)} as ObservedCrash['target'];
       pool.host(0).recordCrash({target, lostMs: sentMs, runs});
-      pool.host(0).recordWhole(ids(...random(9000, `whole-${i}`)));
+      pool.host(0).recordWhole(makeIdentity(pool.nextRequest(), random(9000, `whole-${i}`)));
     }
     await pool.share();
     const evidence = pool.stored.get(HOSTS[0])!;
@@ -222,14 +238,22 @@
   });
 
   it('keeps a prompt that is known to be sound from waiting or ending after a crash', () => {
-    pool.host(0).recordWhole(ids('first', 'middle'));
-    expect(pool.host(0).hasSuspects(ids('first', 'middle'))).to.equal(false);
+    pool.host(0).recordWhole(makeIdentity(pool.nextRequest(), ['first', 'middle']));
+    expect(
+      pool.host(0).hasSuspects(makeIdentity(pool.nextRequest(), ['first', 'middle'])),
+    ).to.equal(false);
     pool.crash(0, 'first', 'new');
     pool.crash(0, 'first', 'new');
-    expect(pool.host(0).suspicionOf(ids('first', 'middle'))).to.equal(0);
-    expect(pool.host(0).suspicionOf(ids('first', 'new'))).to.equal(2);
+    expect(
+      pool.host(0).suspicionOf(makeIdentity(pool.nextRequest(), ['first', 'middle'])),
+    ).to.equal(0);
+    expect(pool.host(0).suspicionOf(makeIdentity(pool.nextRequest(), ['first', 'new']))).to.equal(
+      2,
+    );
     pool.clock.advance(SOUND_MS + 1);
-    expect(pool.host(0).hasSuspects(ids('first', 'middle'))).to.equal(true);
+    expect(
+      pool.host(0).hasSuspects(makeIdentity(pool.nextRequest(), ['first', 'middle'])),
+    ).to.equal(true);
   });
 
   it('tells evidence that may be removed', async () => {
@@ -245,7 +269,7 @@
     await quarantine('bad');
     pool.clock.advance(6000);
     await pool.share();
-    expect(pool.host(0).count).to.equal(1);
+    expect(pool.host(0).countByKind().prompt).to.equal(1);
     // The store comes back without evidence; a list is read, then this host writes its own again.
     for (const id of HOSTS) pool.host(HOSTS.indexOf(id)).restore();
     const before = new Map<HostId, CrashEvidence>();
@@ -253,6 +277,76 @@
     for (let i = 0; i < 20; i++) await Promise.resolve();
     expect(pool.writeCount).to.be.greaterThan(1);
     pool.host(0).applyEvidence(before);
-    expect(pool.host(0).count).to.equal(1);
+    expect(pool.host(0).countByKind().prompt).to.equal(1);
+  });
+
+  /** A request with a body that clients send again, with a new id. */
+  const repeat = (body: string) => makeIdentity(pool.nextRequest(), [], body);
+
+  const decideRepeat = (body: string) =>
+    [...pool.services.values()].map(service => {
+      const request = repeat(body);
+      const {type} = service.admit(request);
+      service.release(request.requestId);
+      return type;
+    });
+
+  it('refuses a request on all hosts after three crashes that three hosts have seen', async () => {
+    for (let host = 0; host < 3; host++)
+      pool.crashUnder(host, repeat('bad'), repeat(`own ${host}`));
+    await pool.share();
+    expect(decideRepeat('bad')).to.deep.equal(ALL_REFUSED);
+    expect(decideRepeat('own 1')).to.deep.equal(ALL_ALLOWED);
+    expect(decideRepeat('Bad')).to.deep.equal(ALL_ALLOWED);
+    expect(pool.host(0).countByKind()).to.deep.equal({prompt: 0, request: 1});
+  });
+
+  it('does not suspect a request that ran whole at a host before servers fail in turn', async () => {
+    for (let host = 0; host < 3; host++) pool.host(host).recordWhole(repeat('popular'));
+    for (let i = 0; i < 6; i++) pool.crashUnder(i % 3, repeat('popular'));
+    await pool.share();
+    expect(decideRepeat('popular')).to.deep.equal(ALL_ALLOWED);
+    expect(pool.writeCount).to.equal(0);
+  });
+
+  it('clears a request by a whole run that only another host remembers', async () => {
+    pool.host(2).recordWhole(repeat('popular'));
+    for (let i = 0; i < 3; i++) pool.crashUnder(0, repeat('popular'));
+    expect(pool.host(0).admit(repeat('popular')).type).to.equal('refused');
+    await pool.share();
+    expect(decideRepeat('popular')).to.deep.equal(ALL_ALLOWED);
+  });
+
+  it('tries a request once after ten seconds, and after its crash not for ten minutes', async () => {
+    for (let host = 0; host < 3; host++) pool.crashUnder(host, repeat('bad'));
+    await pool.share();
+    pool.clock.advance(BRIEF_QUARANTINE_MS);
+    const requests = HOSTS.map(() => repeat('bad'));
+    const types = [...pool.services.values()].map((service, i) => service.admit(requests[i]).type);
+    expect(types.filter(type => type === 'probe')).to.have.length(1);
+    expect(types.filter(type => type === 'refused')).to.have.length(2);
+    const prober = types.indexOf('probe');
+    pool.crashUnder(prober, requests[prober]);
+    pool.host(prober).release(requests[prober].requestId);
+    await pool.share();
+    pool.clock.advance(QUARANTINE_MS - 5000);
+    expect(decideRepeat('bad')).to.deep.equal(ALL_REFUSED);
+  });
+
+  it('keeps the crashes that quarantines are based on when there are many others', async () => {
+    for (let i = 0; i < 3; i++) pool.crashUnder(0, repeat('bad'));
+    for (let i = 0; i < 80; i++) pool.crashUnder(0, repeat(`other ${i}`), repeat(`more ${i}`));
+    await pool.share();
+    expect(pool.stored.get(HOSTS[0])!.crashes.length).to.be.at.most(64);
+    // Ten seconds after its last crash one host may let it try.
+    expect(decideRepeat('bad')).not.to.include('allowed');
+  });
+
+  it('shares digests only, no part of a request', async () => {
+    pool.crashUnder(0, repeat('a body that nobody should see'));
+    await pool.share();
+    const text = JSON.stringify([...pool.stored.values()]);
+    expect(text).to.include('request:29:');
+    expect(text).not.to.match(/nobody|host\.example|\/a\/x/);
   });
 });
--- a/packages/relay/test/prompt-quarantine.test.ts
+++ b/packages/relay/test/quarantine.test.ts
@@ -5,39 +5,40 @@
 import {
   CrashEvidence,
   decideQuarantines,
-  EngineCrash,
+  TargetCrash,
   EVIDENCE_MS,
   isCovered,
   SOUND_MS,
-} from '../src/prompt-quarantine.js';
+} from '../src/quarantine.js';
 
 const NOW_MS = 10_000_000;
 const ids = (...names: readonly string[]) => names.map(name => toId<PromptPartId>(name));
 
 /** A crash `agoMs` before now under runs with the given parts, one request each. */
-function crash(agoMs: number, ...runs: readonly (readonly string[])[]): EngineCrash {
+function crash(agoMs: number, ...runs: readonly (readonly string[])[]): TargetCrash {
   return {
     incarnation: `engine-${agoMs}`,
     atMs: NOW_MS - agoMs,
     runs: runs.map((parts, index) => ({
       requestId: toId<RequestId>(`r-${agoMs}-${index}`),
-      parts: ids(...parts),
+      sentAtMs: NOW_MS - agoMs - 50,
+      suspects: ids(...parts),
     })),
   };
 }
 
 function decide(
-  crashes: readonly EngineCrash[],
+  crashes: readonly TargetCrash[],
   sound: Readonly<Record<string, number>> = {},
 ): readonly (readonly string[])[] {
   const soundParts = Object.entries(sound).map(([part, agoMs]) => ({
-    part: toId<PromptPartId>(part),
+    suspect: toId<PromptPartId>(part),
     atMs: NOW_MS - agoMs,
   }));
   // Each crash is known to another host.
   const evidence: CrashEvidence[] = crashes.map(single => ({crashes: [single], sound: []}));
   evidence.push({crashes: [], sound: soundParts});
-  return decideQuarantines(evidence, NOW_MS).map(({parts}) => parts);
+  return decideQuarantines(evidence, NOW_MS).map(({suspects}) => suspects);
 }
 
 const fourCrashes = (...runs: readonly (readonly string[])[]) =>
@@ -96,7 +97,12 @@
 
   it('refuses a sound part only beside the parts that it was always seen with', () => {
     const [parts] = decide(fourCrashes(['bad', 'middle']));
-    const quarantine = {parts: ids(...parts), crashCount: 4, lastCrashMs: NOW_MS};
+    const quarantine = {
+      suspects: ids(...parts),
+      crashCount: 4,
+      firstCrashMs: NOW_MS - 2000,
+      lastCrashMs: NOW_MS,
+    };
     expect(isCovered(quarantine, ids('first', 'middle'))).to.equal(false);
     expect(isCovered(quarantine, ids('first', 'bad', 'middle'))).to.equal(true);
     const narrowed = decide([...fourCrashes(['bad', 'middle']), crash(100, ['bad'])]);
