--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -7,6 +7,7 @@
 export * from './service/service-server.js';
 export * from './child.js';
 export * from './deployment.js';
+export * from './early-server.js';
 export * from './endless-server.js';
 export * from './raw-requests.js';
 export * from './raw-server.js';
--- a/packages/testkit/src/raw-requests.ts
+++ b/packages/testkit/src/raw-requests.ts
@@ -18,7 +18,7 @@
   };
 }
 
-function parseFields(head: string): RequestFields {
+export function parseFields(head: string): RequestFields {
   const lines = head.split('\r\n').slice(1);
   return Object.fromEntries(
     lines.map(line => {
