test: statuses out of range, which fail

RFC 9110, section 15, has a status outside 100 to 599 handled as a 5xx. With the field of a refusal it sends such a request to further servers, also one that may not be repeated. The own interface stores such an answer for an idempotency key and can't read it back (idempotency_unavailable), and tells callers the texts of an assertion and of the HTTP parser ("The expression evaluated to a falsy value: assert(statusCode >= 100)").

--- /dev/null
+++ b/packages/gateway/test/status-range.test.ts
@@ -0,0 +1,151 @@
+import {Deployment, formatAnswer, RawServer, startDeployment} from '@radishgw/testkit';
+import {expect} from 'chai';
+import {CallerError, chat} from './support.js';
+
+/** Statuses outside 100 to 599 (RFC 9110, section 15), and others that no status line may have. */
+const INVALID_STATUSES = ['600', '999', '000', '099', '1000', 'abc'];
+
+/** The host's own text for such an answer, for callers. */
+const FAULT = 'answer has an invalid status';
+
+const BODY = '{"items": []}';
+
+/** Resumptions of a stream are spread over a part of this time. */
+const PROGRESS_TIMEOUT_MS = 1000;
+
+const answerWith = (status: string, moreFields: readonly string[] = []) => ({
+  bytes: formatAnswer(
+    'length',
+    ['content-type: application/json', ...moreFields],
+    BODY,
+    `${status} Status`,
+  ),
+  end: 'keepOpen' as const,
+});
+
+describe('statuses out of range', () => {
+  const server = new RawServer();
+  let deployment: Deployment;
+  let keyCount = 0;
+
+  before(async () => {
+    const url = `http://${await server.start()}`;
+    deployment = await startDeployment({
+      hosts: 1,
+      // Each answer that can't be used excludes a target for a while.
+      engines: 8,
+      services: 20,
+      failureDomains: ['norte-bilbo'],
+      decodeMsPerToken: 1,
+      hostFlags: ['--progress-timeout-ms', String(PROGRESS_TIMEOUT_MS)],
+      mapUrl: (name, mapped) => Promise.resolve(/^(service|engine)/.test(name) ? url : mapped),
+    });
+  });
+  after(async () => {
+    await deployment.stop();
+    server.stop();
+  });
+
+  async function send(method: string, path: string, idempotencyKey?: string) {
+    const response = await fetch(`${deployment.hosts[0].entryUrl}${path}`, {
+      method,
+      headers: {
+        authorization: `Bearer ${deployment.key}`,
+        ...(idempotencyKey === undefined ? {} : {'idempotency-key': idempotencyKey}),
+      },
+      ...(method === 'POST' ? {body: '{}'} : {}),
+    });
+    const {error} = (await response.json()) as {error?: CallerError};
+    return {
+      status: response.status,
+      code: error?.code,
+      execution: error?.execution,
+      message: error?.message,
+      isReplay: response.headers.has('x-radishgw-idempotent-replay'),
+    };
+  }
+
+  /** Sends requests for each status; compares what callers got with one expected outcome. */
+  async function expectEach(
+    play: (status: string) => Promise<object>,
+    expected: object,
+  ): Promise<void> {
+    const outcomes: Record<string, object> = {};
+    for (const status of INVALID_STATUSES) {
+      server.requestCount = 0;
+      outcomes[status] = await play(status);
+    }
+    const expectedOutcomes = INVALID_STATUSES.map(status => [status, expected] as const);
+    expect(outcomes).to.deep.equal(Object.fromEntries(expectedOutcomes));
+  }
+
+  const unknown = {status: 502, code: 'outcome_unknown', execution: 'unknown'};
+
+  it('do not reach the caller of a service', async () => {
+    await expectEach(
+      async status => {
+        server.answer = () => answerWith(status);
+        const outcome = await send('POST', '/orders');
+        return {...outcome, requestCount: server.requestCount};
+      },
+      {...unknown, message: `target failed: ${FAULT}`, isReplay: false, requestCount: 1},
+    );
+  });
+
+  const cases = {
+    'are not stored for repetitions': [],
+    'are not taken for refusals of a service': ['x-radishgw-execution: not_run'],
+  };
+  for (const [title, fields] of Object.entries(cases)) {
+    it(title, async () => {
+      await expectEach(
+        async status => {
+          server.answer = () => answerWith(status, fields);
+          const key = `status-${keyCount++}`;
+          const first = await send('POST', '/orders', key);
+          const second = await send('POST', '/orders', key);
+          return {
+            codes: [first.code, second.code],
+            isReplay: second.isReplay,
+            requestCount: server.requestCount,
+          };
+        },
+        {codes: [unknown.code, unknown.code], isReplay: false, requestCount: 1},
+      );
+    });
+  }
+
+  it('lead to another target for a call that may be repeated', async () => {
+    await expectEach(
+      async status => {
+        server.answer = () => answerWith(server.requestCount === 1 ? status : '200');
+        const {status: received} = await send('GET', '/catalogue');
+        return {received, requestCount: server.requestCount};
+      },
+      {received: 200, requestCount: 2},
+    );
+  });
+
+  it('do not reach the caller of an engine', async () => {
+    await expectEach(
+      async status => {
+        server.answer = fields =>
+          fields['x-radishgw-attempt-id'] === undefined ? answerWith('200') : answerWith(status);
+        const {statusCode, error} = await chat(deployment, {
+          marker: 'a',
+          tokens: 3,
+          stream: false,
+        });
+        const {code, execution, message} = error!;
+        const text = message.replace('engine is lost after event 0: ', '');
+        return {statusCode, code, execution, text};
+      },
+      {
+        statusCode: 502,
+        code: 'target_failed',
+        execution: 'unknown',
+        text: `target failed: ${FAULT}`,
+      },
+    );
+  });
+});
