fix: send no request on a connection that is being closed

A request that was sent in the turn of the event loop after another attempt had been aborted failed at once, although nothing had been sent, and counted as one that may have run: a call that may not be repeated got 502, another one used up an attempt.

Cause: release() asked in a setImmediate whether the connection was closed, which its close event told. Node emits that event at the end of the turn, after all setImmediates, so that an aborted connection was put among the idle ones until then. Undici has destroyed its socket by that time. TargetConnection.isClosed looks at the socket now, also for connections that are idle.

--- a/packages/relay/src/target-connections.ts
+++ b/packages/relay/src/target-connections.ts
@@ -248,7 +248,6 @@
   isInStep = true;
   /** Whether the connection was established, after which a request may have reached the target. */
   isConnected = false;
-  isClosed = false;
   lastUsedMs: number;
   private cancelConnect: ((error: Error) => void) | undefined;
   private isCancelled = false;
@@ -306,7 +305,6 @@
         socket.once('connect', () => settle(undefined));
         socket.on('error', settle);
         socket.once('close', () => {
-          this.isClosed = true;
           settle(new Error('closed while connecting'));
           onClosed();
         });
@@ -335,9 +333,13 @@
     this.cancelConnect?.(new Error(LEFT_DETAIL));
   }
 
+  /** Whether the connection is closed or being closed; its `close` event comes a turn later. */
+  get isClosed(): boolean {
+    return this.client.destroyed || (this.socket?.destroyed ?? false);
+  }
+
   /** Closes the connection immediately. */
   destroy(): void {
-    this.isClosed = true;
     this.socket?.destroy();
     void this.client.destroy().catch(() => undefined); // Rejects only if it is destroyed already.
   }
@@ -439,11 +441,7 @@
     connection.lastUsedMs = this.clock.nowMs();
     // The socket may be closed in the same turn of the event loop, as after `Connection: close`.
     setImmediate(() => {
-      const isUsable =
-        connection.isConnected &&
-        !connection.isClosed &&
-        !connection.client.destroyed &&
-        connection.isInStep;
+      const isUsable = connection.isConnected && !connection.isClosed && connection.isInStep;
       if (this.isRetired || !isUsable) {
         connection.destroy();
         return;
--- a/packages/relay/test/target-connections.test.ts
+++ b/packages/relay/test/target-connections.test.ts
@@ -156,6 +156,19 @@
     }
   });
 
+  it('does not reuse a connection whose attempt was aborted while the connection closes', async () => {
+    // Guards against requests that fail as they are sent on a connection that is being closed.
+    const connections = await serve((socket, count) => {
+      if (count > 0) socket.write('HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n');
+    });
+    const attempt = connections.send({...REQUEST, identity: createIdentity()}, true);
+    expect(await attempt.next(50)).to.deep.equal({type: 'silent'});
+    attempt.abort();
+    await new Promise(resolve => setImmediate(resolve));
+    expect(types(await collect(connections))).to.deep.equal(['head', 'end']);
+    expect(connections.openedCount).to.equal(2);
+  });
+
   it('does not reuse a connection whose answer names no request', async () => {
     // Guards against a second copy of the answer that is taken for the answer to the next request.
     const sockets = new Set<Socket>();
