fix: handle a status out of range as an answer that can't be used

Callers got statuses 600 and 999 as the server's answer, on the platform with the server's seal; with the field of a refusal the request went to further servers, also one that may not be repeated. On the own interface a key's stored answer could not be read back (idempotency_unavailable).

Cause: the HTTP parser takes any three digits, and its readers compared the status only with the ones they know. RFC 9110, section 15, has a status outside 100 to 599 handled as a 5xx. isValidStatus in core is asked where a head arrives: in target-connections for all of the relay's calls (calls, streams, prefills, orders), in service-attempt and engine-stream for the own interface. Nothing else that such an answer says is believed, neither a refusal nor that the server leaves, so that a request that may not be repeated isn't, and gets 502. 001 and 099 fail at their head now, not as interim answers. Pools of the own calls (store, hosts, load reports, orders) took no other status than the ones they know for a success before.

The two tests of target-connections that are added failed in a trial in which the connection counted as usable until its close event.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,6 +1,7 @@
 export * from './abort-response.js';
 export * from './answer-body.js';
 export * from './answer-memory.js';
+export * from './answer-status.js';
 export * from './bound-call.js';
 export * from './bound-reads.js';
 export * from './bounded-pool.js';
--- a/packages/gateway/src/engine/engine-stream.ts
+++ b/packages/gateway/src/engine/engine-stream.ts
@@ -1,5 +1,6 @@
-import {AttemptId, Clock, createConnector, Timer} from '@radishgw/core';
+import {AttemptId, Clock, createConnector, isValidStatus, Timer} from '@radishgw/core';
 import {Client, Dispatcher as HttpDispatcher} from 'undici';
+import {INVALID_STATUS_FAULT} from '../target-faults.js';
 import {EngineEvent, EventDecoder} from './event-decoder.js';
 
 /** Failure of an attempt to run a request on an engine. */
@@ -161,6 +162,11 @@
   ): void {
     if (!this.isCurrent(connection)) return;
     this.lastActivityMs = this.call.clock.nowMs();
+    if (!isValidStatus(statusCode)) {
+      if (connection.client) this.resume(INVALID_STATUS_FAULT, true);
+      else this.fail(new EngineError(INVALID_STATUS_FAULT, true));
+      return;
+    }
     connection.statusCode = statusCode;
     connection.notRun = headers['x-radishgw-execution'] === 'not_run';
     const attemptId = headers['x-radishgw-attempt-id'];
--- a/packages/gateway/src/request/service-attempt.ts
+++ b/packages/gateway/src/request/service-attempt.ts
@@ -7,8 +7,10 @@
   Clock,
   createConnector,
   findFraming,
+  isValidStatus,
 } from '@radishgw/core';
 import {Client, Dispatcher as HttpDispatcher} from 'undici';
+import {INVALID_STATUS_FAULT} from '../target-faults.js';
 import {RequestContext} from './context.js';
 import {filterResponseHeaders} from './headers.js';
 import {MAX_STORED_BODY_BYTES, StoredResponse} from './idempotency.js';
@@ -127,7 +129,12 @@
           context.mayHaveRun = true;
         },
         onResponseStart: (_current, statusCode, headers) => {
-          if (settled || statusCode < 200) return;
+          if (settled) return;
+          if (!isValidStatus(statusCode)) {
+            fail(new ServiceError(INVALID_STATUS_FAULT, true));
+            return;
+          }
+          if (statusCode < 200) return;
           headersTimer?.cancel();
           const attemptId = headers['x-radishgw-attempt-id'];
           if (attemptId !== undefined && attemptId !== call.attemptId) {
--- a/packages/relay/src/target-connections.ts
+++ b/packages/relay/src/target-connections.ts
@@ -4,6 +4,7 @@
   boundReads,
   Clock,
   findFraming,
+  isValidStatus,
   ReadGate,
   RequestId,
   verifyEnds,
@@ -156,10 +157,13 @@
         if (this.isFinished) abort();
       },
       onHeaders: (status, rawHeaders, resume) => {
+        if (!isValidStatus(status)) {
+          this.rejectAnswer(connection, `answer has invalid status ${status}`);
+          return true;
+        }
         if (status < 200) {
           if (++this.interimAnswers > MAX_INTERIM_ANSWERS) {
-            this.fail(connection, 'too many interim answers');
-            this.abortRequest?.(new Error('too many interim answers'));
+            this.rejectAnswer(connection, 'too many interim answers');
           }
           return true;
         }
@@ -187,6 +191,12 @@
     this.finish();
   }
 
+  /** Fails the attempt, as its answer can't be used, and closes the connection. */
+  private rejectAnswer(connection: TargetConnection, detail: string): void {
+    this.fail(connection, detail);
+    this.abortRequest?.(new Error(detail));
+  }
+
   private push(event: AttemptEvent): boolean {
     if (this.isFinished) return true;
     this.events.push(event);
--- a/packages/relay/test/target-connections.test.ts
+++ b/packages/relay/test/target-connections.test.ts
@@ -169,6 +169,21 @@
     expect(connections.openedCount).to.equal(2);
   });
 
+  for (const status of ['099', '600']) {
+    it(`does not reuse a connection after an answer with status ${status}`, async () => {
+      // Guards against requests that are sent on a connection while it is being closed.
+      const connections = await serve((socket, count) => {
+        const line = count === 0 ? `HTTP/1.1 ${status} Status` : 'HTTP/1.1 200 OK';
+        socket.write(`${line}\r\ncontent-length: 0\r\n\r\n`);
+      });
+      const attempt = connections.send({...REQUEST, identity: createIdentity()}, true);
+      expect(await attempt.next(1000)).to.include({type: 'failed', wasSent: true});
+      await new Promise(resolve => setImmediate(resolve));
+      expect(types(await collect(connections))).to.deep.equal(['head', 'end']);
+      expect(connections.openedCount).to.equal(2);
+    });
+  }
+
   it('does not reuse a connection whose answer names no request', async () => {
     // Guards against a second copy of the answer that is taken for the answer to the next request.
     const sockets = new Set<Socket>();
