fix: tell callers of faults of targets in the host's own words

The own interface put the texts of thrown errors into its refusals. Callers got those of an assertion in undici ("The expression evaluated to a falsy value: assert(statusCode >= 100)", mended with the statuses), of the HTTP parser, of sockets, which name addresses, and of JSON.parse, which quotes the engine's output. An unexpected error of the host itself went out the same way.

describeTargetFault maps the kind of error to a text of ours; the text of the library goes into the log (`cause` of attemptFailed, streamResumed and requestRefused). An unexpected error is "internal error" for the caller.

The parser's error names no code, as undici looks it up in the wrong direction, so that a status such as 1000 or abc can't be told from other answers that aren't HTTP. status-range.test.ts expected one text for all statuses; it expects "answer is not valid HTTP" for these two now, word for word as before.

--- a/packages/gateway/src/caller/caller-server.ts
+++ b/packages/gateway/src/caller/caller-server.ts
@@ -256,7 +256,14 @@
         decision: refusal.kind.code,
         reason: {message, execution, attempts: context.attempts},
       });
-      log.write('requestRefused', {...fields, code: refusal.kind.code, execution, detail: message});
+      log.write('requestRefused', {
+        ...fields,
+        code: refusal.kind.code,
+        execution,
+        detail: message,
+        // The text of an error that isn't a refusal is for the log only.
+        cause: error instanceof Refusal ? undefined : String(error),
+      });
       return;
     }
     const totalMs = clock.nowMs() - context.arrivedMs;
@@ -304,7 +311,7 @@
   const {reason} = context.signal as {reason?: AbortReason};
   if (context.signal.aborted && reason) return describeAbort(reason, execution);
   if (!(error instanceof Refusal)) {
-    return new Refusal('targetFailed', (error as Error).message, execution);
+    return new Refusal('targetFailed', 'internal error', execution);
   }
   if (error.execution === 'unknown' || execution === 'not_run') return error;
   return new Refusal(error.refusalName, error.message, execution, error.retryAfterMs);
--- a/packages/gateway/src/engine/completion.ts
+++ b/packages/gateway/src/engine/completion.ts
@@ -24,7 +24,12 @@
 
 /** Parses the data of an engine's event; throws if it is not a valid chunk. */
 export function parseChunk(data: string): Chunk {
-  const chunk = JSON.parse(data) as Chunk | null;
+  let chunk: Chunk | null;
+  try {
+    chunk = JSON.parse(data) as Chunk | null;
+  } catch (cause) {
+    throw new Error('event is not JSON', {cause});
+  }
   if (typeof chunk !== 'object' || chunk === null || Array.isArray(chunk)) {
     throw new Error('event is not an object');
   }
--- a/packages/gateway/src/request/serve-model.ts
+++ b/packages/gateway/src/request/serve-model.ts
@@ -13,6 +13,7 @@
 import {Dispatcher as HttpDispatcher} from 'undici';
 import {TokenUsage} from '../engine/completion.js';
 import {cancelAttempt, EngineError, runEngineStream} from '../engine/engine-stream.js';
+import {describeCause} from '../target-faults.js';
 import {estimatePromptTokens, ModelRequestPath, parseModelRequest, readBody} from './body.js';
 import {CompletionRelay} from './completion-relay.js';
 import {RequestContext} from './context.js';
@@ -145,6 +146,7 @@
         requestId: context.requestId,
         targetId: dispatch.target.targetId,
         detail: error.message,
+        cause: describeCause(error),
       });
       if (relay.isFullyDelivered()) return relay.finish();
       if (isInvalidRequest(error)) throw createInvalidRequestRefusal(error);
@@ -192,8 +194,13 @@
           dispatch.reportProgress(relay.outputTokens);
           return relay.flush();
         },
-        onResume: (after, reason) => {
-          services.log.write('streamResumed', {requestId: context.requestId, after, reason});
+        onResume: (after, reason, cause) => {
+          services.log.write('streamResumed', {
+            requestId: context.requestId,
+            after,
+            reason,
+            cause: cause?.message,
+          });
         },
       }),
     );
--- a/packages/gateway/src/request/serve-route.ts
+++ b/packages/gateway/src/request/serve-route.ts
@@ -10,6 +10,7 @@
   toId,
 } from '@radishgw/core';
 import {Dispatcher as HttpDispatcher} from 'undici';
+import {describeCause} from '../target-faults.js';
 import {readBody} from './body.js';
 import {parseIdempotencyKey} from './caller-headers.js';
 import {RequestContext} from './context.js';
@@ -198,6 +199,7 @@
         requestId: context.requestId,
         targetId: target.targetId,
         detail: error.message,
+        cause: describeCause(error),
       });
       if (context.response.headersSent || !mayRetry(error)) {
         const name = error.mayHaveRun ? 'outcomeUnknown' : 'targetFailed';
