--- a/packages/gateway/src/request/service-attempt.ts
+++ b/packages/gateway/src/request/service-attempt.ts
@@ -7,8 +7,10 @@
   Clock,
   createConnector,
   findFraming,
+  isValidStatus,
 } from '@radishgw/core';
 import {Client, Dispatcher as HttpDispatcher} from 'undici';
+import {describeTargetFault, INVALID_STATUS_FAULT} from '../target-faults.js';
 import {RequestContext} from './context.js';
 import {filterResponseHeaders} from './headers.js';
 import {MAX_STORED_BODY_BYTES, StoredResponse} from './idempotency.js';
@@ -19,8 +21,9 @@
     message: string,
     /** False only if no byte was sent or the target reported that it didn't run the call. */
     readonly mayHaveRun: boolean,
+    options?: ErrorOptions,
   ) {
-    super(message);
+    super(message, options);
   }
 }
 
@@ -127,7 +130,12 @@
           context.mayHaveRun = true;
         },
         onResponseStart: (_current, statusCode, headers) => {
-          if (settled || statusCode < 200) return;
+          if (settled) return;
+          if (!isValidStatus(statusCode)) {
+            fail(new ServiceError(INVALID_STATUS_FAULT, true));
+            return;
+          }
+          if (statusCode < 200) return;
           headersTimer?.cancel();
           const attemptId = headers['x-radishgw-attempt-id'];
           if (attemptId !== undefined && attemptId !== call.attemptId) {
@@ -160,7 +168,8 @@
           else finish(() => resolve(sink?.end()));
         },
         onResponseError: (_current, error) => {
-          fail(new ServiceError(error.message, controller !== undefined));
+          const fault = describeTargetFault(error);
+          fail(new ServiceError(fault, controller !== undefined, {cause: error}));
         },
       },
     );
--- a/packages/relay/src/target-connections.ts
+++ b/packages/relay/src/target-connections.ts
@@ -4,6 +4,7 @@
   boundReads,
   Clock,
   findFraming,
+  isValidStatus,
   ReadGate,
   RequestId,
   verifyEnds,
@@ -156,10 +157,13 @@
         if (this.isFinished) abort();
       },
       onHeaders: (status, rawHeaders, resume) => {
+        if (!isValidStatus(status)) {
+          this.rejectAnswer(connection, `answer has invalid status ${status}`);
+          return true;
+        }
         if (status < 200) {
           if (++this.interimAnswers > MAX_INTERIM_ANSWERS) {
-            this.fail(connection, 'too many interim answers');
-            this.abortRequest?.(new Error('too many interim answers'));
+            this.rejectAnswer(connection, 'too many interim answers');
           }
           return true;
         }
@@ -187,6 +191,12 @@
     this.finish();
   }
 
+  /** Fails the attempt, as its answer can't be used, and closes the connection. */
+  private rejectAnswer(connection: TargetConnection, detail: string): void {
+    this.fail(connection, detail);
+    this.abortRequest?.(new Error(detail));
+  }
+
   private push(event: AttemptEvent): boolean {
     if (this.isFinished) return true;
     this.events.push(event);
@@ -248,7 +258,6 @@
   isInStep = true;
   /** Whether the connection was established, after which a request may have reached the target. */
   isConnected = false;
-  isClosed = false;
   lastUsedMs: number;
   private cancelConnect: ((error: Error) => void) | undefined;
   private isCancelled = false;
@@ -306,7 +315,6 @@
         socket.once('connect', () => settle(undefined));
         socket.on('error', settle);
         socket.once('close', () => {
-          this.isClosed = true;
           settle(new Error('closed while connecting'));
           onClosed();
         });
@@ -335,9 +343,13 @@
     this.cancelConnect?.(new Error(LEFT_DETAIL));
   }
 
+  /** Whether the connection is closed or being closed; its `close` event comes a turn later. */
+  get isClosed(): boolean {
+    return this.client.destroyed || (this.socket?.destroyed ?? false);
+  }
+
   /** Closes the connection immediately. */
   destroy(): void {
-    this.isClosed = true;
     this.socket?.destroy();
     void this.client.destroy().catch(() => undefined); // Rejects only if it is destroyed already.
   }
@@ -439,11 +451,7 @@
     connection.lastUsedMs = this.clock.nowMs();
     // The socket may be closed in the same turn of the event loop, as after `Connection: close`.
     setImmediate(() => {
-      const isUsable =
-        connection.isConnected &&
-        !connection.isClosed &&
-        !connection.client.destroyed &&
-        connection.isInStep;
+      const isUsable = connection.isConnected && !connection.isClosed && connection.isInStep;
       if (this.isRetired || !isUsable) {
         connection.destroy();
         return;
