Show that a stopping gateway cuts answers that it is still sending

Cause: closeIdleConnections of Node.js 20 destroys a connection once end() was called on its response, though its bytes still wait in the socket.

--- /dev/null
+++ b/packages/gateway/test/caller-server.test.ts
@@ -0,0 +1,90 @@
+import {once} from 'node:events';
+import {AddressInfo, connect, Socket} from 'node:net';
+import {issueKey} from '@radishgw/config';
+import {createHandlers, createSystemRandom, KeyId, SystemClock, toId} from '@radishgw/core';
+import {expect} from 'chai';
+import {CallerServer, CallerServices} from '../src/caller/caller-server.js';
+import {DecisionLog} from '../src/operator/decision-log.js';
+import {Metrics} from '../src/operator/metrics.js';
+
+/** More than the buffers of both sockets hold. */
+const LARGE_ANSWER_BYTES = 16 * 1024 * 1024;
+
+/** A stopping server closes idle connections after half a second. */
+const AFTER_GRACE_MS = 800;
+const STOP_TIMEOUT_MS = 5000;
+
+/** A server whose `GET /v1/entry` has an answer of {@link LARGE_ANSWER_BYTES} at least. */
+class CallerServerFixture {
+  readonly clock = new SystemClock();
+  readonly key = issueKey(toId<KeyId>('one'), createSystemRandom());
+  finishedCount = 0;
+  readonly callerServer = new CallerServer({
+    clock: this.clock,
+    handlers: createHandlers(this.clock),
+    random: createSystemRandom(),
+    metrics: new Metrics(),
+    decisions: new DecisionLog(this.clock),
+    log: {
+      write: (event: string) => void (this.finishedCount += Number(event === 'requestFinished')),
+    },
+    maxInFlight: 10,
+    defaultDeadlineMs: 10_000,
+    requestTimeoutMs: 10_000,
+    maxBodyBytes: 1000,
+    tls: undefined,
+    config: {
+      getRoutes: () => [],
+      findTeamByKey: () => ({
+        teamId: 'team',
+        keys: [this.key.record],
+        parameters: {maxInFlight: 10},
+      }),
+    },
+    checkFreshness: () => undefined,
+    listEntryHosts: () => ({hosts: ['x'.repeat(LARGE_ANSWER_BYTES)], maxAgeMs: 1000}),
+  } as unknown as CallerServices);
+
+  async open(): Promise<Socket> {
+    const {server} = this.callerServer;
+    if (!server.listening) await once(server.listen(0, '127.0.0.1'), 'listening');
+    const socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
+    socket.on('error', () => undefined); // Reported by `close`.
+    await once(socket, 'connect');
+    return socket;
+  }
+
+  formatRequest(): string {
+    return `GET /v1/entry HTTP/1.1\r\nhost: x\r\nauthorization: Bearer ${this.key.text}\r\n\r\n`;
+  }
+
+  /** Waits until this number of answers have been handed to their connections. */
+  async waitForFinished(count: number): Promise<void> {
+    while (this.finishedCount < count) await this.sleep(10);
+  }
+
+  sleep(delayMs: number): Promise<void> {
+    return new Promise(resolve => this.clock.setTimer(delayMs, resolve));
+  }
+}
+
+describe('CallerServer', function () {
+  this.timeout(15_000);
+
+  it('sends whole answers when it stops although their caller reads them late', async () => {
+    // Guards against answers that are cut as their connection counts as idle while they are sent.
+    const fixture = new CallerServerFixture();
+    const socket = await fixture.open();
+    socket.pause();
+    socket.write(fixture.formatRequest());
+    await fixture.waitForFinished(1);
+    const stopped = fixture.callerServer.stop(STOP_TIMEOUT_MS);
+    await fixture.sleep(AFTER_GRACE_MS);
+    let receivedBytes = 0;
+    socket.on('data', chunk => (receivedBytes += chunk.length));
+    socket.resume();
+    await once(socket, 'close');
+    await stopped;
+    expect(receivedBytes).to.be.above(LARGE_ANSWER_BYTES);
+  });
+});
