Close a stopping gateway's connections once their answers have been sent

Callers: a caller that reads slowly lost the rest of its answer half a second after the host began to stop.

The host waits for such answers afterwards, when their connections are gone.

Change: connections are closed when no request is in flight, which is counted until a response has been sent; stop() closed all of them then already. Idle ones stay open until then: a request on one is served with 'connection: close', instead of being reset if it crosses the close.

--- a/packages/gateway/src/caller/caller-server.ts
+++ b/packages/gateway/src/caller/caller-server.ts
@@ -107,6 +107,8 @@
   /**
    * Stops gracefully: accepts no new connections, serves requests on open ones for a short time
    * with `connection: close`, and waits up to `timeoutMs` milliseconds for requests in flight.
+   * Idle connections are closed at the end, as Node.js 20 counts those as idle whose responses still
+   * wait for their callers to read them.
    */
   async stop(timeoutMs: number): Promise<void> {
     this.stopping = true;
@@ -119,7 +121,6 @@
       for (const request of [...this.active]) request.abort('shutdown');
       clock.setTimer(DRAIN_TIMEOUT_MS, () => this.server.closeAllConnections());
     });
-    this.server.closeIdleConnections();
     await this.inFlight.waitUntilIdle();
     timer.cancel();
     this.server.closeAllConnections();
