Keep the evidence on requests that repeat when a host's reports are full

Reports are bounded by their runs alone now. Beyond the bound, runs whose suspects stand in no other crash go first, from the oldest crashes, then the oldest crashes.

--- a/packages/relay/src/quarantine-service.ts
+++ b/packages/relay/src/quarantine-service.ts
@@ -13,6 +13,7 @@
 import {RelayMetrics} from './metrics.js';
 import {
   countSuspicions,
+  CrashedRun,
   CrashEvidence,
   decideQuarantines,
   EVIDENCE_MS,
@@ -33,9 +34,6 @@
 /** Maximum number of suspects whose latest whole run is remembered. */
 const MAX_SOUND_SUSPECTS = 8192;
 
-/** Maximum number of crashes that a host reports. */
-const MAX_CRASHES = 64;
-
 /** Maximum number of runs that a host reports, over all crashes. */
 const MAX_REPORTED_RUNS = 256;
 
@@ -186,7 +184,6 @@
     const wallMsOf = (monotonicMs: number) =>
       this.wallMs() - (this.deps.clock.nowMs() - monotonicMs);
     const suspectRuns = runs
-      .slice(-MAX_RUNS)
       .map(({identity: {requestId, sharedParts, fingerprint}, sentMs}) => ({
         requestId,
         sentAtMs: wallMsOf(sentMs),
@@ -195,7 +192,8 @@
           ...this.listUnproven(sharedParts).slice(0, MAX_PARTS),
         ],
       }))
-      .filter(({suspects}) => suspects.length > 0);
+      .filter(({suspects}) => suspects.length > 0)
+      .slice(-MAX_RUNS);
     if (suspectRuns.length === 0) return;
     const {id, bornMs} = target.entry;
     const incarnation = `${id}/${bornMs ?? ''}`;
@@ -268,16 +266,23 @@
     return Math.max(knownMs, this.recent.find(suspect) ?? -Infinity);
   }
 
-  /** Drops crashes beyond the bounds, first the oldest that no quarantine is based on. */
+  /**
+   * Keeps the reported runs within their bound. Runs whose suspects stand in no other crash of any
+   * host go first, from the oldest crashes, then the oldest crashes.
+   */
   private limitCrashes(crashes: readonly TargetCrash[]): readonly TargetCrash[] {
-    const kept = [...crashes].sort((a, b) => a.atMs - b.atMs);
-    const isNeeded = ({runs}: TargetCrash) =>
-      this.quarantines.some(entry => runs.some(({suspects}) => isCovered(entry, suspects)));
-    const countRuns = () => kept.reduce((sum, {runs}) => sum + runs.length, 0);
-    while (kept.length > MAX_CRASHES || countRuns() > MAX_REPORTED_RUNS) {
-      const index = kept.findIndex(crash => !isNeeded(crash));
-      kept.splice(Math.max(0, index), 1);
-    }
+    let kept = [...crashes].sort((a, b) => a.atMs - b.atMs);
+    let excess = kept.reduce((sum, {runs}) => sum + runs.length, 0) - MAX_REPORTED_RUNS;
+    const isRepeated = ({suspects}: CrashedRun) =>
+      suspects.some(suspect => (this.suspicions.get(suspect) ?? 0) > 1);
+    kept = kept.map(crash => {
+      if (excess <= 0) return crash;
+      const runs = crash.runs.filter(isRepeated);
+      excess -= crash.runs.length - runs.length;
+      return {...crash, runs};
+    });
+    kept = kept.filter(({runs}) => runs.length > 0);
+    while (excess > 0) excess -= kept.shift()!.runs.length;
     return kept;
   }
 
