Count four crashes under one request whenever they fall

Found in review: a request that came to three hosts in the same moment ended three servers at a time, which counted as one, so that it was refused only after the third volley: 8 crashes and 6 late arrivals.

Four crashes are enough now also if they fall together. Three still count once, as a rack that fails under parallel runs of one request looks alike.

--- a/packages/relay/src/quarantine.ts
+++ b/packages/relay/src/quarantine.ts
@@ -91,6 +91,12 @@
 /** Number of crashes at distinct moments after which a request is taken to be their cause. */
 const MIN_REQUEST_CRASHES = 3;
 
+/**
+ * Number of crashes after which a request is taken to be their cause also if they fall together: it
+ * may come to many hosts at once.
+ */
+const MIN_SIMULTANEOUS_CRASHES = 4;
+
 /** Targets that fail within this time may have failed together. */
 const SAME_MOMENT_MS = 150;
 
@@ -149,7 +155,8 @@
   const quarantines: Quarantine[] = [];
   for (const [suspect, crashes] of groupBySuspect(suspected)) {
     if (!isRequestDigest(suspect)) continue;
-    if (countMoments(crashes, suspect) < MIN_REQUEST_CRASHES) continue;
+    const isSpread = countMoments(crashes, suspect) >= MIN_REQUEST_CRASHES;
+    if (!isSpread && crashes.length < MIN_SIMULTANEOUS_CRASHES) continue;
     quarantines.push(createQuarantine([suspect], crashes));
   }
   return quarantines;
