Remember whole requests for ten seconds beside larger bodies

Found in review: a host remembered 1 MiB of bodies, 1.3 s of 50 requests a second of 16 KiB, so that a sound request that had run whole 2 s before was refused after three crashes of other causes. It remembers 8 MiB and 4,096 requests now, which covers the ten seconds of decision 0018 at that rate.

--- a/packages/relay/src/recent-requests.ts
+++ b/packages/relay/src/recent-requests.ts
@@ -1,13 +1,13 @@
 import {bodyBytesOf, RequestDigest, RequestFingerprint} from './run-identity.js';
 
 /** Maximum number of requests that are remembered. */
-const MAX_REQUESTS = 2048;
+const MAX_REQUESTS = 4096;
 
 /** Maximum size of the bodies that are remembered, over all requests. */
-const MAX_TOTAL_BODY_BYTES = 1024 * 1024;
+const MAX_TOTAL_BODY_BYTES = 8 * 1024 * 1024;
 
 /** Maximum size of the body of a request that is remembered. */
-const MAX_BODY_BYTES = MAX_TOTAL_BODY_BYTES / 16;
+const MAX_BODY_BYTES = 64 * 1024;
 
 interface WholeRequest {
   readonly fingerprint: RequestFingerprint;
