Let more hosts probe a quarantine when the first one gets no request

Found in review: one host alone could probe, so that a sound request whose clients use another host stayed blocked until its evidence expired (60 s and more at two of three hosts). Twice as many hosts may probe after each 3 s without a probe, by which all hosts have heard of a crash.

--- a/packages/relay/src/quarantine-service.ts
+++ b/packages/relay/src/quarantine-service.ts
@@ -43,6 +43,12 @@
 /** Maximum number of parts of one run that a host reports. */
 const MAX_PARTS = 8;
 
+/**
+ * Time after which more hosts may probe a quarantine, as its requests may not come to the first ones.
+ * All hosts have heard of a crash by then.
+ */
+const PROBER_INTERVAL_MS = 3000;
+
 /** Maximum number of sound suspects that a host reports, newest first. */
 const MAX_REPORTED_SOUND = 256;
 
@@ -135,8 +141,8 @@
     const {requestId} = run;
     const key = quarantineKey(quarantine);
     if (this.probes.get(key) === requestId) return {type: 'probe', quarantine};
-    const isOver = this.wallMs() - quarantine.lastCrashMs >= quarantineMs(quarantine);
-    if (!isOver || this.probes.has(key) || !this.isProber(key)) {
+    const overMs = this.wallMs() - quarantine.lastCrashMs - quarantineMs(quarantine);
+    if (overMs < 0 || this.probes.has(key) || !this.isProber(key, overMs)) {
       return {type: 'refused', quarantine};
     }
     this.probes.set(key, requestId);
@@ -345,9 +351,11 @@
     this.knownKeys = keys;
   }
 
-  private isProber(key: string): boolean {
+  /** Whether this host may probe: one at first, then twice as many with each interval. */
+  private isProber(key: string, overMs: number): boolean {
     const hosts = this.deps.listHosts().map(id => ({id, weight: 1}));
-    return rankByKey(key, hosts)[0] === this.deps.hostId;
+    const probers = 2 ** Math.floor(overMs / PROBER_INTERVAL_MS);
+    return rankByKey(key, hosts).slice(0, probers).includes(this.deps.hostId);
   }
 }
 
