Leave the port of the host name out of a request's digest

Found in review: routes are found without the port of the Host field, but the digest had it, so that repeats by clients that name other ports had other digests.

--- a/packages/relay/src/route-table.ts
+++ b/packages/relay/src/route-table.ts
@@ -1,13 +1,18 @@
 import {RandomSource} from '@radishgw/core';
 import {RelayConfig, Route, ServiceName} from './model.js';
 
+/** The host name of a `Host` header, in lower case and without a port. */
+export function readHostName(hostHeader: string): string {
+  return hostHeader.toLowerCase().replace(/:\d+$/, '');
+}
+
 /** Finds the route of a host name with the longest path prefix that matches the path. */
 export function findRoute(
   config: RelayConfig,
   hostHeader: string,
   target: string,
 ): Route | undefined {
-  const host = hostHeader.toLowerCase().replace(/:\d+$/, '');
+  const host = readHostName(hostHeader);
   const path = target.split('?', 1)[0];
   let best: Route | undefined;
   for (const route of config.routes) {
--- a/packages/relay/src/run-identity.ts
+++ b/packages/relay/src/run-identity.ts
@@ -1,6 +1,7 @@
 import {createHmac} from 'node:crypto';
 import {Branded, RequestId, TeamId, toId} from '@radishgw/core';
 import {PromptPartId} from './model.js';
+import {readHostName} from './route-table.js';
 
 /**
  * Digest of what a client repeats when it sends a request again: its team, method, path and body.
@@ -52,7 +53,7 @@
 
 function computeDigest({team, method, host, path, body}: RequestContent): RequestDigest {
   const hash = createHmac('sha256', `radishgw request ${team ?? ''}`)
-    .update(JSON.stringify([method, host.toLowerCase(), path]))
+    .update(JSON.stringify([method, readHostName(host), path]))
     .update(body)
     .digest('base64url')
     .slice(0, DIGEST_LENGTH);
