Check for a crash when an answer ends with its connection

Such an end is checked like a lost connection now, and is a whole run only if the target goes on. Answers with a length or chunks aren't checked, as before.

--- a/packages/relay/src/serve-call.ts
+++ b/packages/relay/src/serve-call.ts
@@ -16,7 +16,7 @@
 } from './target-answer.js';
 import {waitForEvent} from './target-connections.js';
 import {PooledAttempt, PooledTarget} from './target-pool.js';
-import {awaitLossChecks, checkLoss, mayRun} from './suspect-runs.js';
+import {awaitLossChecks, checkLoss, mayRun, recordWholeRun} from './suspect-runs.js';
 import {sendToTarget, writeTargetRequest} from './target-request.js';
 import {recordLoad} from './target-state.js';
 import {waitForTarget} from './wait-for-target.js';
@@ -255,7 +255,9 @@
     return {type: 'retry', note: `status ${status}`, mayHaveRun: true};
   }
   sent.finish('finished');
-  if (status < MIN_SERVER_ERROR_STATUS) deps.quarantine.recordWhole(request.identity);
+  if (status < MIN_SERVER_ERROR_STATUS) {
+    recordWholeRun(deps, request, sent.target, answer.framing);
+  }
   return {type: 'final', note: `status ${status}`, answer};
 }
 
--- a/packages/relay/src/serve-stream.ts
+++ b/packages/relay/src/serve-stream.ts
@@ -24,7 +24,7 @@
   useReserved,
 } from './serve-outcome.js';
 import {releaseReturn, RunResult, StreamState} from './stream-state.js';
-import {awaitLossChecks, checkLoss, mayRun} from './suspect-runs.js';
+import {awaitLossChecks, checkLoss, mayRun, recordWholeRun} from './suspect-runs.js';
 import {SILENCE_CHECK_MS} from './target-answer.js';
 import {PooledTarget} from './target-pool.js';
 import {sendToTarget, writeTargetRequest} from './target-request.js';
@@ -407,19 +407,12 @@
 /** Records what the end of a run says about its engine and its request. */
 function* recordEnd(state: StreamState, target: PooledTarget, result: RunResult): Procedure<void> {
   const {deps, request} = state;
-  const {crashes, quarantine} = deps;
-  const {identity, progress} = request;
+  const {progress} = request;
   if (result.type === 'broken' && result.hasLostConnection) {
     checkLoss(deps, request, target);
     yield* awaitLossChecks(deps, request);
     return;
   }
   if (result.type !== 'done' || result.outcome.type !== 'streamed') return;
-  if (progress.streamEnd?.framing !== 'connection') quarantine.recordWhole(identity);
-  else if (quarantine.hasSuspects(identity)) {
-    // A crash between two events closes the connection as well.
-    void crashes.check(target).then(hasCrashed => {
-      if (!hasCrashed) quarantine.recordWhole(identity);
-    });
-  }
+  recordWholeRun(deps, request, target, progress.streamEnd!.framing);
 }
--- a/packages/relay/src/suspect-runs.ts
+++ b/packages/relay/src/suspect-runs.ts
@@ -1,4 +1,4 @@
-import {call, Procedure} from '@radishgw/core';
+import {BodyFraming, call, Procedure} from '@radishgw/core';
 import {AdmittedRequest, RelayDependencies} from './request-context.js';
 import {PooledTarget} from './target-pool.js';
 
@@ -32,6 +32,25 @@
   progress.lossChecks.push(check);
 }
 
+/**
+ * Records a run that has ended whole. If that closed the connection, its target may have crashed
+ * instead. Must be called while the run counts as in progress.
+ */
+export function recordWholeRun(
+  deps: RelayDependencies,
+  {identity}: AdmittedRequest,
+  target: PooledTarget,
+  framing: BodyFraming,
+): void {
+  if (framing !== 'connection') {
+    deps.quarantine.recordWhole(identity);
+    return;
+  }
+  void deps.crashes.check(target).then(hasCrashed => {
+    if (!hasCrashed) deps.quarantine.recordWhole(identity);
+  });
+}
+
 /** Waits for the checks of lost connections if another run depends on them. */
 export function* awaitLossChecks(
   deps: RelayDependencies,
--- a/packages/relay/src/target-answer.ts
+++ b/packages/relay/src/target-answer.ts
@@ -1,4 +1,12 @@
-import {AnswerBody, AnswerBuffer, BodyFields, call, Clock, Procedure} from '@radishgw/core';
+import {
+  AnswerBody,
+  AnswerBuffer,
+  BodyFields,
+  BodyFraming,
+  call,
+  Clock,
+  Procedure,
+} from '@radishgw/core';
 import {AnswerMeta, RawHeaders} from './model.js';
 import {AnswerHead, Attempt, AttemptEvent, waitForEvent} from './target-connections.js';
 
@@ -13,6 +21,7 @@
       readonly headers: RawHeaders;
       readonly meta: AnswerMeta;
       readonly body: Buffer;
+      readonly framing: BodyFraming;
     }
   | {readonly type: 'failed'; readonly wasSent: boolean; readonly detail: string}
   | {readonly type: 'silent'};
@@ -118,7 +127,8 @@
     const fault = this.body.findFault(event.framing);
     if (fault) return {type: 'failed', wasSent: true, detail: fault};
     const {status, headers, meta} = this.head;
-    return {type: 'answer', status, headers, meta, body: Buffer.concat(this.chunks)};
+    const body = Buffer.concat(this.chunks);
+    return {type: 'answer', status, headers, meta, body, framing: event.framing};
   }
 }
 
