Resume proven streams after two crashes

Found in review: a stream that ran whole on each host shortly before got 502 when two engines crashed under it for another reason, on a route with three attempts; before requests were suspected it was resumed. A request whose digest and prompt parts have a recent whole run on this host isn't held back by crashes under it.

--- a/packages/relay/src/quarantine-service.ts
+++ b/packages/relay/src/quarantine-service.ts
@@ -161,6 +161,11 @@
     return this.listUnproven(run.sharedParts).length > 0 || this.suspicionOf(run) > 0;
   }
 
+  /** Whether the run's digest or a part of its prompt has no recent whole run on this host. */
+  isUnproven({sharedParts, fingerprint}: RunIdentity): boolean {
+    return this.listUnproven([...sharedParts, fingerprint.digest]).length > 0;
+  }
+
   /** Highest number of crashes in which a suspect of the run was running. */
   suspicionOf(run: RunIdentity): number {
     if (this.suspicions.size === 0) return 0;
--- a/packages/relay/src/suspect-runs.ts
+++ b/packages/relay/src/suspect-runs.ts
@@ -13,7 +13,9 @@
   const admission = deps.quarantine.admit(identity);
   if (admission.type === 'refused') return false;
   if (progress.crashCount === 0) return true;
-  if (admission.type === 'probe' || progress.crashCount >= MAX_CRASHES) return false;
+  if (admission.type === 'probe') return false;
+  if (!deps.quarantine.isUnproven(identity)) return true;
+  if (progress.crashCount >= MAX_CRASHES) return false;
   return deps.quarantine.suspicionOf(identity) < MAX_CRASHES;
 }
 
