Release the probe of a request whose client leaves during admission

Found in review: a request that was chosen to probe a quarantine and was cancelled while its quota was taken kept its place, so that this host let no other one try.

--- a/packages/relay/src/serve-request.ts
+++ b/packages/relay/src/serve-request.ts
@@ -38,19 +38,18 @@
 
 /** Serves one request from its head to its final answer. */
 export function* serveRequest(deps: RelayDependencies, exchange: ClientExchange): Procedure<void> {
-  let admitted: AdmittedRequest | RefusedRequest;
+  let admitted: AdmittedRequest | RefusedRequest | undefined;
   try {
     admitted = yield* admit(deps, exchange);
   } catch (error) {
     logFault(deps, undefined, error);
     admitted = refuse('internalError');
+  } finally {
+    // Its client may have left meanwhile, which cancels the procedure.
+    if (!admitted || 'type' in admitted) releaseProbe(deps, exchange);
   }
-  if ('type' in admitted) {
-    finish(deps, exchange, undefined, admitted);
-    releaseProbe(deps, exchange);
-    return;
-  }
-  yield* serveAdmitted(deps, admitted);
+  if ('type' in admitted) finish(deps, exchange, undefined, admitted);
+  else yield* serveAdmitted(deps, admitted);
 }
 
 function* serveAdmitted(deps: RelayDependencies, request: AdmittedRequest): Procedure<void> {
