--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -52,7 +52,7 @@
   quotaFallback: {number: 1820, level: 'warn', text: 'quota decided without its owner'},
   leaseAcquired: {number: 1830, level: 'info', text: 'fleet lease acquired'},
   leaseLost: {number: 1831, level: 'warn', text: 'fleet lease lost'},
-  engineCrashed: {number: 1850, level: 'warn', text: 'engine crashed with runs in progress'},
+  targetCrashed: {number: 1850, level: 'warn', text: 'target crashed with runs in progress'},
   promptQuarantined: {
     number: 1851,
     level: 'error',
@@ -60,6 +60,13 @@
   },
   promptQuarantineEnded: {number: 1852, level: 'info', text: 'prompt parts are served again'},
   promptProbed: {number: 1853, level: 'info', text: 'request tries quarantined prompt parts'},
+  requestQuarantined: {
+    number: 1854,
+    level: 'error',
+    text: 'request crashes targets and is refused',
+  },
+  requestQuarantineEnded: {number: 1855, level: 'info', text: 'request is served again'},
+  requestProbed: {number: 1856, level: 'info', text: 'quarantined request is tried'},
   configLost: {
     number: 1204,
     level: 'warn',
--- /dev/null
+++ b/packages/relay/src/client-connections.ts
@@ -0,0 +1,69 @@
+import {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {Server as NetServer, Socket} from 'node:net';
+
+/** The requests on a connection whose answers haven't been sent completely. */
+interface ConnectionState {
+  requestCount: number;
+  /** Resolves when the latest of them has been answered. */
+  latestAnswered: Promise<void>;
+}
+
+/** Tracks the requests in progress on each connection of clients. */
+export class ClientConnections {
+  private readonly connections = new Map<Socket, ConnectionState>();
+  private isAccepting = true;
+
+  constructor(private readonly server: Server) {
+    server.on('connection', (socket: Socket) => {
+      this.connections.set(socket, {requestCount: 0, latestAnswered: Promise.resolve()});
+      socket.once('close', () => this.connections.delete(socket));
+    });
+  }
+
+  /** Number of requests whose answers haven't been sent completely. */
+  get requestCount(): number {
+    let sum = 0;
+    for (const {requestCount} of this.connections.values()) sum += requestCount;
+    return sum;
+  }
+
+  /**
+   * Counts a request until its answer has been sent or its connection is closed. Resolves when the
+   * answers to earlier requests on the connection have been sent, with false if it is closed then:
+   * the request mustn't be served, as it can't be answered.
+   */
+  async begin({socket}: IncomingMessage, response: ServerResponse): Promise<boolean> {
+    const connection = this.connections.get(socket);
+    if (!connection) return false;
+    const {latestAnswered: earlierAnswered} = connection;
+    const hasEarlier = connection.requestCount++ > 0;
+    connection.latestAnswered = new Promise(resolve => {
+      response.once('close', resolve);
+      if (hasEarlier) socket.once('close', () => resolve());
+    });
+    response.once('close', () => {
+      connection.requestCount--;
+      if (!this.isAccepting && connection.requestCount === 0) this.close(socket);
+    });
+    if (hasEarlier) await earlierAnswered;
+    return this.connections.has(socket) && socket.writable;
+  }
+
+  /**
+   * Stops accepting connections; closes the idle ones, and the others once they are idle, as their
+   * clients may not know that the host stops. `Server.close` and `closeIdleConnections` of Node.js 20
+   * would also close those whose answers still wait for a client to read them.
+   */
+  stopAccepting(): void {
+    this.isAccepting = false;
+    NetServer.prototype.close.call(this.server);
+    for (const [socket, {requestCount}] of this.connections) {
+      if (requestCount === 0) this.close(socket);
+    }
+  }
+
+  private close(socket: Socket): void {
+    this.connections.delete(socket);
+    socket.destroySoon();
+  }
+}
--- a/packages/relay/src/serve-request.ts
+++ b/packages/relay/src/serve-request.ts
@@ -3,10 +3,11 @@
 import {configAgeMs, isConfigFresh} from './config-view.js';
 import {maxElapsedMs, readInstant} from './instant.js';
 import {RelayConfig, RequestMeta, Route, Team} from './model.js';
-import {sharedPartIds} from './prompt-quarantine.js';
+import {sharedPartIds} from './quarantine.js';
 import {RefusalName, REFUSALS, writeRefusal} from './refusals.js';
 import {AdmittedRequest, RelayDependencies, RequestProgress} from './request-context.js';
 import {chooseService, findRoute} from './route-table.js';
+import {RequestFingerprint, RunIdentity} from './run-identity.js';
 import {serveCall} from './serve-call.js';
 import {ServeOutcome} from './serve-outcome.js';
 import {serveStream} from './serve-stream.js';
@@ -140,10 +141,11 @@
   if (deps.isTooLateToServe(deadlineAtMs)) return refuse('stopping');
   const service = chooseService(route, deps.random);
   if (!service || !config.services.has(service)) return refuse('noTarget');
-  const sharedParts = sharedPartIds(meta.promptParts);
-  const admission = deps.quarantine.admit(meta.requestId, sharedParts);
+  const admittedTeam = team === 'anonymous' ? undefined : team;
+  const identity = identifyRun(exchange, meta, admittedTeam);
+  const admission = deps.quarantine.admit(identity);
   if (admission.type === 'refused') {
-    return {...refuse('promptQuarantined'), inputs: {quarantine: admission.quarantine}};
+    return {...refuse('quarantined'), inputs: {quarantine: admission.quarantine}};
   }
   deps.demand.record(service, meta.promptTokens ?? 0, deps.clock.nowMs());
   const quotaRefusal = yield* takeRequestQuota(deps, team, meta);
@@ -151,10 +153,10 @@
   return {
     exchange,
     meta,
-    sharedParts,
+    identity,
     route,
     service,
-    team: team === 'anonymous' ? undefined : team,
+    team: admittedTeam,
     urgency: team === 'anonymous' ? route.priority : (team.priority ?? route.priority),
     deadlineAtMs,
     progress: new RequestProgress(),
@@ -163,6 +165,18 @@
   };
 }
 
+function identifyRun(
+  {method, host, path, body}: ClientExchange,
+  {requestId, promptParts}: RequestMeta,
+  team: Team | undefined,
+): RunIdentity {
+  return {
+    requestId,
+    sharedParts: sharedPartIds(promptParts),
+    fingerprint: new RequestFingerprint({team: team?.id, method, host, path, body}),
+  };
+}
+
 function refuse(refusal: RefusalName): RefusedRequest {
   return {type: 'refused', refusal};
 }
