Show that requests sent ahead stay in flight at a gateway when their caller leaves

Callers: a host refuses all with too_many_requests_in_flight once such requests have taken its places, and a stop waits for them without end, beyond its time limit.

Cause: a request is in flight until its response emits close. Node.js 20 emits it only for the response that is being written; those queued behind it on a closed connection get no event. Found as a test of a stop didn't end.

--- a/packages/gateway/test/caller-server.test.ts
+++ b/packages/gateway/test/caller-server.test.ts
@@ -1,11 +1,12 @@
 import {once} from 'node:events';
 import {AddressInfo, connect, Socket} from 'node:net';
 import {issueKey} from '@radishgw/config';
-import {createHandlers, createSystemRandom, KeyId, SystemClock, toId} from '@radishgw/core';
+import {createHandlers, createSystemRandom, KeyId, sleep, SystemClock, toId} from '@radishgw/core';
 import {expect} from 'chai';
 import {CallerServer, CallerServices} from '../src/caller/caller-server.js';
 import {DecisionLog} from '../src/operator/decision-log.js';
 import {Metrics} from '../src/operator/metrics.js';
+import {Refusal} from '../src/request/refusal.js';
 
 /** More than the buffers of both sockets hold. */
 const LARGE_ANSWER_BYTES = 16 * 1024 * 1024;
@@ -14,6 +15,19 @@
 const AFTER_GRACE_MS = 800;
 const STOP_TIMEOUT_MS = 5000;
 
+/** Time after which a call to the route of {@link CallerServerFixture} is refused. */
+const ROUTE_MS = 400;
+
+const ROUTE = {
+  routeId: 'slow',
+  method: 'GET',
+  path: '/slow',
+  pool: 'slow',
+  idempotent: true,
+  access: 'open',
+  costTokens: 0,
+};
+
 /** A server whose `GET /v1/entry` has an answer of {@link LARGE_ANSWER_BYTES} at least. */
 class CallerServerFixture {
   readonly clock = new SystemClock();
@@ -34,13 +48,19 @@
     maxBodyBytes: 1000,
     tls: undefined,
     config: {
-      getRoutes: () => [],
+      getRoutes: () => [ROUTE],
       findTeamByKey: () => ({
         teamId: 'team',
         keys: [this.key.record],
         parameters: {maxInFlight: 10},
       }),
     },
+    dispatcher: {
+      *acquire() {
+        yield* sleep(ROUTE_MS);
+        throw new Refusal('targetFailed', 'no target');
+      },
+    },
     checkFreshness: () => undefined,
     listEntryHosts: () => ({hosts: ['x'.repeat(LARGE_ANSWER_BYTES)], maxAgeMs: 1000}),
   } as unknown as CallerServices);
@@ -54,8 +74,8 @@
     return socket;
   }
 
-  formatRequest(): string {
-    return `GET /v1/entry HTTP/1.1\r\nhost: x\r\nauthorization: Bearer ${this.key.text}\r\n\r\n`;
+  formatRequest(path: string): string {
+    return `GET ${path} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer ${this.key.text}\r\n\r\n`;
   }
 
   /** Waits until this number of answers have been handed to their connections. */
@@ -76,7 +96,7 @@
     const fixture = new CallerServerFixture();
     const socket = await fixture.open();
     socket.pause();
-    socket.write(fixture.formatRequest());
+    socket.write(fixture.formatRequest('/v1/entry'));
     await fixture.waitForFinished(1);
     const stopped = fixture.callerServer.stop(STOP_TIMEOUT_MS);
     await fixture.sleep(AFTER_GRACE_MS);
@@ -87,4 +107,17 @@
     await stopped;
     expect(receivedBytes).to.be.above(LARGE_ANSWER_BYTES);
   });
+
+  it('frees the places of requests that were sent ahead when their caller leaves', async () => {
+    // Guards against requests that stay in flight for good, so that the host is full or never stops.
+    const fixture = new CallerServerFixture();
+    const socket = await fixture.open();
+    socket.write(fixture.formatRequest('/slow').repeat(3));
+    await fixture.sleep(ROUTE_MS / 2);
+    expect(fixture.callerServer.getInFlight()).to.equal(3);
+    socket.destroy();
+    await fixture.sleep(2 * ROUTE_MS);
+    expect(fixture.callerServer.getInFlight()).to.equal(0);
+    await fixture.callerServer.stop(STOP_TIMEOUT_MS);
+  });
 });
