--- a/packages/relay/test/request-evidence.test.ts
+++ b/packages/relay/test/request-evidence.test.ts
@@ -180,6 +180,35 @@
     expect(decideQuarantines([...volley(1000), ...volley(5000)], 5100)).to.have.length(1);
   });
 
+  it('keeps parts of prompts proven beside many calls with bodies of a suspected size', () => {
+    const prompt = () => makeIdentity(toId<RequestId>(`r-${count++}`), ['part'], 'a prompt');
+    services[0].recordWhole(prompt());
+    crash(0, repeat('suspected'));
+    for (let i = 0; i < 9000; i++) {
+      clock.advance(5);
+      services[0].recordWhole(repeat(`call ${i}`.padEnd('suspected'.length)));
+    }
+    expect(services[0].hasSuspects(prompt())).to.equal(false);
+  });
+
+  for (const bodyBytes of [0, 100, 100_000]) {
+    it(`clears a rare request of ${bodyBytes} bytes by each third run, which is whole`, async () => {
+      const rare = () => repeat('x'.repeat(bodyBytes));
+      for (let i = 0; i < 12; i++) {
+        const host = i % 2;
+        const run = rare();
+        expect(services[host].admit(run).type, `run ${i}`).to.equal('allowed');
+        if (i % 3 === 2) services[host].recordWhole(run);
+        else crash(host, run);
+        services[host].release(run.requestId);
+        for (let j = 0; j < 15; j++) {
+          clock.advance(500);
+          await share();
+        }
+      }
+    });
+  }
+
   it('does not depend on the port in the name of the host that a client asks for', () => {
     const digests = ['a.example:8068', 'a.example:8069', 'A.example'].map(host => {
       const content = {team: undefined, method: 'POST', host, path: '/x', body: Buffer.from('b')};
