Keep prompt parts proven beside calls with bodies of a suspected size

Found in review: the whole runs of all calls with a body of a suspected size, such as all without a body, took places among the 8,192 suspects whose latest whole run is remembered, and pushed out prompt parts, which counted as unproven after 45 s instead of 60 s. Only digests that are suspected take a place now; the others are found among the latest requests.

--- a/packages/relay/src/quarantine-service.ts
+++ b/packages/relay/src/quarantine-service.ts
@@ -179,6 +179,8 @@
     this.recent.add(run.fingerprint, nowMs);
     let isNews = false;
     for (const suspect of this.identify(run)) {
+      // Requests that nobody suspects would push parts of prompts out.
+      if (isRequestDigest(suspect) && !this.suspicions.has(suspect)) continue;
       this.soundMs.delete(suspect);
       this.soundMs.set(suspect, nowMs);
       isNews ||= this.suspicions.has(suspect);
