Free the places of requests that were sent ahead when their caller leaves

Callers: a host of the own interface refused all with too_many_requests_in_flight once such requests had taken its places, and a stop waited for them beyond its time limit.

Cause: a request was in flight until its response emitted close, which Node.js 20 emits only for the response that its connection is writing. The close of the connection counts as well now.

--- a/packages/gateway/src/caller/caller-server.ts
+++ b/packages/gateway/src/caller/caller-server.ts
@@ -174,12 +174,17 @@
     this.active.add(active);
     const deadline = clock.setTimer(context.deadlineMs - clock.nowMs(), () => abort('deadline'));
     const closed = new Promise<void>(resolve => {
-      response.once('close', () => {
+      const {socket} = request;
+      const onClosed = () => {
+        socket.off('close', onClosed);
         // A complete response may emit `close` a microtask before `finished` is set.
         const isComplete = finished || response.writableFinished;
         if (!isComplete && !context.continuesAfterDisconnect) abort('closed');
         resolve();
-      });
+      };
+      response.once('close', onClosed);
+      // Node.js 20 emits no event for a response that waits for an earlier one on its connection.
+      socket.once('close', onClosed);
     });
     const run = refusal ? createRefusingEndpoint(() => refusal) : endpoint;
     const task = startTask(run(this.services, this.inFlight, context), handlers);
