Remove listeners for requests that were sent ahead with their answers

Each request that waited for an earlier one on its connection left a listener on the socket until that was closed. Found by reading; the tests of requests that are sent ahead pass.

--- a/packages/relay/src/client-connections.ts
+++ b/packages/relay/src/client-connections.ts
@@ -38,8 +38,13 @@
     const {latestAnswered: earlierAnswered} = connection;
     const hasEarlier = connection.requestCount++ > 0;
     connection.latestAnswered = new Promise(resolve => {
-      response.once('close', resolve);
-      if (hasEarlier) socket.once('close', () => resolve());
+      const settle = () => {
+        socket.off('close', settle);
+        resolve();
+      };
+      response.once('close', settle);
+      // Node.js 20 emits no event for a response that waits for an earlier one on its connection.
+      socket.once('close', settle);
     });
     response.once('close', () => {
       connection.requestCount--;
