Grant nothing from a list that may lack hosts after a copy

A host that started again right after the store had come back from a copy without its records granted a team's whole rate for about a second beside the owner.

Now a record of an era before the current one shows that the store came back from a copy. A host that starts then believes that its list is complete 3.5 s after its first read, as an owner whose record was lost has written again or its ownership has ended by then; or at once if the list has a host that has run in this era for that long. Until then it grants nothing by itself, and owns a team only after a hand-over.

The new test of stops and starts in turn after a copy refuses nothing, before the change too.

--- a/packages/relay/src/quota-client.ts
+++ b/packages/relay/src/quota-client.ts
@@ -176,9 +176,9 @@
     this.inherited.set(team, {cost, atMs: this.deps.clock.nowMs()});
   }
 
-  /** Records that the list of hosts was current in the store at `readMs`. */
-  confirmList(readMs: number): void {
-    this.ownership.confirmList(readMs, this.deps.clock.nowMs());
+  /** Records that the list of hosts was current at `readMs`, in an era of the store. */
+  confirmList(readMs: number, era = 0): void {
+    this.ownership.confirmList(readMs, this.deps.clock.nowMs(), era);
   }
 
   /** Records that the store accepted this host's record, which was sent at `sentAt`. */
@@ -364,6 +364,7 @@
    */
   private recordUndecided(right: QuotaRight): void {
     const now = readInstant(this.deps.clock);
+    if (!this.ownership.isComplete(now.monotonicMs)) return;
     const isNew = now.monotonicMs - this.startMs < TAKEOVER_MS;
     if (isNew && this.ownership.areOthersNew) return;
     if (!this.ownership.isListOld(now.monotonicMs)) right.grantedAt = now;
@@ -374,7 +375,10 @@
     const {bounds, clock} = this.deps;
     const nowMs = clock.nowMs();
     const hostCount = this.ownership.recentHosts(nowMs).size;
-    if (hostCount === 0) return {granted: false, retryAfterMs: MAX_SILENCE_RETRY_MS};
+    // Shares of a number of hosts that is too low add up to more than the limit.
+    if (hostCount === 0 || !this.ownership.isComplete(nowMs)) {
+      return {granted: false, retryAfterMs: MAX_SILENCE_RETRY_MS};
+    }
     const delayMs = this.separationDelayMs(right);
     const inputs = {hostCount, bounds, isSeparate: delayMs === 0};
     const answer = takeOwnShare(this.ownShares, team, cost, inputs, nowMs);
--- a/packages/relay/src/quota-ownership.ts
+++ b/packages/relay/src/quota-ownership.ts
@@ -1,7 +1,14 @@
 import {HostId, TeamId} from '@radishgw/core';
 import {Instant, maxElapsedMs} from './instant.js';
 import {findMostCapable, HostRecord} from './host-registry.js';
-import {LIST_VALIDITY_MS, OWNERSHIP_VALIDITY_MS, RIGHT_MS, TAKEOVER_MS} from './quota-times.js';
+import {
+  COMPLETION_MS,
+  LIST_VALIDITY_MS,
+  MIN_SETTLED_BEAT,
+  OWNERSHIP_VALIDITY_MS,
+  RIGHT_MS,
+  TAKEOVER_MS,
+} from './quota-times.js';
 
 /** Time for which the set of recent hosts is kept; the hosts leave it later than they have to. */
 const RECENT_HOSTS_MS = 500;
@@ -49,6 +56,13 @@
   /** Whether there was a gap, in which another host may have become the owner. */
   private hadGap = false;
   private recent: {readonly atMs: number; readonly hosts: ReadonlySet<HostId>} | undefined;
+  /** Era of the store in which this host has started; undefined before its first list. */
+  private era: number | undefined;
+  private firstReadMs = -Infinity;
+  /** Whether the store came back from a copy, which may lack hosts that haven't written again. */
+  private mayLackHosts = false;
+  /** Whether all hosts have had time to write their records since the store came back. */
+  private isSettled = false;
 
   constructor(private readonly self: HostId) {}
 
@@ -68,17 +82,23 @@
       if (nowMs - untilMs >= RIGHT_MS) this.listedUntilMs.delete(hostId);
     }
     // A record of an earlier era may be an old one that a copy of the store has brought back.
-    const era = Math.max(0, ...hosts.map(host => host.era ?? 0));
+    const era = Math.max(this.era ?? 0, ...hosts.map(host => host.era ?? 0));
     const areOthersNew = hosts.every(
       host => host.hostId === this.self || (isNew(host) && (host.era ?? 0) === era),
     );
     this.lists = [{hosts, sinceMs: nowMs, areOthersNew}, ...this.lists].slice(0, MAX_HOST_LISTS);
     this.recent = undefined;
+    this.judgeCompleteness();
     for (const [team, choice] of this.choices) this.renewChoice(team, choice);
   }
 
-  /** Records that the list of hosts was current in the store at `readMs`. */
-  confirmList(readMs: number, nowMs: number): void {
+  /** Records that the list of hosts was current at `readMs`, in an era of the store. */
+  confirmList(readMs: number, nowMs: number, era = 0): void {
+    if (this.era === undefined || (era > this.era && !this.isComplete(nowMs))) {
+      this.era = era;
+      this.firstReadMs = readMs;
+      this.judgeCompleteness();
+    }
     if (readMs - this.listReadMs >= LIST_VALIDITY_MS) {
       if (this.listReadMs > -Infinity) this.hadGap = true;
       this.validSinceMs = nowMs;
@@ -86,6 +106,11 @@
     this.listReadMs = readMs;
   }
 
+  /** Whether the list of hosts has all that may be the owner of a team. */
+  isComplete(nowMs: number): boolean {
+    return nowMs >= this.completeMs;
+  }
+
   /** Records that the store accepted this host's record, which was sent at `sentAt`. */
   confirmRecord(sentAt: Instant, now: Instant): void {
     const {confirmedAt} = this;
@@ -150,18 +175,36 @@
     let held = this.held.get(team);
     if (held && held.validSinceMs === validSinceMs && held.sinceMs >= choice.sinceMs) return held;
     const hadGap = this.hadGap && choice.sinceMs <= validSinceMs;
-    const isStart = choice.areOthersNew && !hadGap;
-    const isHandedOver = choice.previous?.hostId === this.handedOver.get(team);
-    const mustWait = !isStart && (hadGap || (choice.previous && !isHandedOver));
+    const {previous} = choice;
+    const {completeMs} = this;
+    const wasComplete = choice.sinceMs >= completeMs;
+    const isStart = choice.areOthersNew && !hadGap && wasComplete;
+    const isHandedOver = previous !== undefined && previous.hostId === this.handedOver.get(team);
+    const hasUnknown = previous !== undefined || !wasComplete;
+    const mustWait = !isStart && (hadGap || (hasUnknown && !isHandedOver));
     // At the start nobody else can have granted since the choice.
     const chosenMs = isStart ? choice.sinceMs : Math.max(choice.sinceMs, validSinceMs);
-    const sinceMs = chosenMs + (mustWait ? TAKEOVER_MS : 0);
+    const sinceMs = mustWait ? Math.max(chosenMs + TAKEOVER_MS, completeMs) : chosenMs;
     if (now.monotonicMs < sinceMs) return undefined;
     held = {sinceMs, hasPredecessor: !isStart, validSinceMs};
     this.held.set(team, held);
     return held;
   }
 
+  private get completeMs(): number {
+    return this.mayLackHosts && !this.isSettled ? this.firstReadMs + COMPLETION_MS : -Infinity;
+  }
+
+  private judgeCompleteness(): void {
+    const {era} = this;
+    if (era === undefined) return;
+    // A host that has started in an earlier era shows that the store came back from a copy.
+    this.mayLackHosts ||= this.hosts.some(host => host.era !== undefined && host.era < era);
+    this.isSettled ||= this.hosts.some(
+      host => host.era !== undefined && host.era >= era && host.beat >= MIN_SETTLED_BEAT,
+    );
+  }
+
   private findChoice(team: TeamId): Choice | undefined {
     const known = this.choices.get(team);
     if (known || this.lists.length === 0) return known;
--- a/packages/relay/src/quota-times.ts
+++ b/packages/relay/src/quota-times.ts
@@ -1,4 +1,4 @@
-import {HOST_TIMEOUT_MS} from './host-registry.js';
+import {HEARTBEAT_INTERVAL_MS, HOST_TIMEOUT_MS} from './host-registry.js';
 
 /**
  * Time for which an owner may grant quota after it sent the latest record that the store accepted.
@@ -38,3 +38,16 @@
  * renewed it for a while.
  */
 export const INHERITED_MS = RESERVED_MS + LIST_VALIDITY_MS;
+
+/**
+ * Time after a host's first read of a store that came back from a copy in which its list may lack
+ * hosts. An owner whose record the copy has lost has written another one by then, or its ownership
+ * has ended.
+ */
+export const COMPLETION_MS = HOST_TIMEOUT_MS;
+
+/**
+ * A host with this beat started at least {@link COMPLETION_MS} before: hosts write twice in a
+ * heartbeat interval at most, and a few times more when they stop.
+ */
+export const MIN_SETTLED_BEAT = 2 * Math.ceil(COMPLETION_MS / HEARTBEAT_INTERVAL_MS) + 2;
--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -418,7 +418,7 @@
     const possible = this.listPossible();
     // All hosts appear lost while records can't be written; the previous list is more accurate.
     if (possible.length === 0) return;
-    this.quota.confirmList(this.duties.lastReadMs);
+    this.quota.confirmList(this.duties.lastReadMs, this.registry.era);
     const ready = this.listReady();
     const ids = [possible, ready]
       .map(hosts => hosts.map(formatIncarnation).sort().join(' '))
--- a/packages/relay/test/quota-cuts.test.ts
+++ b/packages/relay/test/quota-cuts.test.ts
@@ -134,6 +134,25 @@
     expect(fleet.refusedCount).to.equal(0);
   });
 
+  it('refuses nothing of a team well below its rate while hosts stop and start in turn after a copy of the store', async () => {
+    // Guards against hosts that distrust a complete list because the store has come back once.
+    const startMs = 18_000;
+    const fleet = new QuotaCuts(HOSTS, team, 1);
+    await fleet.runUntil(9000);
+    fleet.comeBack(fleet.takeCopy(), 1000);
+    await fleet.runUntil(startMs);
+    const costPerSend = (0.6 * RATE * SEND_INTERVAL_MS) / 1000;
+    for (let nowMs = startMs; nowMs < startMs + DURATION_MS; nowMs += SEND_INTERVAL_MS) {
+      await fleet.runUntil(nowMs);
+      if ((nowMs - startMs) % 5000 === 0) {
+        fleet.stop(fleet.hostIds[((nowMs - startMs) / 5000) % HOSTS], 3000);
+      }
+      const serving = fleet.hostIds.filter(id => fleet.hosts.get(id)!.serves);
+      fleet.send(serving[fleet.nextInt(serving.length)], costPerSend);
+    }
+    expect(fleet.refusedCount).to.equal(0);
+  });
+
   it('grants a share to hosts that are cut off, and the rest to the others', async () => {
     // Guards against refusals of all requests at hosts that are cut off.
     const fleet = new QuotaCuts(HOSTS, team, 1);
--- a/packages/relay/test/quota-fleet.ts
+++ b/packages/relay/test/quota-fleet.ts
@@ -274,7 +274,7 @@
       .sort()
       .join();
     if (possible.length === 0) return;
-    host.client.confirmList(host.lastReadMs);
+    host.client.confirmList(host.lastReadMs, this.era);
     if (ids === host.knownHosts) return;
     host.knownHosts = ids;
     host.client.setHosts(possible);
