--- a/packages/gateway/src/caller/caller-server.ts
+++ b/packages/gateway/src/caller/caller-server.ts
@@ -107,6 +107,8 @@
   /**
    * Stops gracefully: accepts no new connections, serves requests on open ones for a short time
    * with `connection: close`, and waits up to `timeoutMs` milliseconds for requests in flight.
+   * Idle connections are closed at the end, as Node.js 20 counts those as idle whose responses still
+   * wait for their callers to read them.
    */
   async stop(timeoutMs: number): Promise<void> {
     this.stopping = true;
@@ -119,7 +121,6 @@
       for (const request of [...this.active]) request.abort('shutdown');
       clock.setTimer(DRAIN_TIMEOUT_MS, () => this.server.closeAllConnections());
     });
-    this.server.closeIdleConnections();
     await this.inFlight.waitUntilIdle();
     timer.cancel();
     this.server.closeAllConnections();
@@ -173,12 +174,17 @@
     this.active.add(active);
     const deadline = clock.setTimer(context.deadlineMs - clock.nowMs(), () => abort('deadline'));
     const closed = new Promise<void>(resolve => {
-      response.once('close', () => {
+      const {socket} = request;
+      const onClosed = () => {
+        socket.off('close', onClosed);
         // A complete response may emit `close` a microtask before `finished` is set.
         const isComplete = finished || response.writableFinished;
         if (!isComplete && !context.continuesAfterDisconnect) abort('closed');
         resolve();
-      });
+      };
+      response.once('close', onClosed);
+      // Node.js 20 emits no event for a response that waits for an earlier one on its connection.
+      socket.once('close', onClosed);
     });
     const run = refusal ? createRefusingEndpoint(() => refusal) : endpoint;
     const task = startTask(run(this.services, this.inFlight, context), handlers);
--- a/packages/relay/src/quarantine-service.ts
+++ b/packages/relay/src/quarantine-service.ts
@@ -13,6 +13,7 @@
 import {RelayMetrics} from './metrics.js';
 import {
   countSuspicions,
+  CrashedRun,
   CrashEvidence,
   decideQuarantines,
   EVIDENCE_MS,
@@ -33,9 +34,6 @@
 /** Maximum number of suspects whose latest whole run is remembered. */
 const MAX_SOUND_SUSPECTS = 8192;
 
-/** Maximum number of crashes that a host reports. */
-const MAX_CRASHES = 64;
-
 /** Maximum number of runs that a host reports, over all crashes. */
 const MAX_REPORTED_RUNS = 256;
 
@@ -45,6 +43,12 @@
 /** Maximum number of parts of one run that a host reports. */
 const MAX_PARTS = 8;
 
+/**
+ * Time after which more hosts may probe a quarantine, as its requests may not come to the first ones.
+ * All hosts have heard of a crash by then.
+ */
+const PROBER_INTERVAL_MS = 3000;
+
 /** Maximum number of sound suspects that a host reports, newest first. */
 const MAX_REPORTED_SOUND = 256;
 
@@ -137,8 +141,8 @@
     const {requestId} = run;
     const key = quarantineKey(quarantine);
     if (this.probes.get(key) === requestId) return {type: 'probe', quarantine};
-    const isOver = this.wallMs() - quarantine.lastCrashMs >= quarantineMs(quarantine);
-    if (!isOver || this.probes.has(key) || !this.isProber(key)) {
+    const overMs = this.wallMs() - quarantine.lastCrashMs - quarantineMs(quarantine);
+    if (overMs < 0 || this.probes.has(key) || !this.isProber(key, overMs)) {
       return {type: 'refused', quarantine};
     }
     this.probes.set(key, requestId);
@@ -157,6 +161,11 @@
     return this.listUnproven(run.sharedParts).length > 0 || this.suspicionOf(run) > 0;
   }
 
+  /** Whether the run's digest or a part of its prompt has no recent whole run on this host. */
+  isUnproven({sharedParts, fingerprint}: RunIdentity): boolean {
+    return this.listUnproven([...sharedParts, fingerprint.digest]).length > 0;
+  }
+
   /** Highest number of crashes in which a suspect of the run was running. */
   suspicionOf(run: RunIdentity): number {
     if (this.suspicions.size === 0) return 0;
@@ -170,6 +179,8 @@
     this.recent.add(run.fingerprint, nowMs);
     let isNews = false;
     for (const suspect of this.identify(run)) {
+      // Requests that nobody suspects would push parts of prompts out.
+      if (isRequestDigest(suspect) && !this.suspicions.has(suspect)) continue;
       this.soundMs.delete(suspect);
       this.soundMs.set(suspect, nowMs);
       isNews ||= this.suspicions.has(suspect);
@@ -186,7 +197,6 @@
     const wallMsOf = (monotonicMs: number) =>
       this.wallMs() - (this.deps.clock.nowMs() - monotonicMs);
     const suspectRuns = runs
-      .slice(-MAX_RUNS)
       .map(({identity: {requestId, sharedParts, fingerprint}, sentMs}) => ({
         requestId,
         sentAtMs: wallMsOf(sentMs),
@@ -195,7 +205,8 @@
           ...this.listUnproven(sharedParts).slice(0, MAX_PARTS),
         ],
       }))
-      .filter(({suspects}) => suspects.length > 0);
+      .filter(({suspects}) => suspects.length > 0)
+      .slice(-MAX_RUNS);
     if (suspectRuns.length === 0) return;
     const {id, bornMs} = target.entry;
     const incarnation = `${id}/${bornMs ?? ''}`;
@@ -268,16 +279,23 @@
     return Math.max(knownMs, this.recent.find(suspect) ?? -Infinity);
   }
 
-  /** Drops crashes beyond the bounds, first the oldest that no quarantine is based on. */
+  /**
+   * Keeps the reported runs within their bound. Runs whose suspects stand in no other crash of any
+   * host go first, from the oldest crashes, then the oldest crashes.
+   */
   private limitCrashes(crashes: readonly TargetCrash[]): readonly TargetCrash[] {
-    const kept = [...crashes].sort((a, b) => a.atMs - b.atMs);
-    const isNeeded = ({runs}: TargetCrash) =>
-      this.quarantines.some(entry => runs.some(({suspects}) => isCovered(entry, suspects)));
-    const countRuns = () => kept.reduce((sum, {runs}) => sum + runs.length, 0);
-    while (kept.length > MAX_CRASHES || countRuns() > MAX_REPORTED_RUNS) {
-      const index = kept.findIndex(crash => !isNeeded(crash));
-      kept.splice(Math.max(0, index), 1);
-    }
+    let kept = [...crashes].sort((a, b) => a.atMs - b.atMs);
+    let excess = kept.reduce((sum, {runs}) => sum + runs.length, 0) - MAX_REPORTED_RUNS;
+    const isRepeated = ({suspects}: CrashedRun) =>
+      suspects.some(suspect => (this.suspicions.get(suspect) ?? 0) > 1);
+    kept = kept.map(crash => {
+      if (excess <= 0) return crash;
+      const runs = crash.runs.filter(isRepeated);
+      excess -= crash.runs.length - runs.length;
+      return {...crash, runs};
+    });
+    kept = kept.filter(({runs}) => runs.length > 0);
+    while (excess > 0) excess -= kept.shift()!.runs.length;
     return kept;
   }
 
@@ -340,9 +358,11 @@
     this.knownKeys = keys;
   }
 
-  private isProber(key: string): boolean {
+  /** Whether this host may probe: one at first, then twice as many with each interval. */
+  private isProber(key: string, overMs: number): boolean {
     const hosts = this.deps.listHosts().map(id => ({id, weight: 1}));
-    return rankByKey(key, hosts)[0] === this.deps.hostId;
+    const probers = 2 ** Math.floor(overMs / PROBER_INTERVAL_MS);
+    return rankByKey(key, hosts).slice(0, probers).includes(this.deps.hostId);
   }
 }
 
