Tell prompts apart that only share their path, team and body

The digest of a request covered no parts of its prompt, so that prompts with the same body were one request; two bad ones crashed four engines within 0.3 s, and the sound ones were refused with them.

The digest covers the parts of the prompt but the last, which may differ in a repeat.

--- a/packages/relay/src/run-identity.ts
+++ b/packages/relay/src/run-identity.ts
@@ -4,7 +4,8 @@
 import {readHostName} from './route-table.js';
 
 /**
- * Digest of what a client repeats when it sends a request again: its team, method, path and body.
+ * Digest of what a client repeats when it sends a request again: its team, method, path and body, and
+ * its prompt but the last part.
  * It is the same on all hosts and holds nothing of the request but the size of its body.
  */
 export type RequestDigest = Branded<'RequestDigest'>;
@@ -17,6 +18,8 @@
   /** Path and query, as sent by the client. */
   readonly path: string;
   readonly body: Buffer;
+  /** Parts of the prompt that other requests may share; the last one may differ in a repeat. */
+  readonly sharedParts: readonly PromptPartId[];
 }
 
 /** A colon can't occur in the id of a prompt part, so that no client can name a digest. */
@@ -51,9 +54,16 @@
   return Number(digest.slice(DIGEST_PREFIX.length, digest.lastIndexOf(':')));
 }
 
-function computeDigest({team, method, host, path, body}: RequestContent): RequestDigest {
+function computeDigest({
+  team,
+  method,
+  host,
+  path,
+  body,
+  sharedParts,
+}: RequestContent): RequestDigest {
   const hash = createHmac('sha256', `radishgw request ${team ?? ''}`)
-    .update(JSON.stringify([method, readHostName(host), path]))
+    .update(JSON.stringify([method, readHostName(host), path, ...sharedParts]))
     .update(body)
     .digest('base64url')
     .slice(0, DIGEST_LENGTH);
--- a/packages/relay/src/serve-request.ts
+++ b/packages/relay/src/serve-request.ts
@@ -169,11 +169,9 @@
   {requestId, promptParts}: RequestMeta,
   team: Team | undefined,
 ): RunIdentity {
-  return {
-    requestId,
-    sharedParts: sharedPartIds(promptParts),
-    fingerprint: new RequestFingerprint({team: team?.id, method, host, path, body}),
-  };
+  const sharedParts = sharedPartIds(promptParts);
+  const content = {team: team?.id, method, host, path, body, sharedParts};
+  return {requestId, sharedParts, fingerprint: new RequestFingerprint(content)};
 }
 
 function refuse(refusal: RefusalName): RefusedRequest {
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -35,17 +35,16 @@
   parts: readonly string[],
   body = String(requestId),
 ): RunIdentity {
-  return {
-    requestId,
-    sharedParts: parts.map(part => toId<PromptPartId>(part)),
-    fingerprint: new RequestFingerprint({
-      team: TEAM,
-      method: 'POST',
-      host: 'host.example',
-      path: '/a/x',
-      body: Buffer.from(body),
-    }),
+  const sharedParts = parts.map(part => toId<PromptPartId>(part));
+  const content = {
+    team: TEAM,
+    method: 'POST',
+    host: 'host.example',
+    path: '/a/x',
+    body: Buffer.from(body),
+    sharedParts,
   };
+  return {requestId, sharedParts, fingerprint: new RequestFingerprint(content)};
 }
 
 export function makeEntry(id: string, fields: Partial<TargetEntry> = {}): TargetEntry {
--- a/packages/relay/test/quarantine-service.test.ts
+++ b/packages/relay/test/quarantine-service.test.ts
@@ -301,6 +301,14 @@
     expect(pool.host(0).countByKind()).to.deep.equal({prompt: 0, request: 1});
   });
 
+  it('does not refuse prompts that only share their body with one that crashes engines', async () => {
+    const prompt = (part: string) => makeIdentity(pool.nextRequest(), ['first', part], 'a body');
+    for (let host = 0; host < 3; host++) pool.crashUnder(host, prompt('bad'));
+    await pool.share();
+    expect(pool.host(0).admit(prompt('bad')).type).to.equal('refused');
+    expect(pool.host(0).admit(prompt('middle')).type).to.equal('allowed');
+  });
+
   it('does not suspect a request that ran whole at a host before servers fail in turn', async () => {
     for (let host = 0; host < 3; host++) pool.host(host).recordWhole(repeat('popular'));
     for (let i = 0; i < 6; i++) pool.crashUnder(i % 3, repeat('popular'));
--- a/packages/relay/test/recent-requests.test.ts
+++ b/packages/relay/test/recent-requests.test.ts
@@ -35,6 +35,7 @@
       host: 'h',
       path: '/',
       body: Buffer.from('abc'),
+      sharedParts: [],
     };
     CountedFingerprint.count = 0;
     for (let i = 0; i < 100; i++) recent.add(new CountedFingerprint(content), i);
--- a/packages/relay/test/request-evidence.test.ts
+++ b/packages/relay/test/request-evidence.test.ts
@@ -211,7 +211,14 @@
 
   it('does not depend on the port in the name of the host that a client asks for', () => {
     const digests = ['a.example:8068', 'a.example:8069', 'A.example'].map(host => {
-      const content = {team: undefined, method: 'POST', host, path: '/x', body: Buffer.from('b')};
+      const content = {
+        team: undefined,
+        method: 'POST',
+        host,
+        path: '/x',
+        body: Buffer.from('b'),
+        sharedParts: [],
+      };
       return new RequestFingerprint(content).digest;
     });
     expect(new Set(digests).size).to.equal(1);
@@ -228,6 +235,7 @@
         host: 'a.example',
         path: '/x',
         body: Buffer.alloc(100_000),
+        sharedParts: [],
       });
       const run: RunIdentity = {requestId, sharedParts: [], fingerprint};
       service.admit(run);
@@ -244,6 +252,7 @@
         host: 'a.example',
         path: '/x',
         body: Buffer.alloc(100_000),
+        sharedParts: [],
       });
       const run: RunIdentity = {requestId: toId<RequestId>('r'), sharedParts: [], fingerprint};
       service.admit(run);
--- a/packages/relay/test/run-identity.test.ts
+++ b/packages/relay/test/run-identity.test.ts
@@ -1,5 +1,6 @@
 import {TeamId, toId} from '@radishgw/core';
 import {expect} from 'chai';
+import {PromptPartId} from '../src/index.js';
 import {RequestContent, RequestFingerprint} from '../src/run-identity.js';
 import {TEAM} from './fixtures.js';
 
@@ -9,6 +10,7 @@
   host: 'host.example',
   path: '/a/x?y=1',
   body: Buffer.from('a secret body'),
+  sharedParts: [toId<PromptPartId>('part')],
 };
 
 function digestOf(fields: Partial<RequestContent> = {}): string {
@@ -21,7 +23,7 @@
     expect(digestOf()).to.equal(digestOf({host: 'Host.Example'}));
   });
 
-  it('differs if the team, method, path or body differs', () => {
+  it('differs if the team, method, path, body or shared part of the prompt differs', () => {
     const others = [
       digestOf({team: toId<TeamId>('other')}),
       digestOf({team: undefined}),
@@ -30,6 +32,7 @@
       digestOf({path: '/a/x?y=2'}),
       digestOf({body: Buffer.from('a secret bodY')}),
       digestOf({body: Buffer.alloc(0)}),
+      digestOf({sharedParts: []}),
     ];
     expect(new Set([digestOf(), ...others]).size).to.equal(others.length + 1);
   });
