End the requests of a closed connection of a gateway that are queued

Callers: places in flight that requests sent ahead had taken were never given back, and a stop waited for them without end.

Change: a request also ends when its connection emits close, by one listener for each connection, so that many requests on one don't count as a leak of listeners.

--- a/packages/gateway/src/caller/caller-server.ts
+++ b/packages/gateway/src/caller/caller-server.ts
@@ -1,6 +1,6 @@
 import {createServer as createHttpServer, IncomingMessage, ServerResponse} from 'node:http';
 import {createServer as createHttpsServer, Server as HttpsServer} from 'node:https';
-import {Server as NetServer} from 'node:net';
+import {Server as NetServer, Socket} from 'node:net';
 import {Duplex} from 'node:stream';
 import {RouteConfig} from '@radishgw/config';
 import {abortResponse, EffectHandlers, RequestId, startTask, toId} from '@radishgw/core';
@@ -64,6 +64,7 @@
   readonly server: ReturnType<typeof createHttpServer> | HttpsServer;
   private readonly inFlight: InFlightLimiter;
   private readonly active = new Set<ActiveRequest>();
+  private readonly closeCallbacks = new WeakMap<Socket, Set<() => void>>();
   private router!: findMyWay.Instance<findMyWay.HTTPVersion.V1>;
   private routerConfig: readonly RouteConfig[] | undefined;
   private stopping = false;
@@ -174,12 +175,16 @@
     this.active.add(active);
     const deadline = clock.setTimer(context.deadlineMs - clock.nowMs(), () => abort('deadline'));
     const closed = new Promise<void>(resolve => {
-      response.once('close', () => {
+      const callbacks = this.getCloseCallbacks(request.socket);
+      const onClose = () => {
+        if (!callbacks.delete(onClose)) return;
         // A complete response may emit `close` a microtask before `finished` is set.
         const isComplete = finished || response.writableFinished;
         if (!isComplete && !context.continuesAfterDisconnect) abort('closed');
         resolve();
-      });
+      };
+      callbacks.add(onClose);
+      response.once('close', onClose);
     });
     const run = refusal ? createRefusingEndpoint(() => refusal) : endpoint;
     const task = startTask(run(this.services, this.inFlight, context), handlers);
@@ -200,6 +205,21 @@
     });
   }
 
+  /**
+   * Returns the callbacks that are called when a connection is closed. Node.js 20 emits `close` only
+   * for the response that is being written, and not for those queued behind it.
+   */
+  private getCloseCallbacks(socket: Socket): Set<() => void> {
+    const existing = this.closeCallbacks.get(socket);
+    if (existing) return existing;
+    const callbacks = new Set<() => void>();
+    this.closeCallbacks.set(socket, callbacks);
+    socket.once('close', () => {
+      for (const callback of [...callbacks]) callback();
+    });
+    return callbacks;
+  }
+
   private createContext(
     request: IncomingMessage,
     response: ServerResponse,
