Show that a stopping gateway loses requests sent ahead

Callers: of two requests sent at once on a connection, both in flight as the host begins to stop, only the first gets an answer; the second may have been run.

Cause: stop() sets 'connection: close' on all answers whose head hasn't been sent, and Node.js 20 closes the connection with the first of them.

Not fixed: a fix needs the order of the requests on each connection, as the relay keeps it.

--- a/packages/gateway/test/caller-server.test.ts
+++ b/packages/gateway/test/caller-server.test.ts
@@ -108,6 +108,20 @@
     expect(receivedBytes).to.be.above(LARGE_ANSWER_BYTES);
   });
 
+  it('answers requests when it stops that were sent ahead of the answer to an earlier one', async () => {
+    // Guards against a request that is read, and whose connection is closed with an earlier answer.
+    const fixture = new CallerServerFixture();
+    const socket = await fixture.open();
+    let received = '';
+    socket.on('data', chunk => (received += String(chunk)));
+    socket.write(fixture.formatRequest('/slow').repeat(2));
+    await fixture.sleep(ROUTE_MS / 2);
+    expect(fixture.callerServer.getInFlight()).to.equal(2);
+    void fixture.callerServer.stop(STOP_TIMEOUT_MS);
+    await once(socket, 'close');
+    expect(received.split('HTTP/1.1 ')).to.have.length(3);
+  });
+
   it('frees the places of requests that were sent ahead when their caller leaves', async () => {
     // Guards against requests that stay in flight for good, so that the host is full or never stops.
     const fixture = new CallerServerFixture();
