--- a/packages/gateway/src/caller/caller-server.ts
+++ b/packages/gateway/src/caller/caller-server.ts
@@ -1,6 +1,6 @@
 import {createServer as createHttpServer, IncomingMessage, ServerResponse} from 'node:http';
 import {createServer as createHttpsServer, Server as HttpsServer} from 'node:https';
-import {Server as NetServer} from 'node:net';
+import {Server as NetServer, Socket} from 'node:net';
 import {Duplex} from 'node:stream';
 import {RouteConfig} from '@radishgw/config';
 import {abortResponse, EffectHandlers, RequestId, startTask, toId} from '@radishgw/core';
@@ -64,6 +64,7 @@
   readonly server: ReturnType<typeof createHttpServer> | HttpsServer;
   private readonly inFlight: InFlightLimiter;
   private readonly active = new Set<ActiveRequest>();
+  private readonly closeCallbacks = new WeakMap<Socket, Set<() => void>>();
   private router!: findMyWay.Instance<findMyWay.HTTPVersion.V1>;
   private routerConfig: readonly RouteConfig[] | undefined;
   private stopping = false;
@@ -174,17 +175,16 @@
     this.active.add(active);
     const deadline = clock.setTimer(context.deadlineMs - clock.nowMs(), () => abort('deadline'));
     const closed = new Promise<void>(resolve => {
-      const {socket} = request;
-      const onClosed = () => {
-        socket.off('close', onClosed);
+      const callbacks = this.getCloseCallbacks(request.socket);
+      const onClose = () => {
+        if (!callbacks.delete(onClose)) return;
         // A complete response may emit `close` a microtask before `finished` is set.
         const isComplete = finished || response.writableFinished;
         if (!isComplete && !context.continuesAfterDisconnect) abort('closed');
         resolve();
       };
-      response.once('close', onClosed);
-      // Node.js 20 emits no event for a response that waits for an earlier one on its connection.
-      socket.once('close', onClosed);
+      callbacks.add(onClose);
+      response.once('close', onClose);
     });
     const run = refusal ? createRefusingEndpoint(() => refusal) : endpoint;
     const task = startTask(run(this.services, this.inFlight, context), handlers);
@@ -205,6 +205,21 @@
     });
   }
 
+  /**
+   * Returns the callbacks that are called when a connection is closed. Node.js 20 emits `close` only
+   * for the response that is being written, and not for those queued behind it.
+   */
+  private getCloseCallbacks(socket: Socket): Set<() => void> {
+    const existing = this.closeCallbacks.get(socket);
+    if (existing) return existing;
+    const callbacks = new Set<() => void>();
+    this.closeCallbacks.set(socket, callbacks);
+    socket.once('close', () => {
+      for (const callback of [...callbacks]) callback();
+    });
+    return callbacks;
+  }
+
   private createContext(
     request: IncomingMessage,
     response: ServerResponse,
@@ -262,14 +277,7 @@
         decision: refusal.kind.code,
         reason: {message, execution, attempts: context.attempts},
       });
-      log.write('requestRefused', {
-        ...fields,
-        code: refusal.kind.code,
-        execution,
-        detail: message,
-        // The text of an error that isn't a refusal is for the log only.
-        cause: error instanceof Refusal ? undefined : String(error),
-      });
+      log.write('requestRefused', {...fields, code: refusal.kind.code, execution, detail: message});
       return;
     }
     const totalMs = clock.nowMs() - context.arrivedMs;
@@ -317,7 +325,7 @@
   const {reason} = context.signal as {reason?: AbortReason};
   if (context.signal.aborted && reason) return describeAbort(reason, execution);
   if (!(error instanceof Refusal)) {
-    return new Refusal('targetFailed', 'internal error', execution);
+    return new Refusal('targetFailed', (error as Error).message, execution);
   }
   if (error.execution === 'unknown' || execution === 'not_run') return error;
   return new Refusal(error.refusalName, error.message, execution, error.retryAfterMs);
