Keep one listener for all requests of a client's connection

Found in review: 101 listeners after 100 requests that were sent ahead, with a warning, each of which kept its request. The close of the connection is heard once now and passed on to those that wait.

--- a/packages/relay/src/client-connections.ts
+++ b/packages/relay/src/client-connections.ts
@@ -4,8 +4,10 @@
 /** The requests on a connection whose answers haven't been sent completely. */
 interface ConnectionState {
   requestCount: number;
-  /** Resolves when the latest of them has been answered. */
+  /** Resolves when the latest of them has been answered or the connection is closed. */
   latestAnswered: Promise<void>;
+  /** Called when the connection is closed. */
+  readonly closeListeners: Set<() => void>;
 }
 
 /** Tracks the requests in progress on each connection of clients. */
@@ -15,8 +17,14 @@
 
   constructor(private readonly server: Server) {
     server.on('connection', (socket: Socket) => {
-      this.connections.set(socket, {requestCount: 0, latestAnswered: Promise.resolve()});
-      socket.once('close', () => this.connections.delete(socket));
+      const closeListeners = new Set<() => void>();
+      const latestAnswered = Promise.resolve();
+      this.connections.set(socket, {requestCount: 0, latestAnswered, closeListeners});
+      socket.once('close', () => {
+        this.connections.delete(socket);
+        // Node.js 20 emits no event for responses that wait for an earlier one.
+        for (const listener of closeListeners) listener();
+      });
     });
   }
 
@@ -39,12 +47,11 @@
     const hasEarlier = connection.requestCount++ > 0;
     connection.latestAnswered = new Promise(resolve => {
       const settle = () => {
-        socket.off('close', settle);
+        connection.closeListeners.delete(settle);
         resolve();
       };
+      connection.closeListeners.add(settle);
       response.once('close', settle);
-      // Node.js 20 emits no event for a response that waits for an earlier one on its connection.
-      socket.once('close', settle);
     });
     response.once('close', () => {
       connection.requestCount--;
