Read the body of a request before it waits for earlier answers

Found in review: the unread body of a request that was sent ahead kept Node.js from reading the connection, so that the leaving of its client wasn't seen (a stream's run went on 0.5 s later), and a stopping host reset the connection with it, which cut the answer before it (128,000 bytes of 3 MiB).

--- a/packages/relay/src/client-server.ts
+++ b/packages/relay/src/client-server.ts
@@ -63,9 +63,9 @@
   }
 
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const turn = this.connections.begin(request, response);
     const isStopping = () => this.deps.isStopping();
     const exchange = new ClientExchange(request, response, this.deps.clock, isStopping);
-    if (!(await this.connections.begin(request, response))) return;
     const {headerBytes, bodyBytes} = this.limits;
     if (countHeaderBytes(request) > headerBytes) {
       this.refuseAndClose(response, 'headerTooLarge');
@@ -77,6 +77,8 @@
       this.refuseAndClose(response, 'bodyTooLarge');
       return;
     }
+    // Its body is read before, so that the end of the connection is seen while it waits.
+    if (!(await turn)) return;
     if (!(await exchange.isStillConnected())) {
       this.deps.metrics.count('requests_left_before_start_total');
       return;
