Say 'Connection: close' with the last answer on a connection only

Found in review: a request that had been read whole before the host began to stop, and waited for an earlier one on its connection, got no answer, as the earlier answer closed the connection.

--- a/packages/relay/src/client-connections.ts
+++ b/packages/relay/src/client-connections.ts
@@ -61,6 +61,11 @@
     return this.connections.has(socket) && socket.writable;
   }
 
+  /** Whether a request in progress is the only one on its connection. */
+  isLatest({socket}: IncomingMessage): boolean {
+    return (this.connections.get(socket)?.requestCount ?? 0) <= 1;
+  }
+
   /**
    * Stops accepting connections; closes the idle ones, and the others once they are idle, as their
    * clients may not know that the host stops. `Server.close` and `closeIdleConnections` of Node.js 20
--- a/packages/relay/src/client-server.ts
+++ b/packages/relay/src/client-server.ts
@@ -64,7 +64,8 @@
 
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const turn = this.connections.begin(request, response);
-    const isStopping = () => this.deps.isStopping();
+    // A later request that has been read is answered on the same connection.
+    const isStopping = () => this.deps.isStopping() && this.connections.isLatest(request);
     const exchange = new ClientExchange(request, response, this.deps.clock, isStopping);
     const {headerBytes, bodyBytes} = this.limits;
     if (countHeaderBytes(request) > headerBytes) {
