Don't take a host alone in a later era for a new fleet

A host that started again beside a copy without records of hosts, while the others couldn't reach the store yet, became the owner of all teams at once and granted the whole rate beside the hosts that it didn't know.

Cause: "all others are new" is true of no others.

Now an era above the first also shows that the store came back. A fleet that looks new then starts when its list is known to be complete, unless an earlier host has shown up by then. The first era isn't on the users' pages: on a store that counts from 0, the first copy is recognized by records of an earlier era only, as before.

A new test shows that a new fleet in a later era refuses nothing below its rate from 6 s after its start on.

--- a/packages/coordination/src/store-era.ts
+++ b/packages/coordination/src/store-era.ts
@@ -14,6 +14,9 @@
   return a.era - b.era || a.revision - b.revision;
 }
 
+/** Era of a store that has never come back from a copy. */
+export const FIRST_ERA = 1;
+
 /** Called when the store has come back from an older copy. */
 type EraListener = (era: number) => void;
 
--- a/packages/relay/src/quota-ownership.ts
+++ b/packages/relay/src/quota-ownership.ts
@@ -1,3 +1,4 @@
+import {FIRST_ERA} from '@radishgw/coordination';
 import {HostId, TeamId} from '@radishgw/core';
 import {Instant, maxElapsedMs} from './instant.js';
 import {findMostCapable, HostRecord} from './host-registry.js';
@@ -63,6 +64,8 @@
   private mayLackHosts = false;
   /** Whether all hosts have had time to write their records since the store came back. */
   private isSettled = false;
+  /** Whether a list that may have lacked hosts had one that isn't new. */
+  private hadEarlierHosts = false;
 
   constructor(private readonly self: HostId) {}
 
@@ -89,6 +92,7 @@
     this.lists = [{hosts, sinceMs: nowMs, areOthersNew}, ...this.lists].slice(0, MAX_HOST_LISTS);
     this.recent = undefined;
     this.judgeCompleteness();
+    this.hadEarlierHosts ||= !areOthersNew && !this.isComplete(nowMs);
     for (const [team, choice] of this.choices) this.renewChoice(team, choice);
   }
 
@@ -178,13 +182,14 @@
     const {previous} = choice;
     const {completeMs} = this;
     const wasComplete = choice.sinceMs >= completeMs;
-    const isStart = choice.areOthersNew && !hadGap && wasComplete;
+    const isStart = choice.areOthersNew && !hadGap && (wasComplete || !this.hadEarlierHosts);
     const isHandedOver = previous !== undefined && previous.hostId === this.handedOver.get(team);
     const hasUnknown = previous !== undefined || !wasComplete;
     const mustWait = !isStart && (hadGap || (hasUnknown && !isHandedOver));
+    const waitMs = mustWait ? TAKEOVER_MS : 0;
     // At the start nobody else can have granted since the choice.
     const chosenMs = isStart ? choice.sinceMs : Math.max(choice.sinceMs, validSinceMs);
-    const sinceMs = mustWait ? Math.max(chosenMs + TAKEOVER_MS, completeMs) : chosenMs;
+    const sinceMs = isHandedOver ? chosenMs + waitMs : Math.max(chosenMs + waitMs, completeMs);
     if (now.monotonicMs < sinceMs) return undefined;
     held = {sinceMs, hasPredecessor: !isStart, validSinceMs};
     this.held.set(team, held);
@@ -198,8 +203,9 @@
   private judgeCompleteness(): void {
     const {era} = this;
     if (era === undefined) return;
-    // A host that has started in an earlier era shows that the store came back from a copy.
-    this.mayLackHosts ||= this.hosts.some(host => host.era !== undefined && host.era < era);
+    // A host that has started in an earlier era shows this, too, whatever the first era is.
+    this.mayLackHosts ||=
+      era > FIRST_ERA || this.hosts.some(host => host.era !== undefined && host.era < era);
     this.isSettled ||= this.hosts.some(
       host => host.era !== undefined && host.era >= era && host.beat >= MIN_SETTLED_BEAT,
     );
--- a/packages/relay/test/quota-copies.test.ts
+++ b/packages/relay/test/quota-copies.test.ts
@@ -108,5 +108,20 @@
       });
       expect(excesses).to.deep.equal([]);
     });
+
+    it(`stays within the bound when a host restarts beside an empty copy that the others reach later (${title})`, async () => {
+      // Guards against a host that takes a list of itself alone for a new fleet.
+      const copy = {ageMs: 9000, goneAtMs: 9000, awayMs: 1000};
+      const excesses = await findExcesses(hosts, copy, fleet => {
+        const restarted = fleet.hostIds[fleet.nextInt(hosts)];
+        fleet.restart(restarted, 200 + fleet.nextInt(600));
+        for (const hostId of fleet.hostIds) {
+          if (hostId === restarted) continue;
+          fleet.cut(hostId, 'store', 1000 + fleet.nextInt(3500));
+          fleet.cut('store', hostId, 1000 + fleet.nextInt(3500));
+        }
+      });
+      expect(excesses).to.deep.equal([]);
+    });
   }
 });
--- a/packages/relay/test/quota-cuts.test.ts
+++ b/packages/relay/test/quota-cuts.test.ts
@@ -118,6 +118,19 @@
     });
   }
 
+  it('refuses nothing below the rate in calm through 1 of 6 hosts of a new fleet whose store has come back from a copy before', async () => {
+    // Guards against shares that a new fleet leaves to hosts of a fleet before it.
+    const fleet = new QuotaCuts(HOSTS, team, 1);
+    fleet.comeBack(fleet.takeCopy(), 1);
+    await fleet.runUntil(WARM_UP_MS);
+    const costPerSend = (0.95 * RATE * SEND_INTERVAL_MS) / 1000;
+    for (let nowMs = WARM_UP_MS; nowMs < DURATION_MS; nowMs += SEND_INTERVAL_MS) {
+      await fleet.runUntil(nowMs);
+      fleet.send(fleet.hostIds[0], costPerSend);
+    }
+    expect(fleet.refusedCount).to.equal(0);
+  });
+
   it('refuses nothing of a team well below its rate while hosts stop and start in turn', async () => {
     // Guards against owners that begin with nothing although the one before had something left.
     const fleet = new QuotaCuts(HOSTS, team, 1);
