--- a/packages/relay/src/quarantine-service.ts
+++ b/packages/relay/src/quarantine-service.ts
@@ -65,7 +65,7 @@
 export type Admission =
   | {readonly type: 'allowed'}
   | {readonly type: 'refused'; readonly quarantine: Quarantine}
-  /** The request tries whether the targets have been mended; it has one attempt. */
+  /** The request tries whether the targets have been mended; it isn't sent on after a crash. */
   | {readonly type: 'probe'; readonly quarantine: Quarantine};
 
 /** Dependencies of {@link QuarantineService}. */
--- a/packages/relay/src/run-identity.ts
+++ b/packages/relay/src/run-identity.ts
@@ -5,8 +5,8 @@
 
 /**
  * Digest of what a client repeats when it sends a request again: its team, method, path and body, and
- * its prompt but the last part.
- * It is the same on all hosts and holds nothing of the request but the size of its body.
+ * its prompt but the last part. It is the same on all hosts and shows nothing of the request but the
+ * size of its body.
  */
 export type RequestDigest = Branded<'RequestDigest'>;
 
