--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,5 +1,30 @@
 import gts from 'gts';
 
+/** Folders of packages/relay/src, and the folders that each may import besides the root's modules. */
+const RELAY_IMPORTS = {
+  targets: [],
+  placing: ['targets'],
+  quarantine: ['targets'],
+  store: ['quarantine'],
+  quota: ['store'],
+  duties: ['targets', 'quarantine', 'store'],
+  request: ['targets', 'placing', 'quarantine', 'store', 'quota'],
+};
+
+const relayImportRules = Object.entries(RELAY_IMPORTS).map(([folder, allowed]) => {
+  const others = Object.keys(RELAY_IMPORTS).filter(other => other !== folder);
+  const group = others.filter(other => !allowed.includes(other)).map(other => `**/${other}/*`);
+  return {
+    files: [`packages/relay/src/${folder}/**/*.ts`],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {patterns: [{group, message: 'See the folders of relay in docs/design.md.'}]},
+      ],
+    },
+  };
+});
+
 export default [
   {ignores: ['**/dist/**', '**/gen/**', 'target/**', 'node_modules/**', 'bench-results/**']},
   ...gts,
@@ -28,6 +53,7 @@
       ],
     },
   },
+  ...relayImportRules,
   {
     files: ['scripts/**', '*.mjs'],
     languageOptions: {globals: {process: 'readonly', console: 'readonly'}},
--- a/packages/relay/src/capacity-controller.ts
+++ b/packages/relay/src/duties/capacity-controller.ts
@@ -7,10 +7,10 @@
   DEFAULT_CAPACITY_SETTINGS,
   recordOrder,
 } from './capacity-policy.js';
-import {ConfigView} from './config-view.js';
-import {HostRecord} from './host-registry.js';
-import {DutyClient, ServiceName} from './model.js';
-import {TargetPool} from './target-pool.js';
+import {ConfigView} from '../store/config-view.js';
+import {HostRecord} from '../store/host-registry.js';
+import {DutyClient, ServiceName} from '../model.js';
+import {TargetPool} from '../targets/target-pool.js';
 
 /** Dependencies of {@link CapacityController}. */
 export interface CapacityControllerDependencies {
--- a/packages/relay/src/capacity-policy.ts
+++ b/packages/relay/src/duties/capacity-policy.ts
@@ -1,5 +1,5 @@
 import {FailureDomain} from '@radishgw/core';
-import {CapacityOrder, ScalingTraits, Service, TargetEntry} from './model.js';
+import {CapacityOrder, ScalingTraits, Service, TargetEntry} from '../model.js';
 
 /** Settings of the capacity policy. */
 export interface CapacitySettings {
--- a/packages/relay/src/fleet-duties.ts
+++ b/packages/relay/src/duties/fleet-duties.ts
@@ -1,7 +1,7 @@
 import {StoreEra} from '@radishgw/coordination';
 import {call, Clock, EventLog, HostId, Procedure, sleep} from '@radishgw/core';
 import {CapacityController} from './capacity-controller.js';
-import {Instant, readInstant} from './instant.js';
+import {Instant, readInstant} from '../instant.js';
 import {
   HEARTBEAT_INTERVAL_MS,
   HostHeartbeat,
@@ -12,7 +12,7 @@
   omitVolatileFields,
   toHeartbeat,
   updateHosts,
-} from './host-registry.js';
+} from '../store/host-registry.js';
 import {
   acceptLease,
   createLeaseView,
@@ -21,14 +21,14 @@
   LeaseTimes,
   LeaseView,
   observeLease,
-} from './lease.js';
-import {DutyClient} from './model.js';
-import {CrashEvidence} from './quarantine.js';
-import {hasExpired} from './quarantine-service.js';
-import {SharedHosts} from './shared-kinds.js';
-import {SharedReads} from './shared-reads.js';
+} from '../store/lease.js';
+import {DutyClient} from '../model.js';
+import {CrashEvidence} from '../quarantine/quarantine.js';
+import {hasExpired} from '../quarantine/quarantine-service.js';
+import {SharedHosts} from '../store/shared-kinds.js';
+import {SharedReads} from '../store/shared-reads.js';
 import {StageController} from './stage-controller.js';
-import {DependencyMonitor, FrozenWindow, SharedState, SharedStore} from './store-sync.js';
+import {DependencyMonitor, FrozenWindow, SharedState, SharedStore} from '../store/store-sync.js';
 import {sumWindow, windowIndexAt} from './usage-ledger.js';
 import {
   createUsageMemory,
--- a/packages/relay/src/stage-controller.ts
+++ b/packages/relay/src/duties/stage-controller.ts
@@ -1,9 +1,9 @@
 import {Clock, EventLog, HostId, Procedure, TargetId} from '@radishgw/core';
-import {ConfigView} from './config-view.js';
-import {RelayCodec} from './model.js';
+import {ConfigView} from '../store/config-view.js';
+import {RelayCodec} from '../model.js';
 import {decideStages, DEFAULT_STAGE_SETTINGS, StageOrder, StageState} from './stage-policy.js';
-import {readCompleteAnswer} from './target-answer.js';
-import {PooledTarget, TargetPool} from './target-pool.js';
+import {readCompleteAnswer} from '../targets/target-answer.js';
+import {PooledTarget, TargetPool} from '../targets/target-pool.js';
 
 /** Timeout of a call to an engine. */
 const CALL_TIMEOUT_MS = 700;
--- a/packages/relay/src/stage-policy.ts
+++ b/packages/relay/src/duties/stage-policy.ts
@@ -1,5 +1,5 @@
 import {FailureDomain, TargetId} from '@radishgw/core';
-import {EngineStage, TargetEntry} from './model.js';
+import {EngineStage, TargetEntry} from '../model.js';
 
 /** Settings of the stage policy. */
 export interface StageSettings {
--- a/packages/relay/src/usage-ledger.ts
+++ b/packages/relay/src/duties/usage-ledger.ts
@@ -1,5 +1,5 @@
 import {TeamId} from '@radishgw/core';
-import {WindowCounts} from './model.js';
+import {WindowCounts} from '../model.js';
 
 /** Number of windows that a host keeps: those that can still be reported and the current one. */
 const RETAINED_WINDOWS = 6;
--- a/packages/relay/src/usage-memory.ts
+++ b/packages/relay/src/duties/usage-memory.ts
@@ -1,7 +1,7 @@
 import {HostId} from '@radishgw/core';
-import {compareIncarnations, compareRecords, HostRecord} from './host-registry.js';
-import {Instant} from './instant.js';
-import {FrozenWindow, SharedState} from './store-sync.js';
+import {compareIncarnations, compareRecords, HostRecord} from '../store/host-registry.js';
+import {Instant} from '../instant.js';
+import {FrozenWindow, SharedState} from '../store/store-sync.js';
 
 /**
  * Time after the end of a window until its counts are complete: a host forwards its counts each
--- a/packages/relay/src/host-interfaces.ts
+++ b/packages/relay/src/host-interfaces.ts
@@ -1,19 +1,19 @@
 import {ListedHost, selectForClients} from './directory-policy.js';
-import {EntryCodec} from './entry-codec.js';
-import {HostRecord} from './host-registry.js';
+import {EntryCodec} from './store/entry-codec.js';
+import {HostRecord} from './store/host-registry.js';
 import {
   HAND_OVER_PATH,
   QuotaClient,
   QuotaMessage,
   RETURN_QUOTA_PATH,
   TAKE_QUOTA_PATH,
-} from './quota-client.js';
-import {RECORD_PATH, RecordWriter} from './record-writer.js';
+} from './quota/quota-client.js';
+import {RECORD_PATH, RecordWriter} from './store/record-writer.js';
 import {BufferedAnswer, BufferedRequest} from './servers.js';
 import {RelaySettings} from './settings.js';
-import {decodeRecord} from './state-schemas.js';
-import {SharedReadQuestion} from './shared-publication.js';
-import {SHARED_READ_PATH, SharedReads} from './shared-reads.js';
+import {decodeRecord} from './store/state-schemas.js';
+import {SharedReadQuestion} from './store/shared-publication.js';
+import {SHARED_READ_PATH, SharedReads} from './store/shared-reads.js';
 
 /**
  * Maximum TTL of a directory answer. Clients cache it for up to three times this value, which must
--- a/packages/relay/src/demand-meter.ts
+++ b/packages/relay/src/placing/demand-meter.ts
@@ -1,4 +1,4 @@
-import {ServiceName} from './model.js';
+import {ServiceName} from '../model.js';
 
 /** Length of the intervals in which demand is counted. */
 const INTERVAL_MS = 1000;
--- a/packages/relay/src/engine-placement.ts
+++ b/packages/relay/src/placing/engine-placement.ts
@@ -1,14 +1,14 @@
 import {RandomSource, TargetId} from '@radishgw/core';
-import {EngineStage, PromptPart} from './model.js';
+import {EngineStage, PromptPart} from '../model.js';
 import {updatePendingAverage, PendingAverage} from './pending-average.js';
-import {rankByKey} from './rendezvous.js';
+import {rankByKey} from '../rendezvous.js';
 import {
   isAvailable,
   estimateCachedTokens,
   estimateRequests,
   loadWeight,
   TargetState,
-} from './target-state.js';
+} from '../targets/target-state.js';
 import {WaitCalibration, waitFactor} from './wait-calibration.js';
 
 /** Cost estimates used to compare engines. Only their ratios affect the choice. */
--- a/packages/relay/src/pending-average.ts
+++ b/packages/relay/src/placing/pending-average.ts
@@ -1,4 +1,4 @@
-import {EngineStage} from './model.js';
+import {EngineStage} from '../model.js';
 
 /** Time constant of the moving average: about the time that a prompt spends at an engine. */
 const TIME_CONSTANT_MS = 500;
--- a/packages/relay/src/service-placement.ts
+++ b/packages/relay/src/placing/service-placement.ts
@@ -1,5 +1,5 @@
 import {RandomSource, TargetId} from '@radishgw/core';
-import {isAvailable, estimateRequests, TargetState} from './target-state.js';
+import {isAvailable, estimateRequests, TargetState} from '../targets/target-state.js';
 
 /**
  * Chooses the target with the lowest slot utilization, for services without engines. With short
--- a/packages/relay/src/wait-calibration.ts
+++ b/packages/relay/src/placing/wait-calibration.ts
@@ -1,4 +1,4 @@
-import {EngineStage} from './model.js';
+import {EngineStage} from '../model.js';
 
 /** Weight of a new observation; the average covers about the last thirty requests of a kind. */
 const SMOOTHING_FACTOR = 0.06;
--- a/packages/relay/src/crash-monitor.ts
+++ b/packages/relay/src/quarantine/crash-monitor.ts
@@ -1,8 +1,8 @@
 import {connect} from 'node:net';
 import {Clock, EventLog} from '@radishgw/core';
-import {RelayMetrics} from './metrics.js';
-import {RunInProgress} from './run-identity.js';
-import {PooledTarget} from './target-pool.js';
+import {RelayMetrics} from '../metrics.js';
+import {RunInProgress} from '../targets/run-identity.js';
+import {PooledTarget} from '../targets/target-pool.js';
 
 /** Timeout of the connection that tells a crash from a lost connection. */
 const PROBE_TIMEOUT_MS = 300;
--- a/packages/relay/src/quarantine-service.ts
+++ b/packages/relay/src/quarantine/quarantine-service.ts
@@ -10,7 +10,7 @@
 } from '@radishgw/core';
 import {PlatformAnswer} from '@radishgw/coordination';
 import {ObservedCrash} from './crash-monitor.js';
-import {RelayMetrics} from './metrics.js';
+import {RelayMetrics} from '../metrics.js';
 import {
   countSuspicions,
   CrashedRun,
@@ -28,8 +28,8 @@
   TargetCrash,
 } from './quarantine.js';
 import {RecentRequests} from './recent-requests.js';
-import {rankByKey} from './rendezvous.js';
-import {bodyBytesOf, isRequestDigest, RunIdentity} from './run-identity.js';
+import {rankByKey} from '../rendezvous.js';
+import {bodyBytesOf, isRequestDigest, RunIdentity} from '../targets/run-identity.js';
 
 /** Maximum number of suspects whose latest whole run is remembered. */
 const MAX_SOUND_SUSPECTS = 8192;
--- a/packages/relay/src/quarantine.ts
+++ b/packages/relay/src/quarantine/quarantine.ts
@@ -1,6 +1,6 @@
 import {RequestId} from '@radishgw/core';
-import {PromptPartId} from './model.js';
-import {isRequestDigest, RequestDigest} from './run-identity.js';
+import {PromptPartId} from '../model.js';
+import {isRequestDigest, RequestDigest} from '../targets/run-identity.js';
 
 /** What may be the cause of a crash: a part of a prompt, or a request as a whole. */
 export type Suspect = PromptPartId | RequestDigest;
--- a/packages/relay/src/recent-requests.ts
+++ b/packages/relay/src/quarantine/recent-requests.ts
@@ -1,4 +1,4 @@
-import {bodyBytesOf, RequestDigest, RequestFingerprint} from './run-identity.js';
+import {bodyBytesOf, RequestDigest, RequestFingerprint} from '../targets/run-identity.js';
 
 /** Maximum number of requests that are remembered. */
 const MAX_REQUESTS = 4096;
--- a/packages/relay/src/quota-client.ts
+++ b/packages/relay/src/quota/quota-client.ts
@@ -9,11 +9,11 @@
   startTask,
   TeamId,
 } from '@radishgw/core';
-import {ConfigView} from './config-view.js';
-import {Instant, readInstant} from './instant.js';
-import {HostRecord} from './host-registry.js';
-import {Team} from './model.js';
-import {PeerClient, PeerStatusError} from './peer-client.js';
+import {ConfigView} from '../store/config-view.js';
+import {Instant, readInstant} from '../instant.js';
+import {HostRecord} from '../store/host-registry.js';
+import {Team} from '../model.js';
+import {PeerClient, PeerStatusError} from '../store/peer-client.js';
 import {
   ContactStamp,
   countSeparate,
--- a/packages/relay/src/quota-contacts.ts
+++ b/packages/relay/src/quota/quota-contacts.ts
@@ -1,5 +1,5 @@
 import {HostId} from '@radishgw/core';
-import {Instant, maxElapsedMs} from './instant.js';
+import {Instant, maxElapsedMs} from '../instant.js';
 import {CONTACT_MS, INHERITED_MS, RESERVED_MS, RIGHT_MS, SEPARATION_MS} from './quota-times.js';
 
 /**
--- a/packages/relay/src/quota-ownership.ts
+++ b/packages/relay/src/quota/quota-ownership.ts
@@ -1,7 +1,7 @@
 import {FIRST_ERA} from '@radishgw/coordination';
 import {HostId, TeamId} from '@radishgw/core';
-import {Instant, maxElapsedMs} from './instant.js';
-import {findMostCapable, HostRecord} from './host-registry.js';
+import {Instant, maxElapsedMs} from '../instant.js';
+import {findMostCapable, HostRecord} from '../store/host-registry.js';
 import {
   COMPLETION_MS,
   LIST_VALIDITY_MS,
--- a/packages/relay/src/quota-times.ts
+++ b/packages/relay/src/quota/quota-times.ts
@@ -1,4 +1,4 @@
-import {HEARTBEAT_INTERVAL_MS, HOST_TIMEOUT_MS} from './host-registry.js';
+import {HEARTBEAT_INTERVAL_MS, HOST_TIMEOUT_MS} from '../store/host-registry.js';
 
 /**
  * Time for which an owner may grant quota after it sent the latest record that the store accepted.
--- a/packages/relay/src/team-quota.ts
+++ b/packages/relay/src/quota/team-quota.ts
@@ -1,5 +1,5 @@
 import {TeamId} from '@radishgw/core';
-import {RequestMeta, Team, TeamLimit} from './model.js';
+import {RequestMeta, Team, TeamLimit} from '../model.js';
 
 /**
  * A token bucket that admits a request while its level is above zero. The level may become negative
--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -8,16 +8,16 @@
   Task,
 } from '@radishgw/core';
 import {ObjectStore, StoreEra} from '@radishgw/coordination';
-import {ClientServer} from './client-server.js';
-import {configAgeMs, createConfigView} from './config-view.js';
+import {ClientServer} from './request/client-server.js';
+import {configAgeMs, createConfigView} from './store/config-view.js';
 import {readInstant} from './instant.js';
-import {EntryCodec} from './entry-codec.js';
-import {CapacityController} from './capacity-controller.js';
-import {CrashMonitor} from './crash-monitor.js';
-import {DemandMeter} from './demand-meter.js';
-import {createAttemptBudget, AttemptBudget} from './attempt-budget.js';
-import {FleetDuties} from './fleet-duties.js';
-import {createFleetTime, FleetTime, fleetNowMs, judgeFleetTime} from './fleet-time.js';
+import {EntryCodec} from './store/entry-codec.js';
+import {CapacityController} from './duties/capacity-controller.js';
+import {CrashMonitor} from './quarantine/crash-monitor.js';
+import {DemandMeter} from './placing/demand-meter.js';
+import {createAttemptBudget, AttemptBudget} from './request/attempt-budget.js';
+import {FleetDuties} from './duties/fleet-duties.js';
+import {createFleetTime, FleetTime, fleetNowMs, judgeFleetTime} from './store/fleet-time.js';
 import {createInterfaces, maxAddressUseMs} from './host-interfaces.js';
 import {
   createHostRegistry,
@@ -26,20 +26,20 @@
   HostRegistry,
   possibleHosts,
   readyHosts,
-} from './host-registry.js';
+} from './store/host-registry.js';
 import {RelayMetrics} from './metrics.js';
 import {DutyClient, RelayCodec, RelayConfig, ServiceName} from './model.js';
-import {PeerClient} from './peer-client.js';
-import {QuarantineService} from './quarantine-service.js';
-import {QuotaClient} from './quota-client.js';
+import {PeerClient} from './store/peer-client.js';
+import {QuarantineService} from './quarantine/quarantine-service.js';
+import {QuotaClient} from './quota/quota-client.js';
 import {keepRunning} from './keep-running.js';
-import {readIntervals} from './read-intervals.js';
-import {HostStart, RecordWriter} from './record-writer.js';
-import {RelayDependencies} from './request-context.js';
+import {readIntervals} from './store/read-intervals.js';
+import {HostStart, RecordWriter} from './store/record-writer.js';
+import {RelayDependencies} from './request/request-context.js';
 import {createBufferedServer, listen, waitUntilIdle} from './servers.js';
 import {RelaySettings} from './settings.js';
-import {SharedReads} from './shared-reads.js';
-import {StageController} from './stage-controller.js';
+import {SharedReads} from './store/shared-reads.js';
+import {StageController} from './duties/stage-controller.js';
 import {
   DependencyMonitor,
   FleetSource,
@@ -47,16 +47,16 @@
   syncConfig,
   SyncDependencies,
   syncTargets,
-} from './store-sync.js';
-import {TargetPool} from './target-pool.js';
-import {createWaitCalibration} from './wait-calibration.js';
+} from './store/store-sync.js';
+import {TargetPool} from './targets/target-pool.js';
+import {createWaitCalibration} from './placing/wait-calibration.js';
 import {
   countRequest,
   createUsageLedger,
   mergeCounts,
   UsageLedger,
   windowIndexAt,
-} from './usage-ledger.js';
+} from './duties/usage-ledger.js';
 
 /** Settings and dependencies of {@link RelayHost}. */
 export interface RelayHostOptions {
--- a/packages/relay/src/client-exchange.ts
+++ b/packages/relay/src/request/client-exchange.ts
@@ -1,7 +1,7 @@
 import {IncomingMessage, ServerResponse} from 'node:http';
 import {abortResponse, Clock} from '@radishgw/core';
-import {Instant, readInstant} from './instant.js';
-import {RawHeaders} from './model.js';
+import {Instant, readInstant} from '../instant.js';
+import {RawHeaders} from '../model.js';
 
 /** A client's request with its body, and the answer to it. */
 export class ClientExchange {
--- a/packages/relay/src/client-server.ts
+++ b/packages/relay/src/request/client-server.ts
@@ -2,7 +2,7 @@
 import {createHandlers, startTask} from '@radishgw/core';
 import {ClientConnections} from './client-connections.js';
 import {ClientExchange} from './client-exchange.js';
-import {ClientLimits} from './model.js';
+import {ClientLimits} from '../model.js';
 import {RelayDependencies} from './request-context.js';
 import {REFUSALS, writeRefusal} from './refusals.js';
 import {serveRequest} from './serve-request.js';
--- a/packages/relay/src/engine-run.ts
+++ b/packages/relay/src/request/engine-run.ts
@@ -1,8 +1,8 @@
 import {EventSplitter, StreamEvent} from './events.js';
-import {AnswerMeta} from './model.js';
-import {statesNotRun} from './target-answer.js';
-import {AnswerEnd, AnswerHead} from './target-connections.js';
-import {PooledAttempt, PooledTarget} from './target-pool.js';
+import {AnswerMeta} from '../model.js';
+import {statesNotRun} from '../targets/target-answer.js';
+import {AnswerEnd, AnswerHead} from '../targets/target-connections.js';
+import {PooledAttempt, PooledTarget} from '../targets/target-pool.js';
 
 /** A run of a stream at an engine. */
 export interface EngineRun {
--- a/packages/relay/src/prefill-prompt.ts
+++ b/packages/relay/src/request/prefill-prompt.ts
@@ -1,14 +1,19 @@
 import {Procedure} from '@radishgw/core';
-import {PlacementTimes, sharedPrefix} from './engine-placement.js';
-import {CacheSource} from './model.js';
+import {PlacementTimes, sharedPrefix} from '../placing/engine-placement.js';
+import {CacheSource} from '../model.js';
 import {recordStep} from './request-context.js';
 import {hasGoneOn} from './relay-stream.js';
 import {StreamState} from './stream-state.js';
-import {readCompleteAnswer, refusalOutcome, Standby, statesNotRun} from './target-answer.js';
-import {PooledTarget} from './target-pool.js';
+import {
+  readCompleteAnswer,
+  refusalOutcome,
+  Standby,
+  statesNotRun,
+} from '../targets/target-answer.js';
+import {PooledTarget} from '../targets/target-pool.js';
 import {createAnswerReader, sendToTarget, writeTargetRequest} from './target-request.js';
-import {recordLoad, recordParts} from './target-state.js';
-import {recordWait} from './wait-calibration.js';
+import {recordLoad, recordParts} from '../targets/target-state.js';
+import {recordWait} from '../placing/wait-calibration.js';
 
 /**
  * Multiple of the expected wait after which a prefill times out; higher than that of a stream
--- a/packages/relay/src/relay-stream.ts
+++ b/packages/relay/src/request/relay-stream.ts
@@ -12,11 +12,11 @@
   refusalOutcome,
   SILENCE_CHECK_MS,
   statesNotRun,
-} from './target-answer.js';
-import {AnswerHead, AttemptEvent, waitForEvent} from './target-connections.js';
-import {PooledAttempt} from './target-pool.js';
+} from '../targets/target-answer.js';
+import {AnswerHead, AttemptEvent, waitForEvent} from '../targets/target-connections.js';
+import {PooledAttempt} from '../targets/target-pool.js';
 import {createAnswerReader} from './target-request.js';
-import {recordLoad} from './target-state.js';
+import {recordLoad} from '../targets/target-state.js';
 
 /** Multiple of the expected wait or allowed gap after which an engine counts as silent. */
 const EVENT_TIMEOUT_FACTOR = 3;
--- a/packages/relay/src/request-context.ts
+++ b/packages/relay/src/request/request-context.ts
@@ -9,21 +9,21 @@
   TeamId,
 } from '@radishgw/core';
 import {ClientExchange} from './client-exchange.js';
-import {ConfigView} from './config-view.js';
-import {CrashMonitor} from './crash-monitor.js';
-import {DemandMeter} from './demand-meter.js';
+import {ConfigView} from '../store/config-view.js';
+import {CrashMonitor} from '../quarantine/crash-monitor.js';
+import {DemandMeter} from '../placing/demand-meter.js';
 import {AttemptBudget, AttemptBudgetSettings} from './attempt-budget.js';
-import {RelayMetrics} from './metrics.js';
-import {RelayCodec, RequestMeta, Route, ServiceName, Team} from './model.js';
-import {PendingAverage} from './pending-average.js';
-import {QuarantineService} from './quarantine-service.js';
-import {QuotaClient} from './quota-client.js';
-import {RunIdentity} from './run-identity.js';
+import {RelayMetrics} from '../metrics.js';
+import {RelayCodec, RequestMeta, Route, ServiceName, Team} from '../model.js';
+import {PendingAverage} from '../placing/pending-average.js';
+import {QuarantineService} from '../quarantine/quarantine-service.js';
+import {QuotaClient} from '../quota/quota-client.js';
+import {RunIdentity} from '../targets/run-identity.js';
 import {RetryRefusal} from './serve-outcome.js';
-import {TargetConnection} from './target-connections.js';
-import {TargetPool} from './target-pool.js';
+import {TargetConnection} from '../targets/target-connections.js';
+import {TargetPool} from '../targets/target-pool.js';
 import {ReturnSchedule} from './return-schedule.js';
-import {WaitCalibration} from './wait-calibration.js';
+import {WaitCalibration} from '../placing/wait-calibration.js';
 
 /** Dependencies of the functions that serve requests. */
 export interface RelayDependencies {
--- a/packages/relay/src/serve-call.ts
+++ b/packages/relay/src/request/serve-call.ts
@@ -3,7 +3,7 @@
 import {RefusalName} from './refusals.js';
 import {AdmittedRequest, recordStep, RelayDependencies} from './request-context.js';
 import {mayRetry, ServeOutcome} from './serve-outcome.js';
-import {placeRequest} from './service-placement.js';
+import {placeRequest} from '../placing/service-placement.js';
 import {
   AnswerCollector,
   findAnswerFault,
@@ -13,12 +13,12 @@
   SILENCE_CHECK_MS,
   statesNotRun,
   CompleteAnswer,
-} from './target-answer.js';
-import {waitForEvent} from './target-connections.js';
-import {PooledAttempt, PooledTarget} from './target-pool.js';
+} from '../targets/target-answer.js';
+import {waitForEvent} from '../targets/target-connections.js';
+import {PooledAttempt, PooledTarget} from '../targets/target-pool.js';
 import {awaitLossChecks, checkLoss, mayRun, recordWholeRun} from './suspect-runs.js';
 import {sendToTarget, writeTargetRequest} from './target-request.js';
-import {recordLoad} from './target-state.js';
+import {recordLoad} from '../targets/target-state.js';
 import {waitForTarget} from './wait-for-target.js';
 
 /** Multiple of its objective after which a repeatable call is retried at another target. */
--- a/packages/relay/src/serve-outcome.ts
+++ b/packages/relay/src/request/serve-outcome.ts
@@ -1,5 +1,5 @@
 import {moveExtraAttempt, returnExtraAttempt, takeExtraAttempt} from './attempt-budget.js';
-import {ServiceName} from './model.js';
+import {ServiceName} from '../model.js';
 import {RefusalName} from './refusals.js';
 import {AdmittedRequest, RelayDependencies} from './request-context.js';
 
--- a/packages/relay/src/serve-request.ts
+++ b/packages/relay/src/request/serve-request.ts
@@ -1,17 +1,17 @@
 import {call, LogEventName, Procedure, RequestId} from '@radishgw/core';
 import {ClientExchange} from './client-exchange.js';
-import {configAgeMs, isConfigFresh} from './config-view.js';
-import {maxElapsedMs, readInstant} from './instant.js';
-import {RelayConfig, RequestMeta, Route, Team} from './model.js';
-import {sharedPartIds} from './quarantine.js';
+import {configAgeMs, isConfigFresh} from '../store/config-view.js';
+import {maxElapsedMs, readInstant} from '../instant.js';
+import {RelayConfig, RequestMeta, Route, Team} from '../model.js';
+import {sharedPartIds} from '../quarantine/quarantine.js';
 import {RefusalName, REFUSALS, writeRefusal} from './refusals.js';
 import {AdmittedRequest, RelayDependencies, RequestProgress} from './request-context.js';
-import {chooseService, findRoute} from './route-table.js';
-import {RequestFingerprint, RunIdentity} from './run-identity.js';
+import {chooseService, findRoute} from '../route-table.js';
+import {RequestFingerprint, RunIdentity} from '../targets/run-identity.js';
 import {serveCall} from './serve-call.js';
 import {ServeOutcome} from './serve-outcome.js';
 import {serveStream} from './serve-stream.js';
-import {requestCost} from './team-quota.js';
+import {requestCost} from '../quota/team-quota.js';
 import {chooseReturnDelay, recordServed} from './wait-for-target.js';
 
 /** Handlers by kind of request. */
--- a/packages/relay/src/serve-stream.ts
+++ b/packages/relay/src/request/serve-stream.ts
@@ -7,12 +7,12 @@
   sharedPrefix,
   stageOf,
   StagedPlacement,
-} from './engine-placement.js';
+} from '../placing/engine-placement.js';
 import {recordRequest} from './attempt-budget.js';
 import {EngineRun} from './engine-run.js';
 import {EventSplitter} from './events.js';
-import {CacheSource, ServiceName} from './model.js';
-import {createPendingAverage, PendingAverage} from './pending-average.js';
+import {CacheSource, ServiceName} from '../model.js';
+import {createPendingAverage, PendingAverage} from '../placing/pending-average.js';
 import {addPendingTokens, releaseHandle, prefillPrompt} from './prefill-prompt.js';
 import {endStandby, expectEvent, hasGoneOn, relayStream} from './relay-stream.js';
 import {AdmittedRequest, RelayDependencies} from './request-context.js';
@@ -25,11 +25,11 @@
 } from './serve-outcome.js';
 import {releaseReturn, RunResult, StreamState} from './stream-state.js';
 import {awaitLossChecks, checkLoss, mayRun, recordWholeRun} from './suspect-runs.js';
-import {SILENCE_CHECK_MS} from './target-answer.js';
-import {PooledTarget} from './target-pool.js';
+import {SILENCE_CHECK_MS} from '../targets/target-answer.js';
+import {PooledTarget} from '../targets/target-pool.js';
 import {sendToTarget, writeTargetRequest} from './target-request.js';
-import {estimateCachedTokens, recordParts, TargetState} from './target-state.js';
-import {recordWait} from './wait-calibration.js';
+import {estimateCachedTokens, recordParts, TargetState} from '../targets/target-state.js';
+import {recordWait} from '../placing/wait-calibration.js';
 import {waitForTarget} from './wait-for-target.js';
 
 /**
--- a/packages/relay/src/stream-state.ts
+++ b/packages/relay/src/request/stream-state.ts
@@ -1,6 +1,6 @@
 import {TargetId} from '@radishgw/core';
 import {EngineRun} from './engine-run.js';
-import {PooledTarget} from './target-pool.js';
+import {PooledTarget} from '../targets/target-pool.js';
 import {AdmittedRequest, RelayDependencies} from './request-context.js';
 import {releaseReserved, ReservedAttempt, ServeOutcome} from './serve-outcome.js';
 
--- a/packages/relay/src/suspect-runs.ts
+++ b/packages/relay/src/request/suspect-runs.ts
@@ -1,6 +1,6 @@
 import {BodyFraming, call, Procedure} from '@radishgw/core';
 import {AdmittedRequest, RelayDependencies} from './request-context.js';
-import {PooledTarget} from './target-pool.js';
+import {PooledTarget} from '../targets/target-pool.js';
 
 /** Number of targets that may crash under one request. */
 const MAX_CRASHES = 2;
--- a/packages/relay/src/target-request.ts
+++ b/packages/relay/src/request/target-request.ts
@@ -1,8 +1,8 @@
 import {AdmittedRequest, RelayDependencies} from './request-context.js';
-import {CacheSource} from './model.js';
-import {AnswerReader, Standby} from './target-answer.js';
-import {OutgoingRequest} from './target-connections.js';
-import {PooledAttempt, PooledTarget} from './target-pool.js';
+import {CacheSource} from '../model.js';
+import {AnswerReader, Standby} from '../targets/target-answer.js';
+import {OutgoingRequest} from '../targets/target-connections.js';
+import {PooledAttempt, PooledTarget} from '../targets/target-pool.js';
 
 /** Fields that differ between the attempts of one request. */
 export interface AttemptFields {
--- a/packages/relay/src/wait-for-target.ts
+++ b/packages/relay/src/request/wait-for-target.ts
@@ -1,5 +1,5 @@
 import {Procedure, sleep, TargetId} from '@radishgw/core';
-import {decideWait, nextReturnMs} from './target-backoff.js';
+import {decideWait, nextReturnMs} from '../targets/target-backoff.js';
 import {AdmittedRequest, recordStep, RelayDependencies} from './request-context.js';
 import {
   createReturnSchedule,
@@ -7,7 +7,7 @@
   ReturnSchedule,
   scheduleReturn,
 } from './return-schedule.js';
-import {ServiceName} from './model.js';
+import {ServiceName} from '../model.js';
 
 /**
  * Waits until a target that has asked for a pause takes requests again, if the request can still be
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -1,7 +1,7 @@
 import {FailureDomain, HostId} from '@radishgw/core';
-import {AttemptBudgetSettings} from './attempt-budget.js';
-import {LeaseTimes} from './lease.js';
-import {QuotaBounds} from './team-quota.js';
+import {AttemptBudgetSettings} from './request/attempt-budget.js';
+import {LeaseTimes} from './store/lease.js';
+import {QuotaBounds} from './quota/team-quota.js';
 
 /** An address to listen on. */
 export interface ListenAddress {
--- a/packages/relay/src/config-view.ts
+++ b/packages/relay/src/store/config-view.ts
@@ -1,5 +1,5 @@
-import {Instant, maxElapsedMs} from './instant.js';
-import {RelayConfig} from './model.js';
+import {Instant, maxElapsedMs} from '../instant.js';
+import {RelayConfig} from '../model.js';
 
 /** The active configuration and the latest time at which it was known to be the newest one. */
 export interface ConfigView {
--- a/packages/relay/src/fleet-time.ts
+++ b/packages/relay/src/store/fleet-time.ts
@@ -1,4 +1,4 @@
-import {Instant} from './instant.js';
+import {Instant} from '../instant.js';
 
 /** A wall clock that moves by less against the monotonic one is followed; clocks are slewed. */
 const MAX_SLEW_MS = 200;
--- a/packages/relay/src/host-registry.ts
+++ b/packages/relay/src/store/host-registry.ts
@@ -1,7 +1,7 @@
 import {FailureDomain, HostId} from '@radishgw/core';
-import {Instant} from './instant.js';
-import {WindowCounts} from './model.js';
-import {rankByKey} from './rendezvous.js';
+import {Instant} from '../instant.js';
+import {WindowCounts} from '../model.js';
+import {rankByKey} from '../rendezvous.js';
 
 /** Record in which a host describes itself in the store. */
 export interface HostRecord {
--- a/packages/relay/src/lease.ts
+++ b/packages/relay/src/store/lease.ts
@@ -1,5 +1,5 @@
 import {HostId} from '@radishgw/core';
-import {Instant, maxElapsedMs} from './instant.js';
+import {Instant, maxElapsedMs} from '../instant.js';
 
 /** Times of a lease, in milliseconds. */
 export interface LeaseTimes {
--- a/packages/relay/src/record-writer.ts
+++ b/packages/relay/src/store/record-writer.ts
@@ -1,5 +1,5 @@
 import {call, Clock, EventLog, HostId, Procedure, sleep} from '@radishgw/core';
-import {Instant, maxElapsedMs, readInstant} from './instant.js';
+import {Instant, maxElapsedMs, readInstant} from '../instant.js';
 import {HEARTBEAT_INTERVAL_MS, compareRecords, HostRecord} from './host-registry.js';
 import {PeerClient} from './peer-client.js';
 import {DependencyMonitor, SharedStore} from './store-sync.js';
--- a/packages/relay/src/shared-config.ts
+++ b/packages/relay/src/store/shared-config.ts
@@ -1,5 +1,5 @@
 import {TeamId, toId} from '@radishgw/core';
-import {RelayConfig, Route, Service, ServiceName, Team} from './model.js';
+import {RelayConfig, Route, Service, ServiceName, Team} from '../model.js';
 
 /** Key and value of a part of a configuration; the key is unique among the parts. */
 export type ConfigPart = readonly [string, unknown];
--- a/packages/relay/src/shared-kinds.ts
+++ b/packages/relay/src/store/shared-kinds.ts
@@ -1,7 +1,7 @@
 import {HostId, toId} from '@radishgw/core';
 import {HostHeartbeat, HostRecord} from './host-registry.js';
-import {RelayConfig, TargetList} from './model.js';
-import {CrashEvidence} from './quarantine.js';
+import {RelayConfig, TargetList} from '../model.js';
+import {CrashEvidence} from '../quarantine/quarantine.js';
 import {ReadIntervals} from './read-intervals.js';
 import {joinConfig, splitConfig} from './shared-config.js';
 
--- a/packages/relay/src/shared-publication.ts
+++ b/packages/relay/src/store/shared-publication.ts
@@ -1,4 +1,4 @@
-import {Instant} from './instant.js';
+import {Instant} from '../instant.js';
 import {KINDS, SharedKind} from './shared-kinds.js';
 
 /** Maximum number of tracked removals; a host that has missed more gets the whole value. */
--- a/packages/relay/src/shared-reads.ts
+++ b/packages/relay/src/store/shared-reads.ts
@@ -1,6 +1,6 @@
 import {call, Clock, Err, EventLog, HostId, Ok, Procedure, Result} from '@radishgw/core';
 import {PlatformAnswer, PlatformError, StoreEra} from '@radishgw/coordination';
-import {Instant, maxElapsedMs, readInstant} from './instant.js';
+import {Instant, maxElapsedMs, readInstant} from '../instant.js';
 import {HostRecord} from './host-registry.js';
 import {PeerClient} from './peer-client.js';
 import {ReadIntervals} from './read-intervals.js';
--- a/packages/relay/src/state-schemas.ts
+++ b/packages/relay/src/store/state-schemas.ts
@@ -2,7 +2,7 @@
 import {z} from 'zod';
 import {HostRecord} from './host-registry.js';
 import {LeaseRecord} from './lease.js';
-import {WindowCounts} from './model.js';
+import {WindowCounts} from '../model.js';
 
 /** Limits on what is read from the hosts' objects in the store, which others can write to as well. */
 const MAX_NAME_LENGTH = 256;
--- a/packages/relay/src/store-sync.ts
+++ b/packages/relay/src/store/store-sync.ts
@@ -3,11 +3,11 @@
 import {confirmConfig, ConfigView} from './config-view.js';
 import {HostRecord, selectNewestRecords} from './host-registry.js';
 import {LeaseRecord} from './lease.js';
-import {RelayConfig, TargetList, WindowCounts} from './model.js';
+import {RelayConfig, TargetList, WindowCounts} from '../model.js';
 import {ReadIntervals} from './read-intervals.js';
 import {RejectedEntries} from './rejected-entries.js';
 import {decodeHostObject, decodeLease, decodeWindow} from './state-schemas.js';
-import {CrashEvidence, parseEvidence} from './quarantine.js';
+import {CrashEvidence, parseEvidence} from '../quarantine/quarantine.js';
 import {DatedValue, SharedReads} from './shared-reads.js';
 import {createKnownEntries, keepUnreadable} from './unreadable-entries.js';
 
--- a/packages/relay/src/unreadable-entries.ts
+++ b/packages/relay/src/store/unreadable-entries.ts
@@ -1,5 +1,5 @@
 import {TargetId} from '@radishgw/core';
-import {TargetEntry, TargetList} from './model.js';
+import {TargetEntry, TargetList} from '../model.js';
 
 /**
  * Time for which a target whose entry can't be used any more counts as it was: another writer may
--- a/packages/relay/src/leaving-targets.ts
+++ b/packages/relay/src/targets/leaving-targets.ts
@@ -1,4 +1,4 @@
-import {TargetEntry} from './model.js';
+import {TargetEntry} from '../model.js';
 
 /** Time for which a target that leaves is remembered; it is long gone then. */
 const MEMORY_MS = 600_000;
--- a/packages/relay/src/run-identity.ts
+++ b/packages/relay/src/targets/run-identity.ts
@@ -1,7 +1,7 @@
 import {createHmac} from 'node:crypto';
 import {Branded, RequestId, TeamId, toId} from '@radishgw/core';
-import {PromptPartId} from './model.js';
-import {readHostName} from './route-table.js';
+import {PromptPartId} from '../model.js';
+import {readHostName} from '../route-table.js';
 
 /**
  * Digest of what a client repeats when it sends a request again: its team, method, path and body, and
--- a/packages/relay/src/target-answer.ts
+++ b/packages/relay/src/targets/target-answer.ts
@@ -7,7 +7,7 @@
   Clock,
   Procedure,
 } from '@radishgw/core';
-import {AnswerMeta, RawHeaders} from './model.js';
+import {AnswerMeta, RawHeaders} from '../model.js';
 import {AnswerHead, Attempt, AttemptEvent, waitForEvent} from './target-connections.js';
 
 /** Maximum size of an answer that is buffered completely. */
--- a/packages/relay/src/target-connections.ts
+++ b/packages/relay/src/targets/target-connections.ts
@@ -10,7 +10,7 @@
   verifyEnds,
 } from '@radishgw/core';
 import {Client, Dispatcher} from 'undici';
-import {AnswerMeta, RawHeaders} from './model.js';
+import {AnswerMeta, RawHeaders} from '../model.js';
 
 /** Timeouts of connections to targets, in milliseconds. */
 export interface ConnectionTimeouts {
--- a/packages/relay/src/target-pool.ts
+++ b/packages/relay/src/targets/target-pool.ts
@@ -24,7 +24,7 @@
   listShared,
   recordLeaving,
 } from './leaving-targets.js';
-import {AnswerMeta, RelayCodec, ServiceName, TargetEntry, TargetList} from './model.js';
+import {AnswerMeta, RelayCodec, ServiceName, TargetEntry, TargetList} from '../model.js';
 import {RunInProgress} from './run-identity.js';
 import {backoffUntil} from './target-backoff.js';
 import {Attempt, OutgoingRequest, TargetConnections} from './target-connections.js';
--- a/packages/relay/src/target-state.ts
+++ b/packages/relay/src/targets/target-state.ts
@@ -1,5 +1,5 @@
 import {Health, createHealth, getHealthState} from '@radishgw/scheduling';
-import {PromptPart, PromptPartId, TargetEntry, TargetLoad} from './model.js';
+import {PromptPart, PromptPartId, TargetEntry, TargetLoad} from '../model.js';
 
 /**
  * Age at which a reported load has half its weight; after twice that it has none. The weight decays
--- a/packages/relay/src/target-view.ts
+++ b/packages/relay/src/targets/target-view.ts
@@ -1,7 +1,7 @@
 import {comparePositions} from '@radishgw/coordination';
 import {TargetId} from '@radishgw/core';
 import {incarnationKey} from './leaving-targets.js';
-import {TargetEntry, TargetList} from './model.js';
+import {TargetEntry, TargetList} from '../model.js';
 import {
   createRevisionRate,
   RevisionRate,
--- a/packages/relay/test/capacity.test.ts
+++ b/packages/relay/test/capacity.test.ts
@@ -11,8 +11,8 @@
   Service,
   TargetEntry,
 } from '../src/index.js';
-import {DemandMeter} from '../src/demand-meter.js';
-import {decideStages, DEFAULT_STAGE_SETTINGS} from '../src/stage-policy.js';
+import {DemandMeter} from '../src/placing/demand-meter.js';
+import {decideStages, DEFAULT_STAGE_SETTINGS} from '../src/duties/stage-policy.js';
 import {ENGINES, makeEntry} from './fixtures.js';
 
 /** Prompt tokens per second that require a number of engines. */
--- a/packages/relay/test/client-connections.test.ts
+++ b/packages/relay/test/client-connections.test.ts
@@ -4,7 +4,7 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import {Worker} from 'node:worker_threads';
 import {expect} from 'chai';
-import {ClientConnections} from '../src/client-connections.js';
+import {ClientConnections} from '../src/request/client-connections.js';
 
 const REQUEST = 'GET / HTTP/1.1\r\nhost: x\r\n\r\n';
 
--- a/packages/relay/test/client-server.test.ts
+++ b/packages/relay/test/client-server.test.ts
@@ -2,9 +2,9 @@
 import {AddressInfo, connect} from 'node:net';
 import {ReadGate, SystemClock} from '@radishgw/core';
 import {expect} from 'chai';
-import {ClientServer} from '../src/client-server.js';
-import {createConfigView} from '../src/config-view.js';
-import {RelayDependencies} from '../src/request-context.js';
+import {ClientServer} from '../src/request/client-server.js';
+import {createConfigView} from '../src/store/config-view.js';
+import {RelayDependencies} from '../src/request/request-context.js';
 
 describe('ClientServer', () => {
   it('holds back the reading of answers when a client connects', async () => {
--- a/packages/relay/test/crash-monitor.test.ts
+++ b/packages/relay/test/crash-monitor.test.ts
@@ -8,10 +8,10 @@
   toId,
 } from '@radishgw/core';
 import {expect} from 'chai';
-import {CrashMonitor, ObservedCrash} from '../src/crash-monitor.js';
+import {CrashMonitor, ObservedCrash} from '../src/quarantine/crash-monitor.js';
 import {RelayMetrics} from '../src/metrics.js';
 import {ServiceName} from '../src/index.js';
-import {PooledTarget, TargetPool} from '../src/target-pool.js';
+import {PooledTarget, TargetPool} from '../src/targets/target-pool.js';
 import {ENGINES, makeEntry, makeIdentity, readAnswer} from './fixtures.js';
 
 describe('crash monitor', () => {
--- a/packages/relay/test/engine-placement.test.ts
+++ b/packages/relay/test/engine-placement.test.ts
@@ -1,9 +1,9 @@
 import {expect} from 'chai';
 import {createSeededRandom, toId} from '@radishgw/core';
-import {createTargetState, recordParts, TargetState} from '../src/target-state.js';
+import {createTargetState, recordParts, TargetState} from '../src/targets/target-state.js';
 import {DEFAULT_ENGINE_ESTIMATES, PlacementContext, placePrompt} from '../src/index.js';
-import {createPendingAverage} from '../src/pending-average.js';
-import {createWaitCalibration, recordWait, waitFactor} from '../src/wait-calibration.js';
+import {createPendingAverage} from '../src/placing/pending-average.js';
+import {createWaitCalibration, recordWait, waitFactor} from '../src/placing/wait-calibration.js';
 import {makeEntry, makeParts} from './fixtures.js';
 
 function makeContext(fields: Partial<PlacementContext> = {}): PlacementContext {
--- a/packages/relay/test/fixtures.ts
+++ b/packages/relay/test/fixtures.ts
@@ -10,7 +10,7 @@
   ServiceName,
   TargetEntry,
 } from '../src/index.js';
-import {RequestFingerprint, RunIdentity} from '../src/run-identity.js';
+import {RequestFingerprint, RunIdentity} from '../src/targets/run-identity.js';
 
 export const ENGINES = toId<ServiceName>('engines');
 export const TEAM = toId<TeamId>('team');
--- a/packages/relay/test/fleet-time.test.ts
+++ b/packages/relay/test/fleet-time.test.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {createFleetTime, fleetNowMs, judgeFleetTime} from '../src/fleet-time.js';
+import {createFleetTime, fleetNowMs, judgeFleetTime} from '../src/store/fleet-time.js';
 
 const START_MS = 1_800_000_000_000;
 
--- a/packages/relay/test/leaving-targets.test.ts
+++ b/packages/relay/test/leaving-targets.test.ts
@@ -5,7 +5,7 @@
   isLeaving,
   listShared,
   recordLeaving,
-} from '../src/leaving-targets.js';
+} from '../src/targets/leaving-targets.js';
 import {makeEntry} from './fixtures.js';
 
 describe('targets that have said that they leave', () => {
--- a/packages/relay/test/probe-release.test.ts
+++ b/packages/relay/test/probe-release.test.ts
@@ -1,8 +1,8 @@
 import {createHandlers, RequestId, startTask, toId, VirtualClock} from '@radishgw/core';
 import {expect} from 'chai';
-import {ClientExchange} from '../src/client-exchange.js';
-import {RelayDependencies} from '../src/request-context.js';
-import {serveRequest} from '../src/serve-request.js';
+import {ClientExchange} from '../src/request/client-exchange.js';
+import {RelayDependencies} from '../src/request/request-context.js';
+import {serveRequest} from '../src/request/serve-request.js';
 import {ENGINES, makeConfig, makeRoute, TEAM} from './fixtures.js';
 
 describe('a request that probes a quarantine', () => {
--- a/packages/relay/test/quarantine-service.test.ts
+++ b/packages/relay/test/quarantine-service.test.ts
@@ -1,7 +1,7 @@
 import {createHandlers, Err, HostId, Ok, RequestId, startTask, toId} from '@radishgw/core';
 import {LogFields, Task, VirtualClock} from '@radishgw/core';
 import {expect} from 'chai';
-import {ObservedCrash} from '../src/crash-monitor.js';
+import {ObservedCrash} from '../src/quarantine/crash-monitor.js';
 import {RelayMetrics} from '../src/metrics.js';
 import {
   BRIEF_QUARANTINE_MS,
@@ -9,9 +9,9 @@
   EVIDENCE_MS,
   QUARANTINE_MS,
   SOUND_MS,
-} from '../src/quarantine.js';
-import {hasExpired, QuarantineService} from '../src/quarantine-service.js';
-import {RunIdentity} from '../src/run-identity.js';
+} from '../src/quarantine/quarantine.js';
+import {hasExpired, QuarantineService} from '../src/quarantine/quarantine-service.js';
+import {RunIdentity} from '../src/targets/run-identity.js';
 import {makeEntry, makeIdentity} from './fixtures.js';
 
 const HOSTS = ['host-a', 'host-b', 'host-c'].map(id => toId<HostId>(id));
--- a/packages/relay/test/quarantine.test.ts
+++ b/packages/relay/test/quarantine.test.ts
@@ -9,7 +9,7 @@
   EVIDENCE_MS,
   isCovered,
   SOUND_MS,
-} from '../src/quarantine.js';
+} from '../src/quarantine/quarantine.js';
 
 const NOW_MS = 10_000_000;
 const ids = (...names: readonly string[]) => names.map(name => toId<PromptPartId>(name));
--- a/packages/relay/test/quota-fleet.ts
+++ b/packages/relay/test/quota-fleet.ts
@@ -22,7 +22,12 @@
   Team,
   updateHosts,
 } from '../src/index.js';
-import {HAND_OVER_PATH, QuotaClient, QuotaMessage, TAKE_QUOTA_PATH} from '../src/quota-client.js';
+import {
+  HAND_OVER_PATH,
+  QuotaClient,
+  QuotaMessage,
+  TAKE_QUOTA_PATH,
+} from '../src/quota/quota-client.js';
 import {makeConfig, TEAM} from './fixtures.js';
 
 /** Interval at which hosts write their records and read those of the others. */
--- a/packages/relay/test/quota.test.ts
+++ b/packages/relay/test/quota.test.ts
@@ -17,7 +17,7 @@
   takeQuota,
   Team,
 } from '../src/index.js';
-import {QuotaClient, QuotaMessage} from '../src/quota-client.js';
+import {QuotaClient, QuotaMessage} from '../src/quota/quota-client.js';
 import {rankByKey} from '../src/rendezvous.js';
 import {makeConfig, TEAM} from './fixtures.js';
 
--- a/packages/relay/test/recent-requests.test.ts
+++ b/packages/relay/test/recent-requests.test.ts
@@ -1,7 +1,7 @@
 import {RequestId, toId} from '@radishgw/core';
 import {expect} from 'chai';
-import {RecentRequests} from '../src/recent-requests.js';
-import {RequestFingerprint} from '../src/run-identity.js';
+import {RecentRequests} from '../src/quarantine/recent-requests.js';
+import {RequestFingerprint} from '../src/targets/run-identity.js';
 import {makeIdentity} from './fixtures.js';
 
 const fingerprint = (body: string) => makeIdentity(toId<RequestId>('r'), [], body).fingerprint;
--- a/packages/relay/test/record-writer.test.ts
+++ b/packages/relay/test/record-writer.test.ts
@@ -10,7 +10,7 @@
   toId,
   VirtualClock,
 } from '@radishgw/core';
-import {OWNERSHIP_VALIDITY_MS} from '../src/quota-times.js';
+import {OWNERSHIP_VALIDITY_MS} from '../src/quota/quota-times.js';
 import {
   createHostRegistry,
   DependencyMonitor,
--- a/packages/relay/test/request-evidence.test.ts
+++ b/packages/relay/test/request-evidence.test.ts
@@ -1,11 +1,15 @@
 import {createHandlers, HostId, Ok, RequestId, startTask, Task, toId} from '@radishgw/core';
 import {VirtualClock} from '@radishgw/core';
 import {expect} from 'chai';
-import {ObservedCrash} from '../src/crash-monitor.js';
+import {ObservedCrash} from '../src/quarantine/crash-monitor.js';
 import {RelayMetrics} from '../src/metrics.js';
-import {BRIEF_QUARANTINE_MS, CrashEvidence, decideQuarantines} from '../src/quarantine.js';
-import {QuarantineService} from '../src/quarantine-service.js';
-import {RequestFingerprint, RunIdentity} from '../src/run-identity.js';
+import {
+  BRIEF_QUARANTINE_MS,
+  CrashEvidence,
+  decideQuarantines,
+} from '../src/quarantine/quarantine.js';
+import {QuarantineService} from '../src/quarantine/quarantine-service.js';
+import {RequestFingerprint, RunIdentity} from '../src/targets/run-identity.js';
 import {makeEntry, makeIdentity} from './fixtures.js';
 
 const HOSTS = ['host-a', 'host-b', 'host-c'].map(id => toId<HostId>(id));
--- a/packages/relay/test/request-quarantine.test.ts
+++ b/packages/relay/test/request-quarantine.test.ts
@@ -11,8 +11,8 @@
   SOUND_REQUEST_MS,
   Suspect,
   TargetCrash,
-} from '../src/quarantine.js';
-import {RequestDigest} from '../src/run-identity.js';
+} from '../src/quarantine/quarantine.js';
+import {RequestDigest} from '../src/targets/run-identity.js';
 import {makeIdentity} from './fixtures.js';
 
 const NOW_MS = 10_000_000;
--- a/packages/relay/test/run-identity.test.ts
+++ b/packages/relay/test/run-identity.test.ts
@@ -1,7 +1,7 @@
 import {TeamId, toId} from '@radishgw/core';
 import {expect} from 'chai';
 import {PromptPartId} from '../src/index.js';
-import {RequestContent, RequestFingerprint} from '../src/run-identity.js';
+import {RequestContent, RequestFingerprint} from '../src/targets/run-identity.js';
 import {TEAM} from './fixtures.js';
 
 const CONTENT: RequestContent = {
--- a/packages/relay/test/serve-request.test.ts
+++ b/packages/relay/test/serve-request.test.ts
@@ -1,9 +1,9 @@
 import {createHandlers, startTask, VirtualClock} from '@radishgw/core';
 import {expect} from 'chai';
-import {ClientExchange} from '../src/client-exchange.js';
-import {createConfigView} from '../src/config-view.js';
-import {RelayDependencies} from '../src/request-context.js';
-import {serveRequest} from '../src/serve-request.js';
+import {ClientExchange} from '../src/request/client-exchange.js';
+import {createConfigView} from '../src/store/config-view.js';
+import {RelayDependencies} from '../src/request/request-context.js';
+import {serveRequest} from '../src/request/serve-request.js';
 
 describe('a request whose admission fails by a fault of the host', () => {
   it('is refused with a status that says that it has not run', async () => {
--- a/packages/relay/test/shared-config.test.ts
+++ b/packages/relay/test/shared-config.test.ts
@@ -1,7 +1,7 @@
 import {toId} from '@radishgw/core';
 import {expect} from 'chai';
 import {RouteName} from '../src/index.js';
-import {joinConfig, splitConfig} from '../src/shared-config.js';
+import {joinConfig, splitConfig} from '../src/store/shared-config.js';
 import {ENGINES, makeConfig, makeRoute, TEAM} from './fixtures.js';
 
 describe('shared configuration', () => {
--- a/packages/relay/test/shared-reads.test.ts
+++ b/packages/relay/test/shared-reads.test.ts
@@ -30,7 +30,7 @@
   TargetList,
   updateHosts,
 } from '../src/index.js';
-import {readIntervals} from '../src/read-intervals.js';
+import {readIntervals} from '../src/store/read-intervals.js';
 import {makeConfig, makeEntry, makeRoute, TEAM} from './fixtures.js';
 
 function makeHost(id: string, domain: string, beat = 1): HostRecord {
--- a/packages/relay/test/small-engines-load.test.ts
+++ b/packages/relay/test/small-engines-load.test.ts
@@ -1,10 +1,15 @@
 import {expect} from 'chai';
 import {createSeededRandom, FailureDomain, TargetId, toId} from '@radishgw/core';
 import {DEFAULT_ENGINE_ESTIMATES, placePrompt} from '../src/index.js';
-import {createPendingAverage} from '../src/pending-average.js';
-import {decideStages, DEFAULT_STAGE_SETTINGS} from '../src/stage-policy.js';
-import {createTargetState, recordLoad, recordParts, TargetState} from '../src/target-state.js';
-import {createWaitCalibration} from '../src/wait-calibration.js';
+import {createPendingAverage} from '../src/placing/pending-average.js';
+import {decideStages, DEFAULT_STAGE_SETTINGS} from '../src/duties/stage-policy.js';
+import {
+  createTargetState,
+  recordLoad,
+  recordParts,
+  TargetState,
+} from '../src/targets/target-state.js';
+import {createWaitCalibration} from '../src/placing/wait-calibration.js';
 import {makeEntry, makeParts} from './fixtures.js';
 
 /** Load of a large fleet with engines of few slots: many short prompts, and some long ones. */
--- a/packages/relay/test/stage-orders.test.ts
+++ b/packages/relay/test/stage-orders.test.ts
@@ -12,8 +12,8 @@
 } from '@radishgw/core';
 import {confirmConfig, createConfigView, RelayCodec} from '../src/index.js';
 import {readInstant} from '../src/instant.js';
-import {StageController} from '../src/stage-controller.js';
-import {TargetPool} from '../src/target-pool.js';
+import {StageController} from '../src/duties/stage-controller.js';
+import {TargetPool} from '../src/targets/target-pool.js';
 import {ENGINES, makeConfig, makeEntry, readAnswer} from './fixtures.js';
 
 const REPORT_PATH = '/report';
--- a/packages/relay/test/store-copies.test.ts
+++ b/packages/relay/test/store-copies.test.ts
@@ -23,11 +23,11 @@
   updateTargets,
 } from '../src/index.js';
 import {createHandlers, Ok, Procedure, startTask} from '@radishgw/core';
-import {FleetDuties, FleetDutiesDependencies} from '../src/fleet-duties.js';
-import {SharedState} from '../src/store-sync.js';
-import {QuotaOwnership} from '../src/quota-ownership.js';
-import {OWNERSHIP_VALIDITY_MS, TAKEOVER_MS} from '../src/quota-times.js';
-import {readIntervals} from '../src/read-intervals.js';
+import {FleetDuties, FleetDutiesDependencies} from '../src/duties/fleet-duties.js';
+import {SharedState} from '../src/store/store-sync.js';
+import {QuotaOwnership} from '../src/quota/quota-ownership.js';
+import {OWNERSHIP_VALIDITY_MS, TAKEOVER_MS} from '../src/quota/quota-times.js';
+import {readIntervals} from '../src/store/read-intervals.js';
 import {makeEntry} from './fixtures.js';
 
 const TIMES = {holdMs: 3000, takeoverMs: 4500};
--- a/packages/relay/test/target-backoff.test.ts
+++ b/packages/relay/test/target-backoff.test.ts
@@ -1,9 +1,13 @@
 import {expect} from 'chai';
 import {createSeededRandom} from '@radishgw/core';
 import {excludeUntil, recordHealthDispatch} from '@radishgw/scheduling';
-import {decideWait, nextReturnMs, backoffUntil} from '../src/target-backoff.js';
-import {createReturnSchedule, recordFinished, scheduleReturn} from '../src/return-schedule.js';
-import {createTargetState, isAvailable, TargetState} from '../src/target-state.js';
+import {decideWait, nextReturnMs, backoffUntil} from '../src/targets/target-backoff.js';
+import {
+  createReturnSchedule,
+  recordFinished,
+  scheduleReturn,
+} from '../src/request/return-schedule.js';
+import {createTargetState, isAvailable, TargetState} from '../src/targets/target-state.js';
 import {makeEntry} from './fixtures.js';
 
 const HOSTS = 195;
--- a/packages/relay/test/target-connections.test.ts
+++ b/packages/relay/test/target-connections.test.ts
@@ -1,7 +1,11 @@
 import {AddressInfo, createServer, Server, Socket} from 'node:net';
 import {expect} from 'chai';
 import {RequestId, SystemClock, toId} from '@radishgw/core';
-import {AttemptEvent, TargetConnection, TargetConnections} from '../src/target-connections.js';
+import {
+  AttemptEvent,
+  TargetConnection,
+  TargetConnections,
+} from '../src/targets/target-connections.js';
 import {readAnswer} from './fixtures.js';
 
 /** Takes each answer for one that names its request. */
--- a/packages/relay/test/unreadable-entries.test.ts
+++ b/packages/relay/test/unreadable-entries.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {TargetId, toId} from '@radishgw/core';
-import {createKnownEntries, keepUnreadable} from '../src/unreadable-entries.js';
+import {createKnownEntries, keepUnreadable} from '../src/store/unreadable-entries.js';
 import {makeEntry} from './fixtures.js';
 
 describe('targets whose entries can not be used any more', () => {
