Bound the requests that all hosts send to a cold target

New targets are empty, so all hosts chose them at once: targets got 19 and 20 requests in one second where 18.6 are allowed, and a cold target that gets more crashes.

TargetAccess now decides whether a request may be sent to a target; isAvailable asks it for placement, and TargetPool.send asks again. Warm targets with room are preferred. Without cold-per-s nothing is limited.

--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -49,6 +49,7 @@
   },
   targetLeaving: {number: 1815, level: 'info', text: 'target has said that it leaves'},
   targetBackoff: {number: 1816, level: 'info', text: 'target has asked for a pause'},
+  targetCold: {number: 1818, level: 'info', text: 'target is cold and takes few requests'},
   quotaFallback: {number: 1820, level: 'warn', text: 'quota decided without its owner'},
   leaseAcquired: {number: 1830, level: 'info', text: 'fleet lease acquired'},
   leaseLost: {number: 1831, level: 'warn', text: 'fleet lease lost'},
--- a/packages/relay/src/model.ts
+++ b/packages/relay/src/model.ts
@@ -60,6 +60,13 @@
   readonly connectionLimit: number;
   readonly engine: EngineTraits | undefined;
   readonly scaling: ScalingTraits | undefined;
+  /**
+   * Rate of requests that a cold target takes from all hosts together; 0 or undefined if it isn't
+   * limited.
+   */
+  readonly coldRequestsPerSecond?: number;
+  /** Time for which a target is cold after its start; undefined if unknown. */
+  readonly coldStartMs?: number;
 }
 
 /** Rate limit of a team over all hosts together, in units of cost. */
@@ -114,6 +121,10 @@
   readonly stage: EngineStage | undefined;
   /** Whether the target is preemptible: it may be withdrawn at short notice. */
   readonly isCheap: boolean;
+  /** Time for which the target is cold from when its entry is read; missing if it is warm. */
+  readonly coldForMs?: number;
+  /** Set if the entry states a time for which the target is cold that can't be used. */
+  readonly hasInvalidColdTime?: true;
   /** Set if the store came back from an older copy and the entry hasn't been written since. */
   readonly isFromCopy?: true;
 }
--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -24,6 +24,7 @@
   findDomainReader,
   HostRecord,
   HostRegistry,
+  listedHosts,
   possibleHosts,
   readyHosts,
 } from './store/host-registry.js';
@@ -48,6 +49,8 @@
   SyncDependencies,
   syncTargets,
 } from './store/store-sync.js';
+import {ColdBounds} from './targets/cold-shares.js';
+import {TargetAccess} from './targets/target-access.js';
 import {TargetPool} from './targets/target-pool.js';
 import {createWaitCalibration} from './placing/wait-calibration.js';
 import {
@@ -83,6 +86,9 @@
 /** A stopping host takes a request only if its deadline is at least this long before the exit. */
 const LAST_ANSWER_MARGIN_MS = 200;
 
+/** Bounds of deployments that state none. */
+const NO_COLD_BOUNDS: ColdBounds = {overageFactor: 1, slackRequests: 0};
+
 /** Time after which no other host names a host that has begun to stop. */
 const DELISTING_MS = 1000;
 
@@ -99,6 +105,7 @@
   private readonly usage: UsageLedger = createUsageLedger();
   private readonly attemptBudgets = new Map<ServiceName, AttemptBudget>();
   private readonly demand = new DemandMeter();
+  private readonly access: TargetAccess;
   private readonly targets: TargetPool;
   private readonly peers = new PeerClient();
   /** Calls for quota are short and many; they don't share connections with the others. */
@@ -129,10 +136,18 @@
       this.quarantine.restore();
     });
     this.fleetTime = createFleetTime(readInstant(clock));
+    this.access = new TargetAccess({
+      clock,
+      hostKey: formatIncarnation({hostId: settings.hostId, incarnation: this.incarnation}),
+      coldBounds: settings.coldBounds ?? NO_COLD_BOUNDS,
+      findService: name => this.configView.config?.services.get(name),
+    });
     this.targets = new TargetPool({
       clock,
       log,
       random,
+      access: this.access,
+      metrics: this.metrics,
       codec: options.codec,
       onLeaving: () => void startTask(this.records.write(), createHandlers(clock)).done,
     });
@@ -335,7 +350,10 @@
       monitor: this.monitor,
       findReader: () => findDomainReader(this.listReady(), settings.failureDomain),
       makeRecord: (start, beat) => this.makeRecord(start, beat),
-      onStored: madeAt => this.quota.confirmRecord(madeAt),
+      onStored: madeAt => {
+        this.quota.confirmRecord(madeAt);
+        this.access.recordStored(madeAt);
+      },
       isStopping: () => this.stopAtMs !== undefined,
     });
   }
@@ -414,7 +432,17 @@
     return readyHosts(this.registry, this.duties.lastReadMs);
   }
 
+  /** Tells which hosts may send requests to cold targets, also those that take none any more. */
+  private recordColdHosts(): void {
+    const now = readInstant(this.options.clock);
+    const {lastReadMs} = this.duties;
+    const wallMs = now.wallMs - (now.monotonicMs - lastReadMs);
+    const hosts = listedHosts(this.registry, lastReadMs);
+    this.access.recordHosts(hosts.map(formatIncarnation), {monotonicMs: lastReadMs, wallMs});
+  }
+
   private applyHosts(): void {
+    this.recordColdHosts();
     const possible = this.listPossible();
     // All hosts appear lost while records can't be written; the previous list is more accurate.
     if (possible.length === 0) return;
@@ -504,12 +532,16 @@
         ([kind, count]) => `radishgw_quarantines{kind="${kind}"} ${count}`,
       ),
       `radishgw_rejected_entries ${this.options.source.rejectedCount + this.shared.rejectedCount}`,
+      `radishgw_cold_targets ${this.targets.countCold()}`,
       `radishgw_ready ${this.isReady ? 1 : 0}`,
     ];
     return this.metrics.format() + gauges.join('\n') + '\n';
   }
 }
 
-function formatIncarnation({hostId, incarnation}: HostRecord): string {
+function formatIncarnation({
+  hostId,
+  incarnation,
+}: Pick<HostRecord, 'hostId' | 'incarnation'>): string {
   return `${hostId}/${incarnation}`;
 }
--- a/packages/relay/src/request/serve-call.ts
+++ b/packages/relay/src/request/serve-call.ts
@@ -14,6 +14,7 @@
   statesNotRun,
   CompleteAnswer,
 } from '../targets/target-answer.js';
+import {preferWarm} from '../targets/target-access.js';
 import {waitForEvent} from '../targets/target-connections.js';
 import {PooledAttempt, PooledTarget} from '../targets/target-pool.js';
 import {awaitLossChecks, checkLoss, mayRun, recordWholeRun} from './suspect-runs.js';
@@ -155,8 +156,9 @@
 }
 
 function findTarget({deps, request, tried}: CallState): PooledTarget | undefined {
-  const targets = deps.targets.forService(request.service);
-  return placeRequest(targets, tried, deps.clock.nowMs(), deps.random);
+  const nowMs = deps.clock.nowMs();
+  const targets = preferWarm(deps.targets.forService(request.service), tried, nowMs);
+  return placeRequest(targets, tried, nowMs, deps.random);
 }
 
 /**
--- a/packages/relay/src/request/serve-stream.ts
+++ b/packages/relay/src/request/serve-stream.ts
@@ -26,6 +26,7 @@
 import {releaseReturn, RunResult, StreamState} from './stream-state.js';
 import {awaitLossChecks, checkLoss, mayRun, recordWholeRun} from './suspect-runs.js';
 import {SILENCE_CHECK_MS} from '../targets/target-answer.js';
+import {preferWarm} from '../targets/target-access.js';
 import {PooledTarget} from '../targets/target-pool.js';
 import {sendToTarget, writeTargetRequest} from './target-request.js';
 import {estimateCachedTokens, recordParts, TargetState} from '../targets/target-state.js';
@@ -227,7 +228,8 @@
   const {deps, request, tried} = state;
   const {meta, service, urgency} = request;
   const work = {parts: meta.promptParts, promptTokens: meta.promptTokens ?? 0, urgency};
-  return placePrompt(listEngines(state), work, tried, {
+  const engines = listEngines(state);
+  const context = {
     hostCount: deps.countHosts(),
     nowMs: deps.clock.nowMs(),
     allowsStaging,
@@ -235,7 +237,19 @@
     pending: getPendingAverage(deps, service),
     estimates: DEFAULT_ENGINE_ESTIMATES,
     random: deps.random,
-  });
+  };
+  const preferred = preferWarm(engines, tried, context.nowMs, stageOf);
+  const placement = placePrompt(preferred, work, tried, context);
+  if (preferred === engines || !isQueueTooLong(request, placement)) return placement;
+  // A cold engine is slow, but may still be faster than the queue at the warm ones.
+  const withCold = placePrompt(engines, work, tried, context);
+  return isQueueTooLong(request, withCold) ? placement : withCold;
+}
+
+function isQueueTooLong({route}: AdmittedRequest, placement: EnginePlacement): boolean {
+  return (
+    placement.type === 'none' || placement.queueMs > route.objectiveMs * MAX_QUEUE_OBJECTIVE_SHARE
+  );
 }
 
 function getPendingAverage(deps: RelayDependencies, service: ServiceName): PendingAverage {
@@ -310,7 +324,8 @@
     for (;;) {
       if (!mayRun(deps, request)) return {type: 'notRun', isUnsent: true};
       const nowMs = deps.clock.nowMs();
-      const decode = confirmDecode(listEngines(state), placement, tried, {
+      const engines = preferWarm(listEngines(state), tried, nowMs, stageOf);
+      const decode = confirmDecode(engines, placement, tried, {
         nowMs,
         random: deps.random,
         estimates: DEFAULT_ENGINE_ESTIMATES,
--- a/packages/relay/src/request/target-request.ts
+++ b/packages/relay/src/request/target-request.ts
@@ -1,5 +1,6 @@
 import {AdmittedRequest, RelayDependencies} from './request-context.js';
-import {CacheSource} from '../model.js';
+import {CacheSource, ServiceName} from '../model.js';
+import {nextColdMs} from '../targets/target-access.js';
 import {AnswerReader, Standby} from '../targets/target-answer.js';
 import {OutgoingRequest} from '../targets/target-connections.js';
 import {PooledAttempt, PooledTarget} from '../targets/target-pool.js';
@@ -26,9 +27,17 @@
     listAgeMs: Math.round(listAgeMs),
   });
   deps.metrics.observeMs('target_list_age_ms', `route="${request.route.name}"`, listAgeMs);
+  recordWithheld(deps, request.service);
   return deps.targets.send(target, outgoing, mayRepeat);
 }
 
+/** Counts a request that is kept from cold targets, as this host may send them no more now. */
+export function recordWithheld({targets, clock, metrics}: RelayDependencies, service: ServiceName) {
+  const nowMs = clock.nowMs();
+  if (nextColdMs(targets.forService(service), nowMs) === undefined) return;
+  metrics.count('cold_withheld_total', `service="${service}"`);
+}
+
 /** Returns what is needed to read an answer to a request. */
 export function createAnswerReader(
   {clock}: RelayDependencies,
--- a/packages/relay/src/request/wait-for-target.ts
+++ b/packages/relay/src/request/wait-for-target.ts
@@ -1,6 +1,8 @@
 import {Procedure, sleep, TargetId} from '@radishgw/core';
+import {nextColdMs} from '../targets/target-access.js';
 import {decideWait, nextReturnMs} from '../targets/target-backoff.js';
 import {AdmittedRequest, recordStep, RelayDependencies} from './request-context.js';
+import {recordWithheld} from './target-request.js';
 import {
   createReturnSchedule,
   recordFinished,
@@ -10,7 +12,7 @@
 import {ServiceName} from '../model.js';
 
 /**
- * Waits until a target that has asked for a pause takes requests again, if the request can still be
+ * Waits until a target that has asked for a pause or is cold takes requests again, if the request can still be
  * served in time; false if it is to be refused. Targets that refused it may be tried again then.
  */
 export function* waitForTarget(
@@ -21,8 +23,9 @@
   const {service, exchange, route, deadlineAtMs, progress} = request;
   if (progress.mayHaveRun || exchange.isFinished) return false;
   const targets = deps.targets.forService(service);
+  recordWithheld(deps, service);
   const nowMs = deps.clock.nowMs();
-  const returnMs = nextReturnMs(targets, nowMs);
+  const returnMs = minDefined(nextReturnMs(targets, nowMs), nextColdMs(targets, nowMs));
   const waiting = deps.waiting.get(service) ?? 0;
   const slots = targets.reduce((sum, target) => sum + target.entry.slots, 0);
   const mayWait = decideWait({
@@ -45,6 +48,10 @@
   return true;
 }
 
+function minDefined(a: number | undefined, b: number | undefined): number | undefined {
+  return a === undefined || b === undefined ? (a ?? b) : Math.min(a, b);
+}
+
 function getSchedule(deps: RelayDependencies, service: ServiceName): ReturnSchedule {
   let schedule = deps.returns.get(service);
   if (!schedule) {
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -2,6 +2,7 @@
 import {AttemptBudgetSettings} from './request/attempt-budget.js';
 import {LeaseTimes} from './store/lease.js';
 import {QuotaBounds} from './quota/team-quota.js';
+import {ColdBounds} from './targets/cold-shares.js';
 
 /** An address to listen on. */
 export interface ListenAddress {
@@ -34,6 +35,8 @@
   readonly attemptBudget: AttemptBudgetSettings;
   /** What may be granted beyond the rate and burst of a team, over all hosts. */
   readonly quotaBounds: QuotaBounds;
+  /** What cold targets may be sent beyond their rate; nothing if undefined. */
+  readonly coldBounds?: ColdBounds;
   readonly usageWindowMs: number;
   /** Maximum time for which clients may cache a directory answer. */
   readonly directoryTtlMs: number;
--- a/packages/relay/src/store/host-registry.ts
+++ b/packages/relay/src/store/host-registry.ts
@@ -302,6 +302,13 @@
   return hosts;
 }
 
+/** All hosts with a live record, also those that aren't ready yet or any more. */
+export function listedHosts(registry: HostRegistry, lastReadMs: number): readonly HostRecord[] {
+  return [...registry.hosts.values()]
+    .filter(({lastChangeMs}) => lastReadMs - lastChangeMs < HOST_TIMEOUT_MS)
+    .map(({record}) => record);
+}
+
 /**
  * Hosts that take requests. Ages are relative to the latest read: while the store is unavailable no
  * record changes, and the previously known hosts remain the best answer.
--- a/packages/relay/src/targets/target-connections.ts
+++ b/packages/relay/src/targets/target-connections.ts
@@ -184,6 +184,12 @@
     };
   }
 
+  /** Ends an attempt that was never given to a connection. */
+  failUnsent(detail: string): void {
+    this.push({type: 'failed', wasSent: false, detail});
+    this.finish();
+  }
+
   /** Ends the attempt with a failure. */
   fail(connection: TargetConnection, detail: string): void {
     if (this.isFinished) return;
@@ -396,6 +402,13 @@
     return attempt;
   }
 
+  /** Returns an attempt that fails as unsent, for a request that may not be sent. */
+  refuse({identity}: OutgoingRequest, detail: string): Attempt {
+    const attempt = new Attempt(this.clock, this.observer, identity?.id, () => undefined);
+    attempt.failUnsent(detail);
+    return attempt;
+  }
+
   /**
    * Called when the target leaves. Requests whose connection isn't established yet fail as unsent;
    * each connection is closed as soon as it is idle. Later requests use connections of their own.
--- a/packages/relay/src/targets/target-pool.ts
+++ b/packages/relay/src/targets/target-pool.ts
@@ -24,11 +24,13 @@
   listShared,
   recordLeaving,
 } from './leaving-targets.js';
+import {RelayMetrics} from '../metrics.js';
 import {AnswerMeta, RelayCodec, ServiceName, TargetEntry, TargetList} from '../model.js';
 import {RunInProgress} from './run-identity.js';
+import {TargetAccess} from './target-access.js';
 import {backoffUntil} from './target-backoff.js';
 import {Attempt, OutgoingRequest, TargetConnections} from './target-connections.js';
-import {createTargetState, TargetState} from './target-state.js';
+import {AccessRefusal, createTargetState, TargetState} from './target-state.js';
 import {createTargetView, isSameIncarnation, updateTargets} from './target-view.js';
 
 /** Failed targets are excluded only briefly because most failures last only seconds. */
@@ -54,6 +56,9 @@
   readonly log: EventLog;
   readonly random: RandomSource;
   readonly codec: Pick<RelayCodec, 'readAnswer'>;
+  /** Undefined where requests may be sent to all targets. */
+  readonly access?: TargetAccess;
+  readonly metrics?: Pick<RelayMetrics, 'count'>;
   /** Called when a target has told this host that it leaves. */
   onLeaving?(): void;
 }
@@ -101,8 +106,10 @@
     for (const listed of this.view.targets.values()) {
       const entry = isLeaving(this.leaving, listed) ? {...listed, isDraining: true} : listed;
       let target = this.targets.get(entry.id);
+      const previous = target?.entry;
       if (target) target.entry = entry;
       else target = this.add(entry);
+      this.updateCold(target, previous, Number.isFinite(previousAgeMs));
       const sameService = this.byService.get(entry.service);
       if (sameService) sameService.push(target);
       else this.byService.set(entry.service, [target]);
@@ -159,8 +166,49 @@
     const id = `a${this.attemptCount++}`;
     target.ownRequests++;
     recordHealthDispatch(target.health, id);
-    const attempt = target.connections.send(request, mayRepeat);
-    return new PooledAttempt(target, attempt, id, this.deps.clock);
+    const refusal = this.findRefusal(target, request);
+    if (refusal) this.deps.metrics?.count('access_refusals_total', `reason="${refusal}"`);
+    else target.gate?.recordSent(this.deps.clock.nowMs());
+    const attempt = refusal
+      ? target.connections.refuse(request, `target may not be sent to: ${refusal}`)
+      : target.connections.send(request, mayRepeat);
+    return new PooledAttempt(target, attempt, id, this.deps.clock, refusal !== undefined);
+  }
+
+  /** Number of targets whose requests are limited because they are cold. */
+  countCold(): number {
+    const nowMs = this.deps.clock.nowMs();
+    let count = 0;
+    for (const target of this.targets.values()) if (target.gate?.isCold(nowMs)) count++;
+    return count;
+  }
+
+  /** The last decision on a request: placements are older than the moment of sending. */
+  private findRefusal(target: PooledTarget, request: OutgoingRequest): AccessRefusal | undefined {
+    // Orders and releases are few and come from one host; only requests are limited.
+    if (!request.identity) return undefined;
+    return target.gate?.findRefusal(this.deps.clock.nowMs());
+  }
+
+  /** Dates the time for which a target is cold by the moment at which this host read it. */
+  private updateCold(
+    target: PooledTarget,
+    previous: TargetEntry | undefined,
+    hasSynced: boolean,
+  ): void {
+    const {access, clock, log} = this.deps;
+    const {entry} = target;
+    const isSame =
+      previous?.coldForMs === entry.coldForMs &&
+      previous?.hasInvalidColdTime === entry.hasInvalidColdTime;
+    if (!access || (previous && isSame)) return;
+    const nowMs = clock.nowMs();
+    const wasCold = nowMs < target.coldUntilMs;
+    if (entry.hasInvalidColdTime && previous) return;
+    const coldMs = access.findColdMs(entry, hasSynced && !previous);
+    target.coldUntilMs = coldMs > 0 ? nowMs + coldMs : -Infinity;
+    if (wasCold || !target.gate?.isCold(nowMs)) return;
+    log.write('targetCold', {target: entry.id, forMs: Math.round(coldMs)});
   }
 
   /** Incarnations that leave, for the record of this host; those of others too if `sharesAll`. */
@@ -190,6 +238,7 @@
       connections: new TargetConnections(entry.address, clock, observer, this.readGate),
       runs: new Map(),
     };
+    target.gate = this.deps.access?.createGate(target);
     this.targets.set(entry.id, target);
     return target;
   }
@@ -242,6 +291,8 @@
     readonly attempt: Attempt,
     private readonly id: string,
     private readonly clock: Clock,
+    /** Whether the request was refused by this host, which says nothing about the target. */
+    private readonly isRefused: boolean,
   ) {}
 
   /** Records that the target has made progress with the request. */
@@ -265,6 +316,7 @@
 
   private recordOutcome(outcome: AttemptOutcome): void {
     const nowMs = this.clock.nowMs();
-    recordHealthOutcome(this.target.health, this.id, outcome, nowMs, HEALTH_SETTINGS);
+    const recorded = this.isRefused ? 'cancelled' : outcome;
+    recordHealthOutcome(this.target.health, this.id, recorded, nowMs, HEALTH_SETTINGS);
   }
 }
--- a/packages/relay/src/targets/target-state.ts
+++ b/packages/relay/src/targets/target-state.ts
@@ -15,6 +15,20 @@
 /** Maximum number of prompt parts tracked per target. */
 const MAX_CACHED_PARTS = 2000;
 
+/** Why a request may not be sent to a target now. */
+export type AccessRefusal = 'cold';
+
+/** Decides whether requests may be sent to a target; see `TargetAccess`. */
+export interface TargetGate {
+  /** Why no request may be sent now; undefined if one may. */
+  findRefusal(nowMs: number): AccessRefusal | undefined;
+  /** Whether the target is cold and its requests are limited. */
+  isCold(nowMs: number): boolean;
+  recordSent(nowMs: number): void;
+  /** Time at which a cold target may take a request again; undefined if it isn't refused as cold. */
+  returnMs(nowMs: number): number | undefined;
+}
+
 /** State that this host keeps for one incarnation of a target. */
 export interface TargetState {
   entry: TargetEntry;
@@ -33,6 +47,10 @@
   readonly knownSinceMs: number;
   /** Time until which the target has asked for no calls of this host; -Infinity if it hasn't. */
   backoffUntilMs: number;
+  /** Time until which the target is cold, that is slow after its start; -Infinity if it is warm. */
+  coldUntilMs: number;
+  /** Set by the pool; without it all requests may be sent. */
+  gate?: TargetGate;
 }
 
 export function createTargetState(entry: TargetEntry, nowMs: number): TargetState {
@@ -47,6 +65,7 @@
     partsMs: new Map(),
     knownSinceMs: nowMs,
     backoffUntilMs: -Infinity,
+    coldUntilMs: -Infinity,
   };
 }
 
@@ -98,6 +117,7 @@
 /** Whether the target accepts new requests, as far as this host knows. */
 export function isAvailable(state: TargetState, nowMs: number): boolean {
   if (state.entry.isDraining || nowMs < state.backoffUntilMs) return false;
+  if (state.gate?.findRefusal(nowMs)) return false;
   const health = getHealthState(state.health, nowMs);
   return health === 'healthy' || health === 'probeDue';
 }
