Measure the prompt tokens that are not cached

The capacity policy plans engines for all prompt tokens. On the users' platform about 70% of them are in shared parts that are cached, so that the figure says little about the work of the engines.

The demand meter counts the tokens that a prompt's placement has to prefill and estimates their share; hosts write the result as uncachedDemand beside demand. They do so only for services whose targets report how long work takes there (the fourth figure of the load header), so that the records of all other deployments stay as they are. Nothing reads the new field yet.

--- a/packages/relay/src/model.ts
+++ b/packages/relay/src/model.ts
@@ -176,6 +176,8 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /** Time that work takes at the moment relative to the usual time; 1 is as usual. */
+  readonly slowdown?: number;
 }
 
 /** Metadata in the head of a target's answer. */
--- a/packages/relay/src/placing/engine-placement.ts
+++ b/packages/relay/src/placing/engine-placement.ts
@@ -113,6 +113,8 @@
   readonly queueMs: number;
   /** Estimated prefill time before calibration; compared with the measured time. */
   readonly uncalibratedMs: number;
+  /** Tokens of the prompt that aren't cached at the engine that prefills it. */
+  readonly newTokens: number;
 }
 
 /** The parts that other requests may share: all but the last, which is specific to the request. */
@@ -183,8 +185,6 @@
   readonly target: TargetState;
   /** Estimated wait plus the cost of evicting other cached parts. */
   readonly costMs: number;
-  /** Tokens that aren't cached at the engine. */
-  readonly newTokens: number;
 }
 
 /**
--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -6,6 +6,7 @@
   RandomSource,
   startTask,
   Task,
+  toId,
 } from '@radishgw/core';
 import {ObjectStore, StoreEra} from '@radishgw/coordination';
 import {ClientServer} from './request/client-server.js';
@@ -49,6 +50,7 @@
   syncTargets,
 } from './store/store-sync.js';
 import {TargetPool} from './targets/target-pool.js';
+import {reportsSlowdown} from './targets/target-state.js';
 import {createWaitCalibration} from './placing/wait-calibration.js';
 import {
   countRequest,
@@ -456,10 +458,20 @@
       madeWallMs: Math.round(this.fleetNowMs()),
       usage: Object.fromEntries(this.usage.windows),
       demand: this.demand.levels(clock.nowMs()),
+      uncachedDemand: this.findUncachedDemand(),
       leaving: this.targets.listLeaving(this.reads.isReader),
     };
   }
 
+  /** Demand that isn't cached; undefined if no targets have reported a slowdown. */
+  private findUncachedDemand(): Record<string, number> | undefined {
+    const levels = this.demand.uncachedLevels(this.options.clock.nowMs());
+    const reported = Object.entries(levels).filter(([service]) =>
+      this.targets.forService(toId<ServiceName>(service)).some(reportsSlowdown),
+    );
+    return reported.length > 0 ? Object.fromEntries(reported) : undefined;
+  }
+
   private applyLeaving(records: readonly HostRecord[]): void {
     this.targets.applyLeaving(records.flatMap(record => record.leaving ?? []));
   }
--- a/packages/relay/src/request/serve-stream.ts
+++ b/packages/relay/src/request/serve-stream.ts
@@ -62,6 +62,7 @@
     lastEventId: meta.lastEventId,
     eventCount: 0,
     hasPrefilled: false,
+    wasPlaced: false,
     mayLeave: run => mayLeave(state, run),
   };
   recordRequest(deps.attemptBudgets.get(service)!, deps.attemptBudgetSettings, deps.clock.nowMs());
@@ -141,6 +142,7 @@
       if (yield* allowTried(state)) continue;
       return fail('noTarget');
     }
+    recordDemand(state, placement.newTokens);
     const leftMs = request.deadlineAtMs - deps.clock.nowMs();
     const maxQueueMs = Math.min(leftMs, route.objectiveMs * MAX_QUEUE_OBJECTIVE_SHARE);
     if (!exchange.hasStarted && !progress.mayHaveRun && placement.queueMs > maxQueueMs) {
@@ -247,6 +249,14 @@
   return pending;
 }
 
+/** Records the work that a placement takes, also one that is refused because of the queue there. */
+function recordDemand(state: StreamState, newTokens: number): void {
+  const {deps, request} = state;
+  const promptTokens = state.wasPlaced ? 0 : (request.meta.promptTokens ?? 0);
+  state.wasPlaced = true;
+  deps.demand.recordPlaced(request.service, promptTokens, newTokens, deps.clock.nowMs());
+}
+
 /** Records the placement of a prompt and its inputs for the log. */
 function recordPlacement(
   {deps, request}: StreamState,
--- a/packages/relay/src/request/stream-state.ts
+++ b/packages/relay/src/request/stream-state.ts
@@ -39,6 +39,8 @@
   eventCount: number;
   /** Whether the prompt has been prefilled once; another prefill is an extra attempt. */
   hasPrefilled: boolean;
+  /** Whether the prompt has been placed at engines. */
+  wasPlaced: boolean;
 }
 
 /** Gives the attempt for a return back: an engine goes on with the stream, or it has ended. */
--- a/packages/relay/src/store/host-registry.ts
+++ b/packages/relay/src/store/host-registry.ts
@@ -32,6 +32,11 @@
   readonly usage: Readonly<Record<string, WindowCounts>>;
   /** Prompt tokens per second that clients request from each service through this host. */
   readonly demand?: Readonly<Record<string, number>>;
+  /**
+   * Part of `demand` that isn't cached where the host places it, for the services whose targets
+   * have reported a slowdown.
+   */
+  readonly uncachedDemand?: Readonly<Record<string, number>>;
   /** Incarnations of targets that have said that they leave; see `incarnationKey`. */
   readonly leaving?: readonly string[];
 }
@@ -140,7 +145,15 @@
 
 /** Returns a record without the fields that change often or that only the lease holder needs. */
 export function omitVolatileFields(record: HostRecord): HostRecord {
-  return {...record, beat: 0, madeMs: 0, madeWallMs: 0, usage: {}, demand: undefined};
+  return {
+    ...record,
+    beat: 0,
+    madeMs: 0,
+    madeWallMs: 0,
+    usage: {},
+    demand: undefined,
+    uncachedDemand: undefined,
+  };
 }
 
 /**
--- a/packages/relay/src/store/state-schemas.ts
+++ b/packages/relay/src/store/state-schemas.ts
@@ -30,6 +30,7 @@
   madeWallMs: z.number().int(),
   usage: z.record(z.string().regex(/^\d{1,15}$/), countsSchema),
   demand: z.record(z.string(), z.number().nonnegative()).optional(),
+  uncachedDemand: z.record(z.string(), z.number().nonnegative()).optional(),
   leaving: z.array(z.string()).max(MAX_LEAVING).optional(),
 });
 
--- a/packages/relay/src/targets/target-state.ts
+++ b/packages/relay/src/targets/target-state.ts
@@ -27,6 +27,8 @@
   othersRequests: number;
   othersWaiting: number;
   loadAtMs: number;
+  /** Latest reported slowdown; undefined if the target has reported none. */
+  slowdown?: number;
   /** Time at which this host last sent each prompt part to the target, oldest first. */
   readonly partsMs: Map<PromptPartId, number>;
   /** Time at which this host first saw this incarnation. */
@@ -56,6 +58,12 @@
   state.othersRequests = Math.max(0, others);
   state.othersWaiting = Math.max(0, load.waiting - state.ownRequests);
   state.loadAtMs = nowMs;
+  if (load.slowdown !== undefined) state.slowdown = load.slowdown;
+}
+
+/** Whether the target has reported how long work takes there. */
+export function reportsSlowdown(target: TargetState): boolean {
+  return target.slowdown !== undefined;
 }
 
 /** Weight of the latest reported load; decays linearly from 1 to 0 with its age. */
--- a/packages/relay/test/capacity.test.ts
+++ b/packages/relay/test/capacity.test.ts
@@ -245,6 +245,36 @@
     expect(meter.levels(5000)[ENGINES]).to.be.within(90_000, 100_000);
   });
 
+  it('counts the tokens that are not cached, also of prompts that are refused', () => {
+    // Guards against engines ordered for tokens that are cached, and against too few of them when
+    // most prompts are refused before they are placed.
+    const meter = new DemandMeter();
+    for (let nowMs = 0; nowMs < 20_000; nowMs += 10) {
+      meter.record(ENGINES, 1000, nowMs);
+      if (nowMs % 50 === 0) meter.recordPlaced(ENGINES, 1000, 300, nowMs);
+    }
+    expect(meter.uncachedLevels(20_000)[ENGINES]).to.be.within(28_000, 32_000);
+  });
+
+  it('counts all tokens while no prompt has been placed', () => {
+    // Guards against a fleet that is planned for no work while all prompts are refused.
+    const meter = new DemandMeter();
+    for (let nowMs = 0; nowMs < 10_000; nowMs += 10) meter.record(ENGINES, 1000, nowMs);
+    expect(meter.uncachedLevels(10_000)).to.deep.equal(meter.levels(10_000));
+  });
+
+  it('counts a prompt that is prefilled twice as more work, not as more demand', () => {
+    // Guards against failovers that hide the work that they cause.
+    const meter = new DemandMeter();
+    for (let nowMs = 0; nowMs < 20_000; nowMs += 10) {
+      meter.record(ENGINES, 1000, nowMs);
+      meter.recordPlaced(ENGINES, 1000, 300, nowMs);
+      meter.recordPlaced(ENGINES, 0, 300, nowMs);
+    }
+    expect(meter.levels(20_000)[ENGINES]).to.be.within(98_000, 100_000);
+    expect(meter.uncachedLevels(20_000)[ENGINES]).to.be.within(58_000, 60_000);
+  });
+
   it('adds up to the demand of the fleet for any number of hosts', () => {
     // Guards against engines that are ordered for peaks from different times: when each of 74 hosts
     // held its own peak, the sum was 3.7 million tokens per second instead of 1.3 million.
