Plan the number of engines by their work

The capacity policy orders one engine for each 15,000 prompt tokens a second, cached ones counted, and never releases any. On the users' platform most tokens are cached and targets are the largest cost.

Services whose targets report how long work takes are now planned by the tokens that have to be prefilled, a quarter of the cached ones counted as well. The fleet grows at once and shrinks in steps to the highest requirement of 15 s, and only while the demand of all hosts is known. It keeps the capacity to lose the preemptible engines of any one failure domain. Accepted orders are repeated only after the boot time. Other services are planned as before.

--- a/packages/relay/src/duties/capacity-policy.ts
+++ b/packages/relay/src/duties/capacity-policy.ts
@@ -1,5 +1,13 @@
 import {FailureDomain} from '@radishgw/core';
 import {CapacityOrder, ScalingTraits, Service, TargetEntry} from '../model.js';
+import {
+  createWorkPlan,
+  DEFAULT_WORK_PLAN_SETTINGS,
+  planEngines,
+  WorkDemand,
+  WorkPlan,
+  WorkPlanSettings,
+} from './work-plan.js';
 
 /** Settings of the capacity policy. */
 export interface CapacitySettings {
@@ -29,6 +37,8 @@
   readonly discoveryMs: number;
   /** Minimum time before an order is sent again: new targets take seconds to register. */
   readonly resendMs: number;
+  /** Settings for the services that are planned by work. */
+  readonly work: WorkPlanSettings;
 }
 
 export const DEFAULT_CAPACITY_SETTINGS: CapacitySettings = {
@@ -39,6 +49,7 @@
   firstOrderDelayMs: 900,
   discoveryMs: 2500,
   resendMs: 3000,
+  work: DEFAULT_WORK_PLAN_SETTINGS,
 };
 
 /** State that the holder of the fleet lease keeps for one service. */
@@ -52,9 +63,20 @@
   /** Failure domains in which targets have been seen. */
   readonly domains: Set<FailureDomain>;
   /** Latest order by failure domain and kind of target. */
-  readonly lastOrders: Map<string, {readonly count: number; readonly atMs: number}>;
-  /** Maximum desired number of targets so far. */
+  readonly lastOrders: Map<string, SentOrder>;
+  /** Desired number of targets; the maximum so far if the service isn't planned by work. */
   desiredTotal: number;
+  /** Set once the service is planned by work. */
+  plan: WorkPlan | undefined;
+}
+
+/** The latest order for one kind of targets in one failure domain. */
+interface SentOrder {
+  readonly count: number;
+  readonly atMs: number;
+  /** Number of ready targets when it was sent. */
+  readonly readyCount: number;
+  isAccepted: boolean;
 }
 
 export function createCapacityState(nowMs: number): CapacityState {
@@ -65,6 +87,7 @@
     domains: new Set(),
     lastOrders: new Map(),
     desiredTotal: 0,
+    plan: undefined,
   };
 }
 
@@ -72,7 +95,7 @@
  * Decides which orders to send for a service. Where preemptible targets are offered they provide
  * most of the capacity. It is spread over the failure domains because all preemptible targets of a
  * domain are withdrawn together. On-demand targets are removed only when the preemptible ones that
- * replace them are ready.
+ * replace them are ready. With `work`, the service is planned by the work of its engines.
  */
 export function decideCapacity(
   state: CapacityState,
@@ -81,21 +104,27 @@
   demandPerSecond: number,
   settings: CapacitySettings,
   nowMs: number,
+  work?: WorkDemand,
 ): CapacityOrder[] {
   const {scaling} = service;
   if (!scaling || !service.engine) return [];
   for (const entry of entries) state.domains.add(entry.failureDomain);
   const elapsedMs = nowMs - state.firstSeenMs;
   if (elapsedMs < settings.firstOrderDelayMs) return [];
-  const fromDemand = Math.ceil(demandPerSecond / settings.engineTokensPerSecond);
   recordInitialTargets(state, entries);
-  const fromInitial = Math.ceil(state.startCount * settings.initialCapacityFactor);
-  const desired = fromDemand > 0 ? fromDemand : fromInitial;
-  state.desiredTotal = Math.max(state.desiredTotal, state.inheritedCount, desired);
   const usesPreemptible =
     scaling.cheapPriceRatio !== undefined &&
     scaling.cheapPriceRatio <= settings.maxPreemptiblePriceRatio;
   const domains = sortByPrice([...state.domains], scaling);
+  if (work) {
+    const riskyDomainCount = usesPreemptible ? domains.length : 0;
+    state.desiredTotal = planByWork(state, work, entries, riskyDomainCount, settings, nowMs);
+  } else {
+    const fromDemand = Math.ceil(demandPerSecond / settings.engineTokensPerSecond);
+    const fromInitial = Math.ceil(state.startCount * settings.initialCapacityFactor);
+    const desired = fromDemand > 0 ? fromDemand : fromInitial;
+    state.desiredTotal = Math.max(state.desiredTotal, state.inheritedCount, desired);
+  }
   const orders: CapacityOrder[] = [];
   domains.forEach((failureDomain, index) => {
     const share = splitEvenly(state.desiredTotal, domains.length, index);
@@ -116,7 +145,39 @@
       usesPreemptible ? Math.max(minOnDemand, Math.min(ready.onDemand, needed)) : needed,
     );
   });
-  return orders.filter(order => isDue(state, order, entries, settings, nowMs));
+  const bootMs = state.plan ? scaling.bootMs : 0;
+  return orders.filter(order => isDue(state, order, entries, settings, bootMs, nowMs));
+}
+
+/**
+ * Begins again with the fleet as it is, for a holder that has held the lease before: another one may
+ * have planned the fleet in between, and its demand isn't known any more.
+ */
+export function restartPlan(state: CapacityState, entries: readonly TargetEntry[]): void {
+  if (!state.plan) return;
+  state.plan = createWorkPlan();
+  state.desiredTotal = 0;
+  state.startCount = 0;
+  state.inheritedCount = entries.filter(entry => !entry.isDraining).length;
+}
+
+function planByWork(
+  state: CapacityState,
+  work: WorkDemand,
+  entries: readonly TargetEntry[],
+  riskyDomainCount: number,
+  settings: CapacitySettings,
+  nowMs: number,
+): number {
+  state.plan ??= createWorkPlan();
+  const fromInitial = Math.ceil(state.startCount * settings.work.initialCapacityFactor);
+  const fleet = {
+    plannedCount: state.desiredTotal,
+    readyCount: entries.filter(entry => !entry.isDraining).length,
+    minUnobservedCount: Math.max(state.inheritedCount, fromInitial),
+    riskyDomainCount,
+  };
+  return planEngines(state.plan, work, fleet, settings.work, nowMs);
 }
 
 /**
@@ -161,27 +222,52 @@
 
 /**
  * Within the resend interval an order is due if it differs from the latest one; after that, if the
- * number of ready targets differs from it.
+ * number of ready targets differs from it. An accepted order for more targets has `bootMs` more,
+ * unless ready targets have gone since.
  */
 function isDue(
   state: CapacityState,
   order: CapacityOrder,
   entries: readonly TargetEntry[],
   settings: CapacitySettings,
+  bootMs: number,
   nowMs: number,
 ): boolean {
   const last = state.lastOrders.get(orderKey(order));
-  const ready = countReady(entries, order.failureDomain);
-  const count = order.isCheap ? ready.preemptible : ready.onDemand;
-  if (last && nowMs - last.atMs < settings.resendMs) return last.count !== order.desiredCount;
+  const count = countKind(entries, order);
+  if (!last) return count !== order.desiredCount;
+  const isBooting = last.isAccepted && count >= last.readyCount && count < order.desiredCount;
+  const resendMs = settings.resendMs + (isBooting ? bootMs : 0);
+  if (nowMs - last.atMs < resendMs) return last.count !== order.desiredCount;
   return count !== order.desiredCount;
 }
 
+function countKind(entries: readonly TargetEntry[], order: CapacityOrder): number {
+  const ready = countReady(entries, order.failureDomain);
+  return order.isCheap ? ready.preemptible : ready.onDemand;
+}
+
 function orderKey(order: CapacityOrder): string {
   return `${order.failureDomain}/${order.isCheap}`;
 }
 
-/** Records that an order was sent. */
-export function recordOrder(state: CapacityState, order: CapacityOrder, nowMs: number): void {
-  state.lastOrders.set(orderKey(order), {count: order.desiredCount, atMs: nowMs});
+/** Records that an order was sent while `entries` were known. */
+export function recordOrder(
+  state: CapacityState,
+  order: CapacityOrder,
+  nowMs: number,
+  entries: readonly TargetEntry[] = [],
+): void {
+  state.lastOrders.set(orderKey(order), {
+    count: order.desiredCount,
+    atMs: nowMs,
+    readyCount: countKind(entries, order),
+    isAccepted: false,
+  });
+}
+
+/** Records that the platform has accepted the latest order of its kind. */
+export function recordAcceptedOrder(state: CapacityState, order: CapacityOrder): void {
+  const last = state.lastOrders.get(orderKey(order));
+  if (last?.count === order.desiredCount) last.isAccepted = true;
 }
--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -110,6 +110,7 @@
   private readonly reads: SharedReads;
   private readonly clientServer: ClientServer;
   private readonly shared: SharedStore;
+  private readonly capacity: CapacityController;
   private readonly duties: FleetDuties;
   private readonly records: RecordWriter;
   private readonly auxiliaryServers;
@@ -152,6 +153,7 @@
     });
     this.clientServer = new ClientServer(this.createDependencies());
     this.monitor = new DependencyMonitor('store', clock, log);
+    this.capacity = this.createCapacity();
     this.duties = this.createDuties();
     this.records = this.createRecords();
     const onError = (error: unknown) =>
@@ -342,6 +344,18 @@
     });
   }
 
+  private createCapacity(): CapacityController {
+    const {settings, clock, log, duties} = this.options;
+    return new CapacityController({
+      hostId: settings.hostId,
+      clock,
+      log,
+      duties,
+      configView: this.configView,
+      targets: this.targets,
+    });
+  }
+
   private createDuties(): FleetDuties {
     const {settings, clock, log, duties} = this.options;
     return new FleetDuties({
@@ -367,14 +381,7 @@
       onRenewedRecords: records => this.judgeTime(records),
       fleetNowMs: () => this.fleetNowMs(),
       isStopping: () => this.stopAtMs !== undefined,
-      capacity: new CapacityController({
-        hostId: settings.hostId,
-        clock,
-        log,
-        duties,
-        configView: this.configView,
-        targets: this.targets,
-      }),
+      capacity: this.capacity,
       stages: new StageController({
         hostId: settings.hostId,
         clock,
@@ -515,11 +522,20 @@
       ...Object.entries(this.quarantine.countByKind()).map(
         ([kind, count]) => `radishgw_quarantines{kind="${kind}"} ${count}`,
       ),
+      ...this.formatPlans(),
       `radishgw_rejected_entries ${this.options.source.rejectedCount + this.shared.rejectedCount}`,
       `radishgw_ready ${this.isReady ? 1 : 0}`,
     ];
     return this.metrics.format() + gauges.join('\n') + '\n';
   }
+
+  /** The planned numbers of targets, which only the holder of the fleet lease knows. */
+  private formatPlans(): string[] {
+    if (this.duties.currentTerm() === undefined) return [];
+    return [...this.capacity.plannedCounts()].map(
+      ([service, count]) => `radishgw_planned_targets{service="${service}"} ${count}`,
+    );
+  }
 }
 
 function formatIncarnation({hostId, incarnation}: HostRecord): string {
