Switch fewer engines between stages

The stage policy keeps exactly a quarter of a failure domain's engines decoding, on-demand ones first, so that it switches engines back and forth while preemptible engines replace on-demand ones.

The report that is read before an order tells which rule applies. Other services are unchanged.

--- a/packages/relay/src/duties/stage-controller.ts
+++ b/packages/relay/src/duties/stage-controller.ts
@@ -1,9 +1,16 @@
 import {Clock, EventLog, HostId, Procedure, TargetId} from '@radishgw/core';
 import {ConfigView} from '../store/config-view.js';
-import {RelayCodec} from '../model.js';
-import {decideStages, DEFAULT_STAGE_SETTINGS, StageOrder, StageState} from './stage-policy.js';
+import {EngineStage, RelayCodec, ServiceName} from '../model.js';
+import {
+  decideStages,
+  decideStagesByWork,
+  DEFAULT_STAGE_SETTINGS,
+  StageOrder,
+  StageState,
+} from './stage-policy.js';
 import {readCompleteAnswer} from '../targets/target-answer.js';
 import {PooledTarget, TargetPool} from '../targets/target-pool.js';
+import {recordSlowdown, reportsSlowdown} from '../targets/target-state.js';
 
 /** Timeout of a call to an engine. */
 const CALL_TIMEOUT_MS = 700;
@@ -24,6 +31,9 @@
 /** Assigns stages to engines while this host holds the fleet lease. */
 export class StageController {
   private readonly lastOrderMs: StageState = new Map<TargetId, number>();
+  private readonly lastOrders = new Map<TargetId, {stage: EngineStage; atMs: number}>();
+  /** Services whose targets have reported how long work takes. */
+  private readonly byWork = new Set<ServiceName>();
 
   constructor(private readonly deps: StageControllerDependencies) {}
 
@@ -37,28 +47,42 @@
       const targets = deps.targets.forService(service.name);
       const entries = targets.map(target => target.entry);
       const nowMs = deps.clock.nowMs();
-      const orders = decideStages(this.lastOrderMs, entries, DEFAULT_STAGE_SETTINGS, nowMs);
+      const isByWork = this.isByWork(service.name);
+      const orders = isByWork
+        ? decideStagesByWork(this.lastOrders, entries, DEFAULT_STAGE_SETTINGS, nowMs)
+        : decideStages(this.lastOrderMs, entries, DEFAULT_STAGE_SETTINGS, nowMs);
       for (const order of orders.slice(0, MAX_ORDERS_PER_STEP)) {
         const target = targets.find(candidate => candidate.entry.id === order.target);
-        if (target) yield* this.send(target, order, currentTerm);
+        if (!target) continue;
+        const accepted = yield* this.readAcceptedOrders(target);
+        // The report may have shown that the service is planned by work.
+        if (this.isByWork(service.name) !== isByWork) break;
+        if (accepted !== undefined) yield* this.send(target, order, accepted, currentTerm);
       }
     }
   }
 
+  private isByWork(service: ServiceName): boolean {
+    if (this.deps.targets.forService(service).some(reportsSlowdown)) this.byWork.add(service);
+    return this.byWork.has(service);
+  }
+
   /**
-   * Sends an order to one engine. The number of orders that the engine has accepted is read first
-   * and sent with the order, so that the engine rejects a delayed copy of an earlier order.
+   * Sends an order to one engine. The number of orders that the engine has accepted, which was read
+   * before, is sent with it, so that the engine rejects a delayed copy of an earlier order.
    */
   private *send(
     target: PooledTarget,
     order: StageOrder,
+    accepted: number,
     currentTerm: () => number | undefined,
   ): Procedure<void> {
     const {deps} = this;
-    const accepted = yield* this.readAcceptedOrders(target);
     const term = currentTerm();
-    if (accepted === undefined || term === undefined) return;
-    this.lastOrderMs.set(order.target, deps.clock.nowMs());
+    if (term === undefined) return;
+    const nowMs = deps.clock.nowMs();
+    this.lastOrderMs.set(order.target, nowMs);
+    this.lastOrders.set(order.target, {stage: order.stage, atMs: nowMs});
     deps.log.write('orderSent', {...order, term, accepted, known: target.entry.stage});
     const message = deps.codec.stageOrder(order.stage, deps.hostId, term, accepted);
     const status = yield* this.call(target, 'POST', message.path, Buffer.from(message.body));
@@ -91,6 +115,7 @@
       // The caller logs a failed order. An answer that names a request is a late one to a client.
       if (answer.type !== 'answer' || answer.meta.requestId !== undefined) return undefined;
       sent.finish('finished');
+      if (answer.meta.load) recordSlowdown(target, answer.meta.load);
       return {code: answer.status, body: answer.body};
     } finally {
       buffer.resize(0);
--- a/packages/relay/src/targets/target-state.ts
+++ b/packages/relay/src/targets/target-state.ts
@@ -58,7 +58,12 @@
   state.othersRequests = Math.max(0, others);
   state.othersWaiting = Math.max(0, load.waiting - state.ownRequests);
   state.loadAtMs = nowMs;
-  if (load.slowdown !== undefined) state.slowdown = load.slowdown;
+  recordSlowdown(state, load);
+}
+
+/** Records how long work takes, if the target reports it. */
+export function recordSlowdown(state: TargetState, {slowdown}: TargetLoad): void {
+  if (slowdown !== undefined) state.slowdown = slowdown;
 }
 
 /** Whether the target has reported how long work takes there. */
--- a/packages/relay/test/stage-orders.test.ts
+++ b/packages/relay/test/stage-orders.test.ts
@@ -10,7 +10,7 @@
   SystemClock,
   toId,
 } from '@radishgw/core';
-import {confirmConfig, createConfigView, RelayCodec} from '../src/index.js';
+import {confirmConfig, createConfigView, RawHeaders, RelayCodec} from '../src/index.js';
 import {readInstant} from '../src/instant.js';
 import {StageController} from '../src/duties/stage-controller.js';
 import {TargetPool} from '../src/targets/target-pool.js';
@@ -37,7 +37,12 @@
     body: JSON.stringify({stage, token, expected} satisfies Order),
   }),
   writeControlHeaders: () => [],
-  readAnswer,
+  readAnswer: (headers: RawHeaders) => {
+    const index = headers.findIndex(text => text.toLowerCase() === 'slowdown');
+    if (index < 0) return readAnswer(headers);
+    const load = {running: 0, waiting: 0, slots: 64, slowdown: Number(headers[index + 1])};
+    return {...readAnswer(headers), load};
+  },
 } as unknown as RelayCodec;
 
 /** An engine that accepts an order only if the order states the current number of accepted ones. */
@@ -45,6 +50,8 @@
   accepted = 0;
   /** Whether a report is sent byte by byte and never ends. */
   isReportEndless = false;
+  /** Slowdown in the head of its report; undefined if it reports none. */
+  slowdown: number | undefined;
   readonly orders: Order[] = [];
   readonly statuses: number[] = [];
   private readonly server: Server = createServer((request, response) => {
@@ -56,6 +63,7 @@
         response.once('close', () => clearInterval(timer));
         return;
       }
+      if (this.slowdown !== undefined) response.setHeader('slowdown', this.slowdown);
       if (request.url === REPORT_PATH) {
         response.end(String(this.accepted));
         return;
@@ -122,6 +130,15 @@
     expect(engine.accept(engine.orders[0])).to.equal(409);
   });
 
+  it('are decided again when an engine reports how long work takes', async () => {
+    // Guards against engines that are switched by one rule and switched back by the other.
+    engine.slowdown = 1;
+    await step(() => 7);
+    expect(engine.orders).to.deep.equal([]);
+    await step(() => 7);
+    expect(engine.orders).to.deep.equal([{stage: 'decode', token: 7, expected: 0}]);
+  });
+
   it('go on when the report of an engine never ends', async () => {
     // Guards against duties that wait for one engine for ever.
     engine.isReportEndless = true;
