--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -6,6 +6,7 @@
   RandomSource,
   startTask,
   Task,
+  toId,
 } from '@radishgw/core';
 import {ObjectStore, StoreEra} from '@radishgw/coordination';
 import {ClientServer} from './request/client-server.js';
@@ -52,6 +53,7 @@
 import {ColdBounds} from './targets/cold-shares.js';
 import {TargetAccess} from './targets/target-access.js';
 import {TargetPool} from './targets/target-pool.js';
+import {reportsSlowdown} from './targets/target-state.js';
 import {createWaitCalibration} from './placing/wait-calibration.js';
 import {
   countRequest,
@@ -115,6 +117,7 @@
   private readonly reads: SharedReads;
   private readonly clientServer: ClientServer;
   private readonly shared: SharedStore;
+  private readonly capacity: CapacityController;
   private readonly duties: FleetDuties;
   private readonly records: RecordWriter;
   private readonly auxiliaryServers;
@@ -165,6 +168,7 @@
     });
     this.clientServer = new ClientServer(this.createDependencies());
     this.monitor = new DependencyMonitor('store', clock, log);
+    this.capacity = this.createCapacity();
     this.duties = this.createDuties();
     this.records = this.createRecords();
     const onError = (error: unknown) =>
@@ -358,6 +362,18 @@
     });
   }
 
+  private createCapacity(): CapacityController {
+    const {settings, clock, log, duties} = this.options;
+    return new CapacityController({
+      hostId: settings.hostId,
+      clock,
+      log,
+      duties,
+      configView: this.configView,
+      targets: this.targets,
+    });
+  }
+
   private createDuties(): FleetDuties {
     const {settings, clock, log, duties} = this.options;
     return new FleetDuties({
@@ -383,14 +399,7 @@
       onRenewedRecords: records => this.judgeTime(records),
       fleetNowMs: () => this.fleetNowMs(),
       isStopping: () => this.stopAtMs !== undefined,
-      capacity: new CapacityController({
-        hostId: settings.hostId,
-        clock,
-        log,
-        duties,
-        configView: this.configView,
-        targets: this.targets,
-      }),
+      capacity: this.capacity,
       stages: new StageController({
         hostId: settings.hostId,
         clock,
@@ -484,10 +493,20 @@
       madeWallMs: Math.round(this.fleetNowMs()),
       usage: Object.fromEntries(this.usage.windows),
       demand: this.demand.levels(clock.nowMs()),
+      uncachedDemand: this.findUncachedDemand(),
       leaving: this.targets.listLeaving(this.reads.isReader),
     };
   }
 
+  /** Demand that isn't cached; undefined if no targets have reported a slowdown. */
+  private findUncachedDemand(): Record<string, number> | undefined {
+    const levels = this.demand.uncachedLevels(this.options.clock.nowMs());
+    const reported = Object.entries(levels).filter(([service]) =>
+      this.targets.forService(toId<ServiceName>(service)).some(reportsSlowdown),
+    );
+    return reported.length > 0 ? Object.fromEntries(reported) : undefined;
+  }
+
   private applyLeaving(records: readonly HostRecord[]): void {
     this.targets.applyLeaving(records.flatMap(record => record.leaving ?? []));
   }
@@ -531,12 +550,21 @@
       ...Object.entries(this.quarantine.countByKind()).map(
         ([kind, count]) => `radishgw_quarantines{kind="${kind}"} ${count}`,
       ),
+      ...this.formatPlans(),
       `radishgw_rejected_entries ${this.options.source.rejectedCount + this.shared.rejectedCount}`,
       `radishgw_cold_targets ${this.targets.countCold()}`,
       `radishgw_ready ${this.isReady ? 1 : 0}`,
     ];
     return this.metrics.format() + gauges.join('\n') + '\n';
   }
+
+  /** The planned numbers of targets, which only the holder of the fleet lease knows. */
+  private formatPlans(): string[] {
+    if (this.duties.currentTerm() === undefined) return [];
+    return [...this.capacity.plannedCounts()].map(
+      ([service, count]) => `radishgw_planned_targets{service="${service}"} ${count}`,
+    );
+  }
 }
 
 function formatIncarnation({
