Say that a stopping gateway closes a connection with its latest response only

Cause: stop() gave every active response `connection: close`. With the first such response Node.js 20 closes the connection, so a request sent ahead, which may have run, got no response. The same happened to a request that arrived on an open connection after stop() while an earlier one was in progress.

Ruled out: closing once all responses are sent, as relay does; the responses would not tell callers that the connection ends.

Change: the server records the response to the latest request on each connection. Only this one says `connection: close`; an earlier one loses the header when another request arrives. A request that arrives after a response with that header has been sent is not served (RFC 9112, section 9.6).

--- a/packages/gateway/src/caller/caller-server.ts
+++ b/packages/gateway/src/caller/caller-server.ts
@@ -65,6 +65,8 @@
   private readonly inFlight: InFlightLimiter;
   private readonly active = new Set<ActiveRequest>();
   private readonly closeCallbacks = new WeakMap<Socket, Set<() => void>>();
+  /** The response to the latest request on each connection. */
+  private readonly latestResponses = new WeakMap<Socket, ServerResponse>();
   private router!: findMyWay.Instance<findMyWay.HTTPVersion.V1>;
   private routerConfig: readonly RouteConfig[] | undefined;
   private stopping = false;
@@ -115,7 +117,10 @@
     this.stopping = true;
     // Node's HTTP `close` would close idle connections at once, when a request may be on its way.
     NetServer.prototype.close.call(this.server);
-    for (const {context} of this.active) setConnectionClose(context.response);
+    for (const {context} of this.active) {
+      const {request, response} = context;
+      if (this.latestResponses.get(request.socket) === response) setConnectionClose(response);
+    }
     const {clock} = this.services;
     await new Promise<void>(resolve => clock.setTimer(KEEP_ALIVE_GRACE_MS, resolve));
     const timer = clock.setTimer(timeoutMs, () => {
@@ -153,9 +158,9 @@
   }
 
   private serve(request: IncomingMessage, response: ServerResponse, endpoint: Endpoint): void {
+    if (!this.recordLatest(request.socket, response)) return;
     const controller = new AbortController();
     const {context, refusal} = this.createContext(request, response, controller.signal);
-    if (this.stopping) setConnectionClose(response);
     if (!this.inFlight.tryAcquire()) {
       this.finish(context, this.inFlight.createRefusal());
       return;
@@ -205,6 +210,22 @@
     });
   }
 
+  /**
+   * Records the response to the latest request on a connection; only this one says that a stopping
+   * server closes it, because Node.js closes the connection with the first response that does.
+   * Returns false if an earlier response has said so already: the request must not be served.
+   */
+  private recordLatest(socket: Socket, response: ServerResponse): boolean {
+    const earlier = this.latestResponses.get(socket);
+    if (earlier && saysConnectionClose(earlier)) {
+      if (earlier.headersSent) return false;
+      earlier.removeHeader('connection');
+    }
+    this.latestResponses.set(socket, response);
+    if (this.stopping) setConnectionClose(response);
+    return true;
+  }
+
   /**
    * Returns the callbacks that are called when a connection is closed. Node.js 20 emits `close` only
    * for the response that is being written, and not for those queued behind it.
@@ -319,6 +340,10 @@
   if (!response.headersSent) response.setHeader('connection', 'close');
 }
 
+function saysConnectionClose(response: ServerResponse): boolean {
+  return response.getHeader('connection') === 'close';
+}
+
 /** Converts an error to a refusal that says "not run" only if no attempt may have been run. */
 function toRefusal(context: RequestContext, error: unknown): Refusal {
   const execution = context.mayHaveRun ? 'unknown' : 'not_run';
--- a/packages/gateway/test/caller-server.test.ts
+++ b/packages/gateway/test/caller-server.test.ts
@@ -122,6 +122,42 @@
     expect(received.split('HTTP/1.1 ')).to.have.length(3);
   });
 
+  it('answers requests that arrive on an open connection after it began to stop', async () => {
+    // Guards against a request that is served, and whose connection is closed with an earlier answer.
+    const fixture = new CallerServerFixture();
+    const socket = await fixture.open();
+    let received = '';
+    socket.on('data', chunk => (received += String(chunk)));
+    socket.write(fixture.formatRequest('/slow'));
+    await fixture.sleep(ROUTE_MS / 4);
+    void fixture.callerServer.stop(STOP_TIMEOUT_MS);
+    await fixture.sleep(ROUTE_MS / 4);
+    socket.write(fixture.formatRequest('/slow'));
+    await once(socket, 'close');
+    const [first, second] = received.split('HTTP/1.1 ').slice(1);
+    expect(first.toLowerCase()).to.not.include('connection: close');
+    expect(second.toLowerCase()).to.include('connection: close');
+  });
+
+  it('serves no request that arrives after an answer has said that it closes the connection', async () => {
+    // Guards against a request that runs although its connection is closed before its answer.
+    const fixture = new CallerServerFixture();
+    const socket = await fixture.open();
+    let received = '';
+    const ended = fixture.callerServer.stop(STOP_TIMEOUT_MS);
+    socket.on('data', chunk => (received += String(chunk)));
+    socket.pause();
+    socket.write(fixture.formatRequest('/v1/entry'));
+    await fixture.waitForFinished(1);
+    socket.write(fixture.formatRequest('/slow'));
+    await fixture.sleep(ROUTE_MS / 2);
+    expect(fixture.callerServer.getInFlight()).to.equal(1);
+    socket.resume();
+    await once(socket, 'close');
+    await ended;
+    expect(received.match(/HTTP\/1\.1 /g)).to.have.length(1);
+  });
+
   it('frees the places of requests that were sent ahead when their caller leaves', async () => {
     // Guards against requests that stay in flight for good, so that the host is full or never stops.
     const fixture = new CallerServerFixture();
