Reuse connections by the idle timeout that targets announce

Streams that can't be resumed opened a new connection unless one had been idle for less than 1.5 s. Targets announce an idle timeout of 10 s. A connection is now reused within half of what its latest answer announced, for targets that report their slowdown; the others are served as before.

--- a/packages/relay/src/targets/target-connections.ts
+++ b/packages/relay/src/targets/target-connections.ts
@@ -35,6 +35,12 @@
 /** Undici closes an idle connection this long before the timeout announced by the target. */
 const KEEP_ALIVE_MARGIN_MS = 300;
 
+/**
+ * Share of the idle timeout announced by a target up to which a connection is reused for a request
+ * that must not be repeated; the rest covers the clocks and the transit of both ends.
+ */
+const NON_REPEATABLE_IDLE_SHARE = 0.5;
+
 /**
  * A client's request. All of its attempts have the same id, so that the connection tells to which of
  * them an answer belongs: no connection carries a request twice.
@@ -85,6 +91,8 @@
   onAnswer(status: number, meta: AnswerMeta): void;
 }
 
+const MS_PER_SECOND = 1000;
+
 /** Bytes of an answer that are buffered for a slow client before reading is paused. */
 const MAX_BUFFERED_BYTES = 64 * 1024;
 
@@ -265,6 +273,8 @@
   /** Whether the connection was established, after which a request may have reached the target. */
   isConnected = false;
   lastUsedMs: number;
+  /** Idle time after which the target closes the connection, as its latest answer says. */
+  announcedIdleMs: number | undefined;
   private cancelConnect: ((error: Error) => void) | undefined;
   private isCancelled = false;
 
@@ -336,10 +346,12 @@
   ): void {
     const {requestId} = meta;
     if (requestId === undefined || requestId !== expectedId) this.isInStep = false;
-    this.framing = findFraming(method, status, name => {
+    const findHeader = (name: string) => {
       const values = headers.filter((_, i) => i % 2 === 1 && headers[i - 1].toLowerCase() === name);
       return values.length === 0 ? undefined : values.join(', ');
-    });
+    };
+    this.framing = findFraming(method, status, findHeader);
+    this.announcedIdleMs = readIdleTimeoutMs(findHeader('keep-alive'));
   }
 
   /** Fails the request of this connection unless the connection is established. */
@@ -361,11 +373,22 @@
   }
 }
 
+/** Idle timeout in a `Keep-Alive` header (RFC 2068, in seconds); undefined if it has none. */
+function readIdleTimeoutMs(header: string | undefined): number | undefined {
+  const seconds = /(?:^|,)\s*timeout=(\d{1,6})(?![\d.])/i.exec(header ?? '')?.[1];
+  return seconds === undefined ? undefined : Number(seconds) * MS_PER_SECOND;
+}
+
 /** Connections of this host to one incarnation of a target. */
 export class TargetConnections {
   private readonly idle: TargetConnection[] = [];
   private readonly busy = new Set<TargetConnection>();
   private isRetired = false;
+  /**
+   * Whether connections are reused for requests that must not be repeated by the idle timeout that
+   * the target announces, instead of only within `nonRepeatableIdleMs`.
+   */
+  usesAnnouncedTimeout = false;
   /** Number of connections opened since the start. */
   openedCount = 0;
 
@@ -425,7 +448,7 @@
     excluded?: ReadonlySet<TargetConnection>,
   ): TargetConnection | undefined {
     const nowMs = this.clock.nowMs();
-    const {idleTimeoutMs, nonRepeatableIdleMs} = this.timeouts;
+    const {idleTimeoutMs} = this.timeouts;
     for (let i = this.idle.length - 1; i >= 0; i--) {
       const connection = this.idle[i];
       const idleMs = nowMs - connection.lastUsedMs;
@@ -435,13 +458,19 @@
         continue;
       }
       if (excluded?.has(connection)) continue;
-      if (!mayRepeat && idleMs >= nonRepeatableIdleMs) return undefined;
+      if (!mayRepeat && idleMs >= this.nonRepeatableIdleMs(connection)) return undefined;
       this.idle.splice(i, 1);
       return connection;
     }
     return undefined;
   }
 
+  private nonRepeatableIdleMs({announcedIdleMs = 0}: TargetConnection): number {
+    const {nonRepeatableIdleMs} = this.timeouts;
+    if (!this.usesAnnouncedTimeout) return nonRepeatableIdleMs;
+    return Math.max(nonRepeatableIdleMs, announcedIdleMs * NON_REPEATABLE_IDLE_SHARE);
+  }
+
   private open(): TargetConnection {
     const connection: TargetConnection = new TargetConnection(
       this.address,
--- a/packages/relay/src/targets/target-pool.ts
+++ b/packages/relay/src/targets/target-pool.ts
@@ -245,6 +245,8 @@
 
   /** Records what an answer says about its target. */
   private recordAnswer(target: PooledTarget, status: number, meta: AnswerMeta): void {
+    // Targets that share their machines have the least room for new connections.
+    if (meta.load?.slowdown !== undefined) target.connections.usesAnnouncedTimeout = true;
     if (meta.isLeaving) {
       const key = incarnationKey(target.entry);
       const isNew = recordLeaving(this.leaving, key, true, this.deps.clock.nowMs());
--- a/packages/relay/test/target-connections.test.ts
+++ b/packages/relay/test/target-connections.test.ts
@@ -266,4 +266,48 @@
     const connections = await serve(() => undefined);
     expect(types(await collect(connections))).to.deep.equal(['silent']);
   });
+
+  describe('reuse for requests that must not be repeated', () => {
+    /** Number of connections for two requests with a pause between them. */
+    async function countConnections(keepAlive: string, pauseMs: number, usesAnnounced = true) {
+      const target = await startTarget(socket =>
+        socket.write(`HTTP/1.1 200 OK\r\nContent-Length: 0\r\n${keepAlive}\r\n`),
+      );
+      server = target.server;
+      const clock = new SystemClock();
+      let skippedMs = 0;
+      const shifted = {
+        nowMs: () => clock.nowMs() + skippedMs,
+        setTimer: clock.setTimer.bind(clock),
+      } as SystemClock;
+      const connections = new TargetConnections(target.address, shifted, OBSERVER);
+      connections.usesAnnouncedTimeout = usesAnnounced;
+      await collect(connections, false);
+      await new Promise(resolve => setTimeout(resolve, 20));
+      skippedMs = pauseMs;
+      await collect(connections, false);
+      connections.retire();
+      return connections.openedCount;
+    }
+
+    it('follows the idle timeout that the target announces', async () => {
+      expect(await countConnections('Keep-Alive: timeout=10\r\n', 4900)).to.equal(1);
+      expect(await countConnections('Keep-Alive: max=5, timeout=10\r\n', 4900)).to.equal(1);
+    });
+
+    // The target could close the connection just as the request is sent, so that it may have run.
+    it('ends well before that timeout', async () => {
+      expect(await countConnections('Keep-Alive: timeout=10\r\n', 5100)).to.equal(2);
+    });
+
+    it('is brief if the target announces nothing usable', async () => {
+      for (const header of ['', 'Keep-Alive: timeout=-1\r\n', 'Keep-Alive: timeout=x\r\n']) {
+        expect(await countConnections(header, 1600), header).to.equal(2);
+      }
+    });
+
+    it('is brief unless the target is known to follow what it announces', async () => {
+      expect(await countConnections('Keep-Alive: timeout=10\r\n', 1600, false)).to.equal(2);
+    });
+  });
 });
