Place prompts by expected work

In a fleet of 60 hosts and 90 engines a host sees an engine less than once in 40 s, so that it can't learn that engines differ in speed. A trace had half of the prompts at one engine late, with 155 ms expected and 611 ms measured.

Read how long work takes at a target from the fourth value of its load report. Once a target of a service has reported it (or the setting `placement` says so), choose the engines of a prompt by expected completion time. Speeds, utilization and slowdowns are learned from responses; hosts share their observations of the last seconds in their records.

--- a/packages/relay/src/duties/fleet-duties.ts
+++ b/packages/relay/src/duties/fleet-duties.ts
@@ -22,7 +22,7 @@
   LeaseView,
   observeLease,
 } from '../store/lease.js';
-import {DutyClient} from '../model.js';
+import {DutyClient, WorkReport} from '../model.js';
 import {CrashEvidence} from '../quarantine/quarantine.js';
 import {hasExpired} from '../quarantine/quarantine-service.js';
 import {SharedHosts} from '../store/shared-kinds.js';
@@ -63,6 +63,8 @@
   onRecords(records: readonly HostRecord[], era: number): void;
   /** Called with the records without what changes often, after a read that another host made. */
   onSharedRecords(records: readonly HostRecord[]): void;
+  /** Sum of what the hosts have observed of targets, for the hosts that this one reads for. */
+  summarizeWork?(): WorkReport | undefined;
   /** Called with the evidence on crashes of engines, by host, after each read. */
   onEvidence(evidence: ReadonlyMap<HostId, CrashEvidence>): void;
   /** Called with the records that have been renewed when the registry has been updated. */
@@ -125,7 +127,11 @@
     deps.onRecords(state.hosts, state.era);
     const hosts = readyHosts(deps.registry, this.lastReadMs);
     deps.onEvidence(state.evidence);
-    const records = state.hosts.map(omitVolatileFields);
+    const work = deps.summarizeWork?.();
+    const records = state.hosts.map(record => ({
+      ...omitVolatileFields(record),
+      ...(work && record.hostId === deps.hostId && {work}),
+    }));
     deps.reads.publish('hosts', {records, evidence: state.evidence}, sentAt, state.era);
     deps.reads.publish('beats', state.hosts.map(toHeartbeat), sentAt, state.era);
     deps.onHosts();
--- a/packages/relay/src/model.ts
+++ b/packages/relay/src/model.ts
@@ -176,6 +176,25 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /** How long work takes at the moment: 1 is as usual, 2.5 means 2.5 times as long. */
+  readonly slowdown?: number;
+  /** Whether the target reported a slowdown that can't be used. */
+  readonly hasInvalidSlowdown?: true;
+}
+
+/**
+ * Observations of one target over the last seconds: the weight of the observed responses, the
+ * weighted sum of the logarithms of actual by expected time, and the work sent to it in ms. The
+ * first two are in hundredths.
+ */
+export type TargetWork = readonly [weight: number, logSum: number, workMs: number];
+
+/** What a host has observed of targets, for the other hosts. */
+export interface WorkReport {
+  /** Services with a target that has reported a slowdown. */
+  readonly services: readonly string[];
+  /** By incarnation of the target. */
+  readonly targets: Readonly<Record<string, TargetWork>>;
 }
 
 /** Metadata in the head of a target's answer. */
--- a/packages/relay/src/placing/engine-placement.ts
+++ b/packages/relay/src/placing/engine-placement.ts
@@ -10,6 +10,7 @@
   TargetState,
 } from '../targets/target-state.js';
 import {WaitCalibration, waitFactor} from './wait-calibration.js';
+import {PrefillExpectation} from './work-model.js';
 
 /** Cost estimates used to compare engines. Only their ratios affect the choice. */
 export interface EngineEstimates {
@@ -113,6 +114,8 @@
   readonly queueMs: number;
   /** Estimated prefill time before calibration; compared with the measured time. */
   readonly uncalibratedMs: number;
+  /** What is expected of the prefill; only for placements by expected work. */
+  readonly expectation?: PrefillExpectation;
 }
 
 /** The parts that other requests may share: all but the last, which is specific to the request. */
@@ -270,7 +273,7 @@
     : undefined;
   const decode = staged && chooseDecode(byStage.decode, staged.target, context);
   const transferMs = estimates.handoverMs + work.promptTokens / estimates.transferTokensPerMs;
-  const stallMs = estimateStall(direct, work, estimates);
+  const stallMs = stallPenaltyMs(direct.newTokens, work.promptTokens, estimates);
   if (staged && decode && staged.costMs + transferMs < direct.costMs + stallMs) {
     const waitMs = staged.waitMs + transferMs;
     return {...staged, type: 'staged', prefill: staged.target, decode, waitMs};
@@ -279,9 +282,9 @@
 }
 
 /** Penalty for the streams of the decode engine that prefills a prompt itself. */
-function estimateStall(
-  {newTokens}: PrefillCandidate,
-  {promptTokens}: PromptWork,
+export function stallPenaltyMs(
+  newTokens: number,
+  promptTokens: number,
   estimates: EngineEstimates,
 ): number {
   if (newTokens <= estimates.decodeChunkTokens) return newTokens / estimates.decodeTokensPerMs;
@@ -306,7 +309,7 @@
   return chooseDecode([...all].filter(isUsable), placement.prefill, context);
 }
 
-function countTokens(parts: readonly PromptPart[]): number {
+export function countTokens(parts: readonly PromptPart[]): number {
   return parts.reduce((sum, part) => sum + part.tokens, 0);
 }
 
--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -50,6 +50,7 @@
 } from './store/store-sync.js';
 import {TargetPool} from './targets/target-pool.js';
 import {createWaitCalibration} from './placing/wait-calibration.js';
+import {WorkModel} from './placing/work-model.js';
 import {
   countRequest,
   createUsageLedger,
@@ -99,6 +100,7 @@
   private readonly usage: UsageLedger = createUsageLedger();
   private readonly attemptBudgets = new Map<ServiceName, AttemptBudget>();
   private readonly demand = new DemandMeter();
+  private readonly work: WorkModel;
   private readonly targets: TargetPool;
   private readonly peers = new PeerClient();
   /** Calls for quota are short and many; they don't share connections with the others. */
@@ -129,6 +131,7 @@
       this.quarantine.restore();
     });
     this.fleetTime = createFleetTime(readInstant(clock));
+    this.work = new WorkModel(settings.placement);
     this.targets = new TargetPool({
       clock,
       log,
@@ -270,6 +273,7 @@
       targets: this.targets,
       quota: this.quota,
       calibration: createWaitCalibration(),
+      work: this.work,
       pendingAverages: new Map(),
       returns: new Map(),
       waiting: new Map(),
@@ -358,8 +362,13 @@
       onRecords: (records, era) => {
         this.restoreUsage(records, era);
         this.applyLeaving(records);
+        this.applyWork(this.listReady());
       },
-      onSharedRecords: records => this.applyLeaving(records),
+      onSharedRecords: records => {
+        this.applyLeaving(records);
+        this.applyWork(records);
+      },
+      summarizeWork: () => this.work.summarize(clock.nowMs()),
       onEvidence: evidence => this.quarantine.applyEvidence(evidence),
       onHosts: () => this.applyHosts(),
       onRenewedRecords: records => this.judgeTime(records),
@@ -457,6 +466,7 @@
       usage: Object.fromEntries(this.usage.windows),
       demand: this.demand.levels(clock.nowMs()),
       leaving: this.targets.listLeaving(this.reads.isReader),
+      work: this.work.report(clock.nowMs()),
     };
   }
 
@@ -464,6 +474,14 @@
     this.targets.applyLeaving(records.flatMap(record => record.leaving ?? []));
   }
 
+  /** Applies what other hosts have observed of targets. */
+  private applyWork(records: readonly HostRecord[]): void {
+    const {settings, clock} = this.options;
+    const others = records.filter(record => record.hostId !== settings.hostId);
+    const reports = others.flatMap(({work}) => work ?? []);
+    this.work.applyReports(reports, clock.nowMs());
+  }
+
   /** Time of day in milliseconds since the Unix epoch, as the hosts agree on it. */
   private fleetNowMs(): number {
     return fleetNowMs(this.fleetTime, readInstant(this.options.clock));
@@ -495,14 +513,22 @@
 
   private formatMetrics(): string {
     let opened = 0;
-    for (const target of this.targets.all()) opened += target.connections.openedCount;
+    let invalidSlowdowns = 0;
+    for (const target of this.targets.all()) {
+      opened += target.connections.openedCount;
+      invalidSlowdowns += target.invalidSlowdownCount;
+    }
     const gauges = [
       `radishgw_in_flight ${this.clientServer.inFlight}`,
       `radishgw_connections_opened ${opened}`,
+      `radishgw_invalid_slowdowns ${invalidSlowdowns}`,
       `radishgw_buffered_answer_bytes ${this.targets.bufferedBytes}`,
       ...Object.entries(this.quarantine.countByKind()).map(
         ([kind, count]) => `radishgw_quarantines{kind="${kind}"} ${count}`,
       ),
+      ...this.work
+        .listErrors()
+        .map(([name, errorMs]) => `radishgw_estimate_error_ms{service="${name}"} ${errorMs}`),
       `radishgw_rejected_entries ${this.options.source.rejectedCount + this.shared.rejectedCount}`,
       `radishgw_ready ${this.isReady ? 1 : 0}`,
     ];
--- a/packages/relay/src/request/engine-run.ts
+++ b/packages/relay/src/request/engine-run.ts
@@ -25,6 +25,8 @@
   releaseSource: (() => void) | undefined;
   /** Called with the first event. */
   onFirstEvent(): void;
+  /** Called when the stream has ended as it should. */
+  onWhole(): void;
   /** Aborts the run unless it has ended, and releases what was kept for it. */
   close(): void;
 }
--- a/packages/relay/src/request/prefill-prompt.ts
+++ b/packages/relay/src/request/prefill-prompt.ts
@@ -1,5 +1,6 @@
 import {Procedure} from '@radishgw/core';
 import {PlacementTimes, sharedPrefix} from '../placing/engine-placement.js';
+import {recordPrefilled, recordPrefillSent} from '../placing/engine-work-placement.js';
 import {CacheSource} from '../model.js';
 import {recordStep} from './request-context.js';
 import {hasGoneOn} from './relay-stream.js';
@@ -60,6 +61,7 @@
   const removePending = addPendingTokens(target, state);
   const sentMs = deps.clock.nowMs();
   const sent = sendToTarget(deps, request, target, outgoing, true);
+  if (times.expectation) recordPrefillSent(deps.work, times.expectation, sentMs);
   try {
     const timeoutMs = prefillTimeoutMs(state, times.waitMs);
     const reader = createAnswerReader(deps, request, findStandby(state));
@@ -77,6 +79,7 @@
       return undefined;
     }
     if (answer.meta.load) recordLoad(target, answer.meta.load, deps.clock.nowMs());
+    deps.work.recordReport(target);
     const actualMs = deps.clock.nowMs() - sentMs;
     recordWait(deps.calibration, 'prefill', request.urgency, times.uncalibratedMs, actualMs);
     const matchesRequest =
@@ -86,6 +89,9 @@
     const isRejected = statesNotRun(answer.status, answer.meta);
     sent.finish(prefill ? 'finished' : isRejected ? refusalOutcome(answer.meta) : 'failed');
     if (prefill) state.hasPrefilled = true;
+    if (prefill && times.expectation) {
+      recordPrefilled(deps.work, times.expectation, actualMs, deps.clock.nowMs());
+    }
     if (!prefill) recordFailure(state, `${target.entry.id}:prefill ${answer.status}`);
     return prefill && {address: target.entry.address, handle: prefill.handle};
   } finally {
--- a/packages/relay/src/request/relay-stream.ts
+++ b/packages/relay/src/request/relay-stream.ts
@@ -97,6 +97,7 @@
         return {type: 'broken'};
       }
       if (event.meta.load) recordLoad(sent.target, event.meta.load, deps.clock.nowMs());
+      deps.work.recordReport(sent.target);
       run.head = event;
       expectEvent(state, run);
       continue;
--- a/packages/relay/src/request/request-context.ts
+++ b/packages/relay/src/request/request-context.ts
@@ -24,6 +24,7 @@
 import {TargetPool} from '../targets/target-pool.js';
 import {ReturnSchedule} from './return-schedule.js';
 import {WaitCalibration} from '../placing/wait-calibration.js';
+import {WorkModel} from '../placing/work-model.js';
 
 /** Dependencies of the functions that serve requests. */
 export interface RelayDependencies {
@@ -40,6 +41,8 @@
   readonly attemptBudgetSettings: AttemptBudgetSettings;
   /** Corrects estimated waits of prompts by those that this host has measured. */
   readonly calibration: WaitCalibration;
+  /** Estimates for services that are placed by expected work. */
+  readonly work: WorkModel;
   readonly pendingAverages: Map<ServiceName, PendingAverage>;
   /** Times at which refused clients are told to return, by service. */
   readonly returns: Map<ServiceName, ReturnSchedule>;
--- a/packages/relay/src/request/serve-stream.ts
+++ b/packages/relay/src/request/serve-stream.ts
@@ -8,6 +8,14 @@
   stageOf,
   StagedPlacement,
 } from '../placing/engine-placement.js';
+import {
+  confirmDecodeByWork,
+  placePromptByWork,
+  recordPrefilled,
+  recordPrefillSent,
+  recordStream,
+  recordStreamWork,
+} from '../placing/engine-work-placement.js';
 import {recordRequest} from './attempt-budget.js';
 import {EngineRun} from './engine-run.js';
 import {EventSplitter} from './events.js';
@@ -227,7 +235,7 @@
   const {deps, request, tried} = state;
   const {meta, service, urgency} = request;
   const work = {parts: meta.promptParts, promptTokens: meta.promptTokens ?? 0, urgency};
-  return placePrompt(listEngines(state), work, tried, {
+  const context = {
     hostCount: deps.countHosts(),
     nowMs: deps.clock.nowMs(),
     allowsStaging,
@@ -235,7 +243,11 @@
     pending: getPendingAverage(deps, service),
     estimates: DEFAULT_ENGINE_ESTIMATES,
     random: deps.random,
-  });
+  };
+  const engines = listEngines(state);
+  if (!deps.work.isPlacedByWork(service)) return placePrompt(engines, work, tried, context);
+  const workContext = {...context, work: deps.work, service: deps.work.ofService(service)};
+  return placePromptByWork(engines, work, tried, workContext);
 }
 
 function getPendingAverage(deps: RelayDependencies, service: ServiceName): PendingAverage {
@@ -269,6 +281,7 @@
     knownTokens: cachedTokens,
     readerOwnTokens: prefillEngine.ownPromptTokens,
     readerOthers: prefillEngine.othersRequests,
+    timeFactor: placement.expectation && Number(placement.expectation.timeFactor.toFixed(2)),
   });
 }
 
@@ -303,18 +316,13 @@
   placement: StagedPlacement,
   source: CacheSource,
 ): Procedure<RunResult> {
-  const {deps, request, tried} = state;
+  const {deps, request} = state;
   const release = () => releaseHandle(state, placement.prefill as PooledTarget, source);
   let isSourceUsed = false;
   try {
     for (;;) {
       if (!mayRun(deps, request)) return {type: 'notRun', isUnsent: true};
-      const nowMs = deps.clock.nowMs();
-      const decode = confirmDecode(listEngines(state), placement, tried, {
-        nowMs,
-        random: deps.random,
-        estimates: DEFAULT_ENGINE_ESTIMATES,
-      });
+      const decode = chooseConfirmed(state, placement);
       if (!decode) return {type: 'notRun', isUnsent: true};
       if (decode !== placement.decode) recordReplacement(state, placement, decode);
       const result = yield* runOnEngine(state, {...placement, decode}, source);
@@ -332,6 +340,22 @@
   }
 }
 
+/** The decode engine for a prefilled prompt. */
+function chooseConfirmed(state: StreamState, placement: StagedPlacement): TargetState | undefined {
+  const {deps, request, tried} = state;
+  const {work, random} = deps;
+  const nowMs = deps.clock.nowMs();
+  const engines = listEngines(state);
+  if (work.isPlacedByWork(request.service)) {
+    return confirmDecodeByWork(engines, placement, tried, {nowMs, random, work});
+  }
+  return confirmDecode(engines, placement, tried, {
+    nowMs,
+    random,
+    estimates: DEFAULT_ENGINE_ESTIMATES,
+  });
+}
+
 /** Runs the request at an engine and forwards its events. */
 function* runOnEngine(
   state: StreamState,
@@ -352,6 +376,10 @@
   const sentMs = deps.clock.nowMs();
   target.runs.set(meta.requestId, {identity, sentMs});
   const sent = sendToTarget(deps, request, target, outgoing, state.mayRepeat);
+  const {expectation} = placement;
+  if (!source && expectation) recordPrefillSent(deps.work, expectation, sentMs);
+  const eventsBefore = state.eventCount;
+  let firstEventMs: number | undefined;
   const run: EngineRun = {
     target,
     sent,
@@ -366,11 +394,22 @@
     releaseSource: undefined,
     onFirstEvent: () => {
       removePending();
+      const nowMs = deps.clock.nowMs();
+      firstEventMs = nowMs;
       if (source || run.wasSilent) return;
-      const actualMs = deps.clock.nowMs() - sentMs;
+      const actualMs = nowMs - sentMs;
+      if (expectation) recordPrefilled(deps.work, expectation, actualMs, nowMs);
       recordWait(deps.calibration, 'decode', request.urgency, placement.uncalibratedMs, actualMs);
     },
+    onWhole: () => {
+      if (firstEventMs === undefined || !deps.work.isPlacedByWork(request.service)) return;
+      const nowMs = deps.clock.nowMs();
+      const gaps = state.eventCount - eventsBefore - 1;
+      recordStream(deps.work, target, nowMs - firstEventMs, gaps, nowMs);
+    },
     close: () => {
+      const nowMs = deps.clock.nowMs();
+      if (expectation) recordStreamWork(deps.work, target, nowMs - sentMs, nowMs);
       target.runs.delete(meta.requestId);
       removePending();
       sent.finish('cancelled');
@@ -392,6 +431,7 @@
   try {
     const result = yield* relayStream(state, run);
     if (result.type === 'notRun') progress.withdrawRun(run.target.entry.id);
+    if (result.type === 'done' && result.outcome.type === 'streamed') run.onWhole();
     if (result.type === 'broken') state.failed.add(run.target.entry.id);
     if (result.type === 'silent') {
       endStandby(state);
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -34,6 +34,11 @@
   readonly attemptBudget: AttemptBudgetSettings;
   /** What may be granted beyond the rate and burst of a team, over all hosts. */
   readonly quotaBounds: QuotaBounds;
+  /**
+   * Whether targets are chosen by the expected work or by used slots; undefined to decide it for each
+   * service, by whether its targets report slowdowns.
+   */
+  readonly placement?: 'work' | 'slots';
   readonly usageWindowMs: number;
   /** Maximum time for which clients may cache a directory answer. */
   readonly directoryTtlMs: number;
--- a/packages/relay/src/store/host-registry.ts
+++ b/packages/relay/src/store/host-registry.ts
@@ -1,6 +1,6 @@
 import {FailureDomain, HostId} from '@radishgw/core';
 import {Instant} from '../instant.js';
-import {WindowCounts} from '../model.js';
+import {WindowCounts, WorkReport} from '../model.js';
 import {rankByKey} from '../rendezvous.js';
 
 /** Record in which a host describes itself in the store. */
@@ -34,6 +34,11 @@
   readonly demand?: Readonly<Record<string, number>>;
   /** Incarnations of targets that have said that they leave; see `incarnationKey`. */
   readonly leaving?: readonly string[];
+  /**
+   * What the host has observed of targets in the last seconds. In the records that a reader shares,
+   * its own has the sum over all hosts, and the others have none.
+   */
+  readonly work?: WorkReport;
 }
 
 /** Interval at which a host writes its record. */
@@ -140,7 +145,15 @@
 
 /** Returns a record without the fields that change often or that only the lease holder needs. */
 export function omitVolatileFields(record: HostRecord): HostRecord {
-  return {...record, beat: 0, madeMs: 0, madeWallMs: 0, usage: {}, demand: undefined};
+  return {
+    ...record,
+    beat: 0,
+    madeMs: 0,
+    madeWallMs: 0,
+    usage: {},
+    demand: undefined,
+    work: undefined,
+  };
 }
 
 /**
--- a/packages/relay/src/store/state-schemas.ts
+++ b/packages/relay/src/store/state-schemas.ts
@@ -8,6 +8,9 @@
 const MAX_NAME_LENGTH = 256;
 const MAX_MEMBERS = 2000;
 const MAX_LEAVING = 2000;
+const MAX_WORK_SERVICES = 100;
+const MAX_WORK_TARGETS = 64;
+const MAX_WORK_VALUE = 1e6;
 
 const nameSchema = z.string().min(1).max(MAX_NAME_LENGTH);
 const countSchema = z.number().int().nonnegative();
@@ -15,6 +18,20 @@
 
 const addressSchema = z.string().refine(isSocketAddress, 'not an IPv4 address and port');
 
+const workSchema = z.object({
+  services: z.array(z.string().max(MAX_NAME_LENGTH)).max(MAX_WORK_SERVICES),
+  targets: z
+    .record(
+      z.string().max(MAX_NAME_LENGTH),
+      z.tuple([
+        z.number().nonnegative().max(MAX_WORK_VALUE),
+        z.number().min(-MAX_WORK_VALUE).max(MAX_WORK_VALUE),
+        z.number().nonnegative().max(MAX_WORK_VALUE),
+      ]),
+    )
+    .refine(targets => Object.keys(targets).length <= MAX_WORK_TARGETS),
+});
+
 const recordSchema = z.object({
   hostId: nameSchema,
   incarnation: nameSchema,
@@ -31,6 +48,8 @@
   usage: z.record(z.string().regex(/^\d{1,15}$/), countsSchema),
   demand: z.record(z.string(), z.number().nonnegative()).optional(),
   leaving: z.array(z.string()).max(MAX_LEAVING).optional(),
+  // Without valid observations the record counts as that of a host that shares none.
+  work: workSchema.optional().catch(undefined),
 });
 
 const leaseSchema = z.object({
--- a/packages/relay/src/targets/target-state.ts
+++ b/packages/relay/src/targets/target-state.ts
@@ -27,6 +27,12 @@
   othersRequests: number;
   othersWaiting: number;
   loadAtMs: number;
+  /** Latest reported slowdown; 1 is as usual. */
+  slowdown: number;
+  /** Time of that report; -Infinity if the target has reported none. */
+  slowdownAtMs: number;
+  /** Number of reported slowdowns that could not be used. */
+  invalidSlowdownCount: number;
   /** Time at which this host last sent each prompt part to the target, oldest first. */
   readonly partsMs: Map<PromptPartId, number>;
   /** Time at which this host first saw this incarnation. */
@@ -44,6 +50,9 @@
     othersRequests: 0,
     othersWaiting: 0,
     loadAtMs: -Infinity,
+    slowdown: 1,
+    slowdownAtMs: -Infinity,
+    invalidSlowdownCount: 0,
     partsMs: new Map(),
     knownSinceMs: nowMs,
     backoffUntilMs: -Infinity,
@@ -56,6 +65,10 @@
   state.othersRequests = Math.max(0, others);
   state.othersWaiting = Math.max(0, load.waiting - state.ownRequests);
   state.loadAtMs = nowMs;
+  if (load.hasInvalidSlowdown) state.invalidSlowdownCount++;
+  if (load.slowdown === undefined) return;
+  state.slowdown = load.slowdown;
+  state.slowdownAtMs = nowMs;
 }
 
 /** Weight of the latest reported load; decays linearly from 1 to 0 with its age. */
@@ -63,6 +76,19 @@
   return Math.max(0, 1 - (nowMs - state.loadAtMs) / (2 * LOAD_HALF_WEIGHT_MS));
 }
 
+/** Time for which a reported slowdown applies in full; it changes many times a second. */
+const SLOWDOWN_FRESH_MS = 300;
+
+/** Time in which the effect of a slowdown fades after that. */
+const SLOWDOWN_FADE_MS = 600;
+
+/** Factor by which work at the target takes longer than usual, according to its latest report. */
+export function currentSlowdown(state: TargetState, nowMs: number): number {
+  const excessMs = nowMs - state.slowdownAtMs - SLOWDOWN_FRESH_MS;
+  const weight = Math.min(1, Math.max(0, 1 - excessMs / SLOWDOWN_FADE_MS));
+  return 1 + weight * (state.slowdown - 1);
+}
+
 /** Estimated number of requests in progress at the target, over all hosts. */
 export function estimateRequests(state: TargetState, nowMs: number): number {
   return state.ownRequests + state.othersRequests * loadWeight(state, nowMs);
