--- a/packages/relay/src/duties/stage-controller.ts
+++ b/packages/relay/src/duties/stage-controller.ts
@@ -115,7 +115,7 @@
       // The caller logs a failed order. An answer that names a request is a late one to a client.
       if (answer.type !== 'answer' || answer.meta.requestId !== undefined) return undefined;
       sent.finish('finished');
-      if (answer.meta.load) recordSlowdown(target, answer.meta.load);
+      if (answer.meta.load) recordSlowdown(target, answer.meta.load, clock.nowMs());
       return {code: answer.status, body: answer.body};
     } finally {
       buffer.resize(0);
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -37,6 +37,11 @@
   readonly quotaBounds: QuotaBounds;
   /** What cold targets may be sent beyond their rate; nothing if undefined. */
   readonly coldBounds?: ColdBounds;
+  /**
+   * Whether targets are chosen by the expected work or by used slots; undefined to decide it for each
+   * service, by whether its targets report slowdowns.
+   */
+  readonly placement?: 'work' | 'slots';
   readonly usageWindowMs: number;
   /** Maximum time for which clients may cache a directory answer. */
   readonly directoryTtlMs: number;
--- a/packages/relay/src/store/host-registry.ts
+++ b/packages/relay/src/store/host-registry.ts
@@ -1,6 +1,6 @@
 import {FailureDomain, HostId} from '@radishgw/core';
 import {Instant} from '../instant.js';
-import {WindowCounts} from '../model.js';
+import {WindowCounts, WorkReport} from '../model.js';
 import {rankByKey} from '../rendezvous.js';
 
 /** Record in which a host describes itself in the store. */
@@ -39,6 +39,11 @@
   readonly uncachedDemand?: Readonly<Record<string, number>>;
   /** Incarnations of targets that have said that they leave; see `incarnationKey`. */
   readonly leaving?: readonly string[];
+  /**
+   * What the host has observed of targets in the last seconds. In the records that a reader shares,
+   * its own has the sum over all hosts, and the others have none.
+   */
+  readonly work?: WorkReport;
 }
 
 /** Interval at which a host writes its record. */
@@ -153,6 +158,7 @@
     usage: {},
     demand: undefined,
     uncachedDemand: undefined,
+    work: undefined,
   };
 }
 
