Move a prefilled prompt to another decode engine

A prompt that had been prefilled got 503 with seconds left when its decode engine shed load or answered 421. The failover released the cache and prefilled the prompt again, which took two of the host's extra attempts, so that the next refusal found none.

Another decode engine now fetches the same cache, for one extra attempt.

--- a/packages/relay/src/request/attempt-budget.ts
+++ b/packages/relay/src/request/attempt-budget.ts
@@ -13,14 +13,19 @@
  */
 const USABLE_SHARE = 0.7;
 
+/** Share of the budget for attempts that save time; the rest is for requests that would fail. */
+const OPTIONAL_SHARE = 0.35;
+
 /** Times of the requests and extra attempts of one service on this host within the window. */
 export interface AttemptBudget {
   readonly requestsMs: number[];
   readonly extraAttemptsMs: number[];
+  /** Number of requests that wait until there is an extra attempt for them. */
+  waiting: number;
 }
 
 export function createAttemptBudget(): AttemptBudget {
-  return {requestsMs: [], extraAttemptsMs: []};
+  return {requestsMs: [], extraAttemptsMs: [], waiting: 0};
 }
 
 function dropBefore(timesMs: number[], limitMs: number): void {
@@ -48,16 +53,30 @@
   settings: AttemptBudgetSettings,
   hostCount: number,
   nowMs: number,
+  usableShare = USABLE_SHARE,
 ): boolean {
   dropBefore(state.requestsMs, nowMs - settings.windowMs);
   dropBefore(state.extraAttemptsMs, nowMs - settings.windowMs);
   const allowed =
     settings.ratio * state.requestsMs.length + settings.slack / Math.max(1, hostCount);
-  if (state.extraAttemptsMs.length + 1 > USABLE_SHARE * allowed) return false;
+  if (state.extraAttemptsMs.length + 1 > usableShare * allowed) return false;
   state.extraAttemptsMs.push(nowMs);
   return true;
 }
 
+/**
+ * Takes one extra attempt for a request that would go on without it; false if the budget must be
+ * kept for those that wouldn't.
+ */
+export function takeOptionalAttempt(
+  state: AttemptBudget,
+  settings: AttemptBudgetSettings,
+  hostCount: number,
+  nowMs: number,
+): boolean {
+  return takeExtraAttempt(state, settings, hostCount, nowMs, OPTIONAL_SHARE);
+}
+
 /** Gives back an extra attempt that was taken at `takenAtMs` and wasn't made. */
 export function returnExtraAttempt({extraAttemptsMs}: AttemptBudget, takenAtMs: number): void {
   const index = extraAttemptsMs.lastIndexOf(takenAtMs);
--- a/packages/relay/src/request/prefill-prompt.ts
+++ b/packages/relay/src/request/prefill-prompt.ts
@@ -1,4 +1,4 @@
-import {Procedure} from '@radishgw/core';
+import {call, Procedure} from '@radishgw/core';
 import {PlacementTimes, sharedPrefix} from '../placing/engine-placement.js';
 import {CacheSource} from '../model.js';
 import {recordStep} from './request-context.js';
@@ -11,8 +11,9 @@
   statesNotRun,
 } from '../targets/target-answer.js';
 import {PooledTarget} from '../targets/target-pool.js';
+import {Attempt, waitForEvent} from '../targets/target-connections.js';
 import {createAnswerReader, sendToTarget, writeTargetRequest} from './target-request.js';
-import {recordLoad, recordParts} from '../targets/target-state.js';
+import {recordLoad, recordParts, reportsSlowdown} from '../targets/target-state.js';
 import {recordWait} from '../placing/wait-calibration.js';
 
 /**
@@ -22,6 +23,13 @@
 const PREFILL_TIMEOUT_FACTOR = 4;
 const MIN_PREFILL_TIMEOUT_MS = 1500;
 
+/**
+ * Part of the time until the objective after which a prefill may be left, and the minimum: sound
+ * engines pause for less.
+ */
+const LEAVE_OBJECTIVE_SHARE = 0.5;
+const MIN_LEAVE_MS = 200;
+
 /** Maximum share of the remaining time that a prefill may take. */
 const MAX_PREFILL_TIME_SHARE = 0.7;
 
@@ -51,6 +59,7 @@
   state: StreamState,
   target: PooledTarget,
   times: PlacementTimes,
+  mayLeave: () => boolean,
 ): Procedure<CacheSource | undefined> {
   const {deps, request} = state;
   const outgoing = writeTargetRequest(deps, request, target, {
@@ -62,8 +71,16 @@
   const sent = sendToTarget(deps, request, target, outgoing, true);
   try {
     const timeoutMs = prefillTimeoutMs(state, times.waitMs);
+    const isLeft = yield* waitPatiently(state, target, sent.attempt, times.waitMs, mayLeave);
+    if (isLeft) {
+      sent.finish('timeout');
+      deps.metrics.count('prefills_left_total', `route="${request.route.name}"`);
+      recordFailure(state, `${target.entry.id}:prefill left`);
+      return undefined;
+    }
     const reader = createAnswerReader(deps, request, findStandby(state));
-    const answer = yield* readCompleteAnswer(sent.attempt, reader, timeoutMs);
+    const leftMs = timeoutMs - (deps.clock.nowMs() - sentMs);
+    const answer = yield* readCompleteAnswer(sent.attempt, reader, leftMs);
     if (answer.type === 'overtaken') {
       // The engine may have accepted it, so that the next one is an extra attempt.
       state.hasPrefilled = true;
@@ -94,6 +111,29 @@
   }
 }
 
+/**
+ * Waits for the answer of a prefill engine for a part of the objective; returns whether the engine
+ * is left as it has sent nothing by then. The load it answers: short prompts at an engine that has
+ * frozen, which could meet their objective at another one. The prefill isn't ended if there is no
+ * attempt to spare, so that a slow engine isn't left for nothing.
+ */
+function* waitPatiently(
+  state: StreamState,
+  target: PooledTarget,
+  attempt: Attempt,
+  waitMs: number,
+  mayLeave: () => boolean,
+): Procedure<boolean> {
+  const {deps, request, standby} = state;
+  if (standby || !reportsSlowdown(target)) return false;
+  const {route, exchange} = request;
+  const objectiveMs = Math.max(0, route.objectiveMs - exchange.ageMs()) * LEAVE_OBJECTIVE_SHARE;
+  const patienceMs = Math.max(MIN_LEAVE_MS, objectiveMs, PREFILL_TIMEOUT_FACTOR * waitMs);
+  if (patienceMs >= prefillTimeoutMs(state, waitMs)) return false;
+  yield* call(() => waitForEvent(deps.clock, [attempt], patienceMs));
+  return attempt.peek() === undefined && mayLeave();
+}
+
 function recordFailure({request}: StreamState, text: string): void {
   request.progress.attemptCount++;
   recordStep(request, text);
--- a/packages/relay/src/request/request-context.ts
+++ b/packages/relay/src/request/request-context.ts
@@ -88,6 +88,8 @@
   attemptCount = 0;
   /** Why the request got no further attempt when one was last wanted, for the log. */
   retryRefusal: RetryRefusal | undefined;
+  /** Whether the request has waited for an extra attempt, which it does once. */
+  hasAwaitedAttempt = false;
   hasCountedUsage = false;
   /** Number of targets that are known to have crashed under the request. */
   crashCount = 0;
--- a/packages/relay/src/request/serve-outcome.ts
+++ b/packages/relay/src/request/serve-outcome.ts
@@ -1,4 +1,9 @@
-import {moveExtraAttempt, returnExtraAttempt, takeExtraAttempt} from './attempt-budget.js';
+import {
+  moveExtraAttempt,
+  returnExtraAttempt,
+  takeExtraAttempt,
+  takeOptionalAttempt,
+} from './attempt-budget.js';
 import {ServiceName} from '../model.js';
 import {RefusalName} from './refusals.js';
 import {AdmittedRequest, RelayDependencies} from './request-context.js';
@@ -77,6 +82,13 @@
   return takeExtraAttempt(budget, deps.attemptBudgetSettings, deps.countLimitHosts(), nowMs);
 }
 
+/** Takes one extra attempt for a request that goes on without it as well. */
+export function takeOptionalFromBudget(deps: RelayDependencies, service: ServiceName): boolean {
+  const budget = deps.attemptBudgets.get(service)!;
+  const hostCount = deps.countLimitHosts();
+  return takeOptionalAttempt(budget, deps.attemptBudgetSettings, hostCount, deps.clock.nowMs());
+}
+
 /** An extra attempt of a service that has been taken from the budget before it is made. */
 export interface ReservedAttempt {
   readonly takenAtMs: number;
--- a/packages/relay/src/request/serve-stream.ts
+++ b/packages/relay/src/request/serve-stream.ts
@@ -9,6 +9,7 @@
   StagedPlacement,
 } from '../placing/engine-placement.js';
 import {recordRequest} from './attempt-budget.js';
+import {awaitAttempt} from './await-attempt.js';
 import {EngineRun} from './engine-run.js';
 import {EventSplitter} from './events.js';
 import {CacheSource, ServiceName} from '../model.js';
@@ -21,6 +22,7 @@
   reserveAttempt,
   ServeOutcome,
   takeFromAttemptBudget,
+  takeOptionalFromBudget,
   useReserved,
 } from './serve-outcome.js';
 import {releaseReturn, RunResult, StreamState} from './stream-state.js';
@@ -28,7 +30,12 @@
 import {SILENCE_CHECK_MS} from '../targets/target-answer.js';
 import {PooledTarget} from '../targets/target-pool.js';
 import {sendToTarget, writeTargetRequest} from './target-request.js';
-import {estimateCachedTokens, recordParts, TargetState} from '../targets/target-state.js';
+import {
+  estimateCachedTokens,
+  isAvailable,
+  recordParts,
+  TargetState,
+} from '../targets/target-state.js';
 import {recordWait} from '../placing/wait-calibration.js';
 import {waitForTarget} from './wait-for-target.js';
 
@@ -62,6 +69,7 @@
     lastEventId: meta.lastEventId,
     eventCount: 0,
     hasPrefilled: false,
+    hasPrefillAttempt: false,
     wasPlaced: false,
     mayLeave: run => mayLeave(state, run),
   };
@@ -76,6 +84,7 @@
       else if (state.standby) result = yield* continueRun(state, state.standby);
       else if (result.type === 'failed') return result.outcome;
       else if (mayWait && request.progress.retryRefusal === 'attemptBudget') continue;
+      else if (yield* mayStartRunLater(state, result)) result = yield* startRun(state);
       else return failStream(state, 'overloaded');
     }
   } finally {
@@ -113,6 +122,14 @@
   return true;
 }
 
+/** Waits for an extra attempt if only that is missing for another run; takes it. */
+function* mayStartRunLater(state: StreamState, result: RunResult): Procedure<boolean> {
+  const {deps, request, mayRepeat} = state;
+  const hasFailed = result.type === 'notRun' || result.type === 'broken';
+  if (!hasFailed || request.progress.retryRefusal !== 'attemptBudget') return false;
+  return yield* awaitAttempt(deps, request, () => mayRetry(deps, request, {mayRepeat}));
+}
+
 /**
  * Whether the stream waits for further attempts when its return has failed too: its engine would
  * still be at work if the host hadn't ended the run.
@@ -128,7 +145,7 @@
 /** Places the prompt and runs it. */
 function* startRun(state: StreamState): Procedure<RunResult> {
   const {deps, request, tried} = state;
-  const {progress, route, service, exchange} = request;
+  const {progress, route, exchange} = request;
   const fail = (refusal: StreamRefusal): RunResult => ({
     type: 'failed',
     outcome: failStream(state, refusal),
@@ -152,19 +169,46 @@
     recordPlacement(state, placement);
     if (placement.type === 'direct') return yield* runOnEngine(state, placement);
     const isExtra = state.hasPrefilled;
-    if (isExtra && !takeFromAttemptBudget(deps, service)) return fail('overloaded');
-    const source = yield* prefillPrompt(state, placement.prefill as PooledTarget, placement);
+    if (isExtra && !(yield* awaitAttempt(deps, request, () => takePrefillAttempt(state)))) {
+      return fail('overloaded');
+    }
     // The cache could not be fetched from this engine if it isn't used, so that another one has to
     // prefill.
     tried.add(placement.prefill.entry.id);
+    const source = yield* prefillPrompt(state, placement.prefill as PooledTarget, placement, () =>
+      mayLeavePrefill(state),
+    );
     if (source) return yield* runPrefilled(state, placement, source);
     if (state.standby && hasGoneOn(state, state.standby)) return {type: 'overtaken'};
     // Another prefill is an extra attempt; prefilling a long prompt at a decode engine instead
     // would stall its streams.
-    if (!mayRetry(deps, request, {mayRepeat: true})) return fail('overloaded');
+    const conditions = {mayRepeat: true, isUnsent: state.hasPrefillAttempt};
+    state.hasPrefillAttempt = false;
+    const mayPrefill = () => mayRetry(deps, request, conditions);
+    if (!(yield* awaitAttempt(deps, request, mayPrefill))) return fail('overloaded');
   }
 }
 
+/** Takes the extra attempt for another prefill. */
+function takePrefillAttempt({deps, request}: StreamState): boolean {
+  const {progress, service} = request;
+  const isTaken = takeFromAttemptBudget(deps, service);
+  progress.retryRefusal = isTaken ? undefined : 'attemptBudget';
+  return isTaken;
+}
+
+/**
+ * Whether a prefill engine that takes long is left for another one, although it may be sound; takes
+ * the extra attempt.
+ */
+function mayLeavePrefill(state: StreamState): boolean {
+  const {deps, request} = state;
+  const {progress, service} = request;
+  if (progress.attemptCount > 0 || state.standby || !hasPlacement(state)) return false;
+  state.hasPrefillAttempt = takeOptionalFromBudget(deps, service);
+  return state.hasPrefillAttempt;
+}
+
 /**
  * Engines that may be asked again when no other one is left. One that was left when it was silent
  * may be sound, and one that has refused may have room again.
@@ -334,14 +378,28 @@
         state.standby!.releaseSource = release;
         isSourceUsed = true;
       }
-      if (result.type !== 'notRun' || !result.isUnsent) return result;
-      if (!mayRetry(deps, request, {mayRepeat: state.mayRepeat, isUnsent: true})) return result;
+      if (result.type !== 'notRun' || !(yield* mayReplace(state, result.isUnsent))) return result;
     }
   } finally {
     if (!isSourceUsed) release();
   }
 }
 
+/** Whether another decode engine may fetch the cache; takes the attempt if the last one refused. */
+function* mayReplace(state: StreamState, isUnsent: boolean): Procedure<boolean> {
+  const {deps, request, tried, mayRepeat} = state;
+  const isFree = (engine: TargetState) =>
+    stageOf(engine) === 'decode' && !tried.has(engine.entry.id);
+  // A run on standby may have gone on, and the attempt for its return is another one.
+  if (!isUnsent && (state.standby || state.returnAttempt || state.leftEngine)) return false;
+  const hasEngine = listEngines(state).some(
+    engine => isFree(engine) && isAvailable(engine, deps.clock.nowMs()),
+  );
+  if (!hasEngine) return false;
+  const take = () => mayRetry(deps, request, {mayRepeat, isUnsent});
+  return yield* awaitAttempt(deps, request, take);
+}
+
 /** Runs the request at an engine and forwards its events. */
 function* runOnEngine(
   state: StreamState,
--- a/packages/relay/src/request/stream-state.ts
+++ b/packages/relay/src/request/stream-state.ts
@@ -39,6 +39,8 @@
   eventCount: number;
   /** Whether the prompt has been prefilled once; another prefill is an extra attempt. */
   hasPrefilled: boolean;
+  /** Whether the last prefill was left for another attempt, which has been taken. */
+  hasPrefillAttempt: boolean;
   /** Whether the prompt has been placed at engines. */
   wasPlaced: boolean;
 }
