Admit prompts by urgency when engines are short

A prompt was refused if it would queue for 0.9 of its own objective. Under a shortage, long prompts with longer objectives kept the queues too long for urgent short ones, which were served less often than the others.

Where targets report how long work takes, less urgent prompts are now sent only to queues that leave room for the more urgent kinds in use. Others wait on the host, urgent ones first and fair to the teams, and behind all of them those that can't meet their objective any more. One of 20 is sent in any case, so that wrong estimates are corrected.

--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -274,6 +274,7 @@
       targets: this.targets,
       quota: this.quota,
       calibration: createWaitCalibration(),
+      admissions: new Map(),
       pendingAverages: new Map(),
       returns: new Map(),
       waiting: new Map(),
--- a/packages/relay/src/request/request-context.ts
+++ b/packages/relay/src/request/request-context.ts
@@ -12,6 +12,7 @@
 import {ConfigView} from '../store/config-view.js';
 import {CrashMonitor} from '../quarantine/crash-monitor.js';
 import {DemandMeter} from '../placing/demand-meter.js';
+import {AdmissionState} from '../placing/admission.js';
 import {AttemptBudget, AttemptBudgetSettings} from './attempt-budget.js';
 import {RelayMetrics} from '../metrics.js';
 import {RelayCodec, RequestMeta, Route, ServiceName, Team} from '../model.js';
@@ -40,6 +41,8 @@
   readonly attemptBudgetSettings: AttemptBudgetSettings;
   /** Corrects estimated waits of prompts by those that this host has measured. */
   readonly calibration: WaitCalibration;
+  /** Prompts that wait until it is their turn, by service. */
+  readonly admissions: Map<ServiceName, AdmissionState>;
   readonly pendingAverages: Map<ServiceName, PendingAverage>;
   /** Times at which refused clients are told to return, by service. */
   readonly returns: Map<ServiceName, ReturnSchedule>;
@@ -90,6 +93,8 @@
   retryRefusal: RetryRefusal | undefined;
   /** Whether the request has waited for an extra attempt, which it does once. */
   hasAwaitedAttempt = false;
+  /** Whether the prompt has waited on the host until it was its turn. */
+  wasHeld = false;
   hasCountedUsage = false;
   /** Number of targets that are known to have crashed under the request. */
   crashCount = 0;
--- a/packages/relay/src/request/serve-stream.ts
+++ b/packages/relay/src/request/serve-stream.ts
@@ -3,11 +3,19 @@
   confirmDecode,
   DEFAULT_ENGINE_ESTIMATES,
   EnginePlacement,
+  PlacementTimes,
   placePrompt,
   sharedPrefix,
   stageOf,
   StagedPlacement,
 } from '../placing/engine-placement.js';
+import {
+  admitPrompt,
+  isAdmittedByUrgency,
+  PromptAdmission,
+  recordPrompt,
+  releasePrompt,
+} from './admit-prompt.js';
 import {recordRequest} from './attempt-budget.js';
 import {awaitAttempt} from './await-attempt.js';
 import {EngineRun} from './engine-run.js';
@@ -74,6 +82,7 @@
     mayLeave: run => mayLeave(state, run),
   };
   recordRequest(deps.attemptBudgets.get(service)!, deps.attemptBudgetSettings, deps.clock.nowMs());
+  recordPrompt(deps, request);
   try {
     let result = yield* startRun(state);
     for (;;) {
@@ -90,6 +99,7 @@
   } finally {
     endStandby(state);
     releaseReturn(state);
+    releasePrompt(deps, request);
   }
 }
 
@@ -145,7 +155,8 @@
 /** Places the prompt and runs it. */
 function* startRun(state: StreamState): Procedure<RunResult> {
   const {deps, request, tried} = state;
-  const {progress, route, exchange} = request;
+  const {progress, exchange} = request;
+  let wasHeld = false;
   const fail = (refusal: StreamRefusal): RunResult => ({
     type: 'failed',
     outcome: failStream(state, refusal),
@@ -159,12 +170,17 @@
       if (yield* allowTried(state)) continue;
       return fail('noTarget');
     }
-    recordDemand(state, placement.newTokens);
-    const leftMs = request.deadlineAtMs - deps.clock.nowMs();
-    const maxQueueMs = Math.min(leftMs, route.objectiveMs * MAX_QUEUE_OBJECTIVE_SHARE);
-    if (!exchange.hasStarted && !progress.mayHaveRun && placement.queueMs > maxQueueMs) {
-      const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, placement.queueMs - maxQueueMs);
-      return {type: 'failed', outcome: {type: 'refused', refusal: 'overloaded', retryAfterMs}};
+    if (!wasHeld) recordDemand(state, placement.newTokens);
+    if (!exchange.hasStarted && !progress.mayHaveRun) {
+      const admission = isAdmittedByUrgency(deps, request.service)
+        ? yield* admitPrompt(deps, request, placement)
+        : decideByObjective(state, placement);
+      wasHeld = admission.type === 'placeAgain';
+      if (wasHeld) continue;
+      if (admission.type === 'refused') {
+        const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, admission.retryAfterMs);
+        return {type: 'failed', outcome: {type: 'refused', refusal: 'overloaded', retryAfterMs}};
+      }
     }
     recordPlacement(state, placement);
     if (placement.type === 'direct') return yield* runOnEngine(state, placement);
@@ -189,6 +205,17 @@
   }
 }
 
+/** Refuses a prompt that would queue for most of its objective. */
+function decideByObjective(
+  {deps, request}: StreamState,
+  {queueMs}: PlacementTimes,
+): PromptAdmission {
+  const leftMs = request.deadlineAtMs - deps.clock.nowMs();
+  const maxQueueMs = Math.min(leftMs, request.route.objectiveMs * MAX_QUEUE_OBJECTIVE_SHARE);
+  if (queueMs <= maxQueueMs) return {type: 'admitted'};
+  return {type: 'refused', retryAfterMs: queueMs - maxQueueMs};
+}
+
 /** Takes the extra attempt for another prefill. */
 function takePrefillAttempt({deps, request}: StreamState): boolean {
   const {progress, service} = request;
