--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -293,6 +293,7 @@
       quota: this.quota,
       calibration: createWaitCalibration(),
       work: this.work,
+      admissions: new Map(),
       pendingAverages: new Map(),
       returns: new Map(),
       waiting: new Map(),
--- a/packages/relay/src/request/serve-stream.ts
+++ b/packages/relay/src/request/serve-stream.ts
@@ -3,6 +3,7 @@
   confirmDecode,
   DEFAULT_ENGINE_ESTIMATES,
   EnginePlacement,
+  PlacementTimes,
   placePrompt,
   sharedPrefix,
   stageOf,
@@ -16,7 +17,15 @@
   recordStream,
   recordStreamWork,
 } from '../placing/engine-work-placement.js';
+import {
+  admitPrompt,
+  isAdmittedByUrgency,
+  PromptAdmission,
+  recordPrompt,
+  releasePrompt,
+} from './admit-prompt.js';
 import {recordRequest} from './attempt-budget.js';
+import {awaitAttempt} from './await-attempt.js';
 import {EngineRun} from './engine-run.js';
 import {EventSplitter} from './events.js';
 import {CacheSource, ServiceName} from '../model.js';
@@ -29,6 +38,7 @@
   reserveAttempt,
   ServeOutcome,
   takeFromAttemptBudget,
+  takeOptionalFromBudget,
   useReserved,
 } from './serve-outcome.js';
 import {releaseReturn, RunResult, StreamState} from './stream-state.js';
@@ -37,7 +47,12 @@
 import {preferWarm} from '../targets/target-access.js';
 import {PooledTarget} from '../targets/target-pool.js';
 import {sendToTarget, writeTargetRequest} from './target-request.js';
-import {estimateCachedTokens, recordParts, TargetState} from '../targets/target-state.js';
+import {
+  estimateCachedTokens,
+  isAvailable,
+  recordParts,
+  TargetState,
+} from '../targets/target-state.js';
 import {recordWait} from '../placing/wait-calibration.js';
 import {waitForTarget} from './wait-for-target.js';
 
@@ -71,10 +86,12 @@
     lastEventId: meta.lastEventId,
     eventCount: 0,
     hasPrefilled: false,
+    hasPrefillAttempt: false,
     wasPlaced: false,
     mayLeave: run => mayLeave(state, run),
   };
   recordRequest(deps.attemptBudgets.get(service)!, deps.attemptBudgetSettings, deps.clock.nowMs());
+  recordPrompt(deps, request);
   try {
     let result = yield* startRun(state);
     for (;;) {
@@ -85,11 +102,13 @@
       else if (state.standby) result = yield* continueRun(state, state.standby);
       else if (result.type === 'failed') return result.outcome;
       else if (mayWait && request.progress.retryRefusal === 'attemptBudget') continue;
+      else if (yield* mayStartRunLater(state, result)) result = yield* startRun(state);
       else return failStream(state, 'overloaded');
     }
   } finally {
     endStandby(state);
     releaseReturn(state);
+    releasePrompt(deps, request);
   }
 }
 
@@ -122,6 +141,14 @@
   return true;
 }
 
+/** Waits for an extra attempt if only that is missing for another run; takes it. */
+function* mayStartRunLater(state: StreamState, result: RunResult): Procedure<boolean> {
+  const {deps, request, mayRepeat} = state;
+  const hasFailed = result.type === 'notRun' || result.type === 'broken';
+  if (!hasFailed || request.progress.retryRefusal !== 'attemptBudget') return false;
+  return yield* awaitAttempt(deps, request, () => mayRetry(deps, request, {mayRepeat}));
+}
+
 /**
  * Whether the stream waits for further attempts when its return has failed too: its engine would
  * still be at work if the host hadn't ended the run.
@@ -137,7 +164,8 @@
 /** Places the prompt and runs it. */
 function* startRun(state: StreamState): Procedure<RunResult> {
   const {deps, request, tried} = state;
-  const {progress, route, service, exchange} = request;
+  const {progress, exchange} = request;
+  let wasHeld = false;
   const fail = (refusal: StreamRefusal): RunResult => ({
     type: 'failed',
     outcome: failStream(state, refusal),
@@ -151,29 +179,72 @@
       if (yield* allowTried(state)) continue;
       return fail('noTarget');
     }
-    recordDemand(state, placement.newTokens);
-    const leftMs = request.deadlineAtMs - deps.clock.nowMs();
-    const maxQueueMs = Math.min(leftMs, route.objectiveMs * MAX_QUEUE_OBJECTIVE_SHARE);
-    if (!exchange.hasStarted && !progress.mayHaveRun && placement.queueMs > maxQueueMs) {
-      const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, placement.queueMs - maxQueueMs);
-      return {type: 'failed', outcome: {type: 'refused', refusal: 'overloaded', retryAfterMs}};
+    if (!wasHeld) recordDemand(state, placement.newTokens);
+    if (!exchange.hasStarted && !progress.mayHaveRun) {
+      const admission = isAdmittedByUrgency(deps, request.service)
+        ? yield* admitPrompt(deps, request, placement)
+        : decideByObjective(state, placement);
+      wasHeld = admission.type === 'placeAgain';
+      if (wasHeld) continue;
+      if (admission.type === 'refused') {
+        const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, admission.retryAfterMs);
+        return {type: 'failed', outcome: {type: 'refused', refusal: 'overloaded', retryAfterMs}};
+      }
     }
     recordPlacement(state, placement);
     if (placement.type === 'direct') return yield* runOnEngine(state, placement);
     const isExtra = state.hasPrefilled;
-    if (isExtra && !takeFromAttemptBudget(deps, service)) return fail('overloaded');
-    const source = yield* prefillPrompt(state, placement.prefill as PooledTarget, placement);
+    if (isExtra && !(yield* awaitAttempt(deps, request, () => takePrefillAttempt(state)))) {
+      return fail('overloaded');
+    }
     // The cache could not be fetched from this engine if it isn't used, so that another one has to
     // prefill.
     tried.add(placement.prefill.entry.id);
+    const source = yield* prefillPrompt(state, placement.prefill as PooledTarget, placement, () =>
+      mayLeavePrefill(state),
+    );
     if (source) return yield* runPrefilled(state, placement, source);
     if (state.standby && hasGoneOn(state, state.standby)) return {type: 'overtaken'};
     // Another prefill is an extra attempt; prefilling a long prompt at a decode engine instead
     // would stall its streams.
-    if (!mayRetry(deps, request, {mayRepeat: true})) return fail('overloaded');
+    const conditions = {mayRepeat: true, isUnsent: state.hasPrefillAttempt};
+    state.hasPrefillAttempt = false;
+    const mayPrefill = () => mayRetry(deps, request, conditions);
+    if (!(yield* awaitAttempt(deps, request, mayPrefill))) return fail('overloaded');
   }
 }
 
+/** Refuses a prompt that would queue for most of its objective. */
+function decideByObjective(
+  {deps, request}: StreamState,
+  {queueMs}: PlacementTimes,
+): PromptAdmission {
+  const leftMs = request.deadlineAtMs - deps.clock.nowMs();
+  const maxQueueMs = Math.min(leftMs, request.route.objectiveMs * MAX_QUEUE_OBJECTIVE_SHARE);
+  if (queueMs <= maxQueueMs) return {type: 'admitted'};
+  return {type: 'refused', retryAfterMs: queueMs - maxQueueMs};
+}
+
+/** Takes the extra attempt for another prefill. */
+function takePrefillAttempt({deps, request}: StreamState): boolean {
+  const {progress, service} = request;
+  const isTaken = takeFromAttemptBudget(deps, service);
+  progress.retryRefusal = isTaken ? undefined : 'attemptBudget';
+  return isTaken;
+}
+
+/**
+ * Whether a prefill engine that takes long is left for another one, although it may be sound; takes
+ * the extra attempt.
+ */
+function mayLeavePrefill(state: StreamState): boolean {
+  const {deps, request} = state;
+  const {progress, service} = request;
+  if (progress.attemptCount > 0 || state.standby || !hasPlacement(state)) return false;
+  state.hasPrefillAttempt = takeOptionalFromBudget(deps, service);
+  return state.hasPrefillAttempt;
+}
+
 /**
  * Engines that may be asked again when no other one is left. One that was left when it was silent
  * may be sound, and one that has refused may have room again.
@@ -357,8 +428,7 @@
         state.standby!.releaseSource = release;
         isSourceUsed = true;
       }
-      if (result.type !== 'notRun' || !result.isUnsent) return result;
-      if (!mayRetry(deps, request, {mayRepeat: state.mayRepeat, isUnsent: true})) return result;
+      if (result.type !== 'notRun' || !(yield* mayReplace(state, result.isUnsent))) return result;
     }
   } finally {
     if (!isSourceUsed) release();
@@ -381,6 +451,21 @@
   });
 }
 
+/** Whether another decode engine may fetch the cache; takes the attempt if the last one refused. */
+function* mayReplace(state: StreamState, isUnsent: boolean): Procedure<boolean> {
+  const {deps, request, tried, mayRepeat} = state;
+  const isFree = (engine: TargetState) =>
+    stageOf(engine) === 'decode' && !tried.has(engine.entry.id);
+  // A run on standby may have gone on, and the attempt for its return is another one.
+  if (!isUnsent && (state.standby || state.returnAttempt || state.leftEngine)) return false;
+  const hasEngine = listEngines(state).some(
+    engine => isFree(engine) && isAvailable(engine, deps.clock.nowMs()),
+  );
+  if (!hasEngine) return false;
+  const take = () => mayRetry(deps, request, {mayRepeat, isUnsent});
+  return yield* awaitAttempt(deps, request, take);
+}
+
 /** Runs the request at an engine and forwards its events. */
 function* runOnEngine(
   state: StreamState,
