Watch targets for crashes under cancelled runs

Cause: when a client leaves, the host closes the connection of the run and removes it from `target.runs`. A crash after that isn't seen: no connection is left that could be lost, and no run that could be named.

Ruled out: keeping the connection half-closed, as servers close theirs at once when they read its end and may run the request all the same; a connection that only watches the target, which costs more than a check.

Change: a cancelled run that may be running stays in `target.runs` for 500 ms, the time in which targets end abandoned requests. Then the target is checked as after a lost connection; a check serves all runs whose time ends within 250 ms after it. At most 1,000 runs with 8 MiB of bodies are kept, as clients could fill the memory with large requests that they abandon; further ones aren't watched, as before. A target that restarts within the 500 ms isn't seen.

--- a/packages/relay/src/quarantine/crash-monitor.ts
+++ b/packages/relay/src/quarantine/crash-monitor.ts
@@ -10,6 +10,16 @@
 /** Connections that a target loses within this time are checked once. */
 const SAME_LOSS_MS = 20;
 
+/** Time in which a target ends a run whose connection has been closed. */
+const CANCELLED_RUN_MS = 500;
+
+/** A check serves the cancelled runs whose time ends within this time after it began. */
+const SAME_CANCELLATION_MS = 250;
+
+/** Maximum size of the bodies of cancelled runs that are kept; a body is part of what names a run. */
+const MAX_CANCELLED_BYTES = 8 * 1024 * 1024;
+const MAX_CANCELLED_RUNS = 1000;
+
 /** Maximum number of runs that are named in the log. */
 const MAX_LOGGED_RUNS = 16;
 
@@ -38,6 +48,8 @@
 /** Tells whether a target that has lost the connection of a run has crashed. */
 export class CrashMonitor {
   private readonly checks = new WeakMap<PooledTarget, Check>();
+  private cancelledCount = 0;
+  private cancelledBytes = 0;
 
   constructor(private readonly deps: CrashMonitorDependencies) {}
 
@@ -46,11 +58,42 @@
    * gone and it wasn't leaving. A target that is cut off or silent doesn't refuse connections.
    */
   check(target: PooledTarget): Promise<boolean> {
+    return this.checkWithin(target, SAME_LOSS_MS);
+  }
+
+  /**
+   * Ends a run that this host has cancelled. Its connection is closed, but the target may run it for
+   * a while: the run stays in `target.runs` for that time, after which the target is checked. Runs
+   * beyond the bounds on what is kept aren't watched.
+   */
+  watchCancelled(target: PooledTarget, run: RunInProgress): void {
+    const {requestId, fingerprint} = run.identity;
+    const remove = () => {
+      if (target.runs.get(requestId) === run) target.runs.delete(requestId);
+    };
+    const bytes = this.cancelledBytes + fingerprint.bodyBytes;
+    if (bytes > MAX_CANCELLED_BYTES || this.cancelledCount >= MAX_CANCELLED_RUNS) {
+      remove();
+      return;
+    }
+    this.cancelledBytes = bytes;
+    this.cancelledCount++;
+    this.deps.clock.setTimer(CANCELLED_RUN_MS, () => {
+      this.cancelledBytes -= fingerprint.bodyBytes;
+      this.cancelledCount--;
+      void this.checkWithin(target, SAME_CANCELLATION_MS);
+      remove();
+    });
+  }
+
+  /** As {@link check}; a check that began at most `maxAgeMs` ago serves as well. */
+  private checkWithin(target: PooledTarget, maxAgeMs: number): Promise<boolean> {
     if (target.entry.isDraining) return Promise.resolve(false);
     const nowMs = this.deps.clock.nowMs();
     const earlier = this.checks.get(target);
-    if (earlier && (earlier.hasCrashed || nowMs - earlier.startedMs < SAME_LOSS_MS))
+    if (earlier && (earlier.hasCrashed || nowMs - earlier.startedMs < maxAgeMs)) {
       return earlier.result;
+    }
     const runs = [...target.runs.values()];
     const result = isRefused(target.entry.address).then(hasCrashed => {
       check.hasCrashed = hasCrashed && !target.entry.isDraining;
--- a/packages/relay/src/request/serve-call.ts
+++ b/packages/relay/src/request/serve-call.ts
@@ -16,7 +16,7 @@
 } from '../targets/target-answer.js';
 import {waitForEvent} from '../targets/target-connections.js';
 import {PooledAttempt, PooledTarget} from '../targets/target-pool.js';
-import {awaitLossChecks, checkLoss, mayRun, recordWholeRun} from './suspect-runs.js';
+import {awaitLossChecks, cancelRun, checkLoss, mayRun, recordWholeRun} from './suspect-runs.js';
 import {sendToTarget, writeTargetRequest} from './target-request.js';
 import {recordLoad} from '../targets/target-state.js';
 import {waitForTarget} from './wait-for-target.js';
@@ -121,10 +121,7 @@
       yield* call(() => waitForEvent(deps.clock, waiting, untilMs - nowMs));
     }
   } finally {
-    for (const {sent} of attempts) {
-      sent.target.runs.delete(request.meta.requestId);
-      sent.finish('cancelled');
-    }
+    for (const {sent} of attempts) cancelRun(deps, request, sent);
   }
 }
 
--- a/packages/relay/src/request/serve-stream.ts
+++ b/packages/relay/src/request/serve-stream.ts
@@ -24,7 +24,7 @@
   useReserved,
 } from './serve-outcome.js';
 import {releaseReturn, RunResult, StreamState} from './stream-state.js';
-import {awaitLossChecks, checkLoss, mayRun, recordWholeRun} from './suspect-runs.js';
+import {awaitLossChecks, cancelRun, checkLoss, mayRun, recordWholeRun} from './suspect-runs.js';
 import {SILENCE_CHECK_MS} from '../targets/target-answer.js';
 import {PooledTarget} from '../targets/target-pool.js';
 import {sendToTarget, writeTargetRequest} from './target-request.js';
@@ -371,9 +371,8 @@
       recordWait(deps.calibration, 'decode', request.urgency, placement.uncalibratedMs, actualMs);
     },
     close: () => {
-      target.runs.delete(meta.requestId);
+      cancelRun(deps, request, sent);
       removePending();
-      sent.finish('cancelled');
       if (!run.hasEvents) run.releaseSource?.();
     },
   };
--- a/packages/relay/src/request/suspect-runs.ts
+++ b/packages/relay/src/request/suspect-runs.ts
@@ -1,6 +1,6 @@
 import {BodyFraming, call, Procedure} from '@radishgw/core';
 import {AdmittedRequest, RelayDependencies} from './request-context.js';
-import {PooledTarget} from '../targets/target-pool.js';
+import {PooledAttempt, PooledTarget} from '../targets/target-pool.js';
 
 /** Number of targets that may crash under one request. */
 const MAX_CRASHES = 2;
@@ -53,6 +53,19 @@
   });
 }
 
+/** Ends a run unless it has ended, and watches its target for a while if it may still be running. */
+export function cancelRun(
+  deps: RelayDependencies,
+  {meta}: AdmittedRequest,
+  sent: PooledAttempt,
+): void {
+  const {target, attempt} = sent;
+  const run = target.runs.get(meta.requestId);
+  if (run && attempt.mayBeRunning) deps.crashes.watchCancelled(target, run);
+  else target.runs.delete(meta.requestId);
+  sent.finish('cancelled');
+}
+
 /** Waits for the checks of lost connections if another run depends on them. */
 export function* awaitLossChecks(
   deps: RelayDependencies,
--- a/packages/relay/src/targets/target-connections.ts
+++ b/packages/relay/src/targets/target-connections.ts
@@ -112,6 +112,11 @@
     private readonly onFinished: () => void,
   ) {}
 
+  /** Whether the request may be running at the target, as it was sent and hasn't been answered. */
+  get mayBeRunning(): boolean {
+    return this.sentAtMs !== undefined && !this.isFinished;
+  }
+
   /** The next event, which stays where it is; undefined if there is none. */
   peek(): AttemptEvent | undefined {
     return this.events[0];
--- a/packages/relay/test/crash-monitor.test.ts
+++ b/packages/relay/test/crash-monitor.test.ts
@@ -11,6 +11,7 @@
 import {CrashMonitor, ObservedCrash} from '../src/quarantine/crash-monitor.js';
 import {RelayMetrics} from '../src/metrics.js';
 import {ServiceName} from '../src/index.js';
+import {RequestFingerprint} from '../src/targets/run-identity.js';
 import {PooledTarget, TargetPool} from '../src/targets/target-pool.js';
 import {ENGINES, makeEntry, makeIdentity, readAnswer} from './fixtures.js';
 
@@ -76,4 +77,40 @@
     await closeServer();
     expect(await monitor.check(target)).to.equal(false);
   });
+
+  it('sees a crash under a run that this host has cancelled', async () => {
+    // Guards against requests that crash targets unseen because their clients leave before.
+    const [run] = target.runs.values();
+    monitor.watchCancelled(target, run);
+    await closeServer();
+    expect(target.runs.size).to.equal(1);
+    await new Promise(resolve => setTimeout(resolve, 700));
+    expect(crashes.map(({runs}) => runs)).to.deep.equal([[run]]);
+    expect(target.runs.size).to.equal(0);
+  });
+
+  it('checks a target once for several cancelled runs, and forgets them if it runs', async () => {
+    for (const id of ['r-2', 'r-3', 'r-4']) {
+      const identity = makeIdentity(toId<RequestId>(id), []);
+      target.runs.set(identity.requestId, {identity, sentMs: 0});
+    }
+    for (const run of target.runs.values()) monitor.watchCancelled(target, run);
+    await new Promise(resolve => setTimeout(resolve, 700));
+    expect(sockets).to.have.length(1);
+    expect([crashes.length, target.runs.size]).to.deep.equal([0, 0]);
+  });
+
+  it('keeps a bounded size of cancelled runs', () => {
+    // Guards against clients that fill the memory with large requests which they abandon.
+    const body = Buffer.alloc(1024 * 1024);
+    for (let i = 0; i < 100; i++) {
+      const requestId = toId<RequestId>(`r-${i}`);
+      const content = {team: undefined, method: 'POST', host: 'x', path: '/', sharedParts: []};
+      const fingerprint = new RequestFingerprint({...content, body});
+      const run = {identity: {requestId, sharedParts: [], fingerprint}, sentMs: 0};
+      target.runs.set(requestId, run);
+      monitor.watchCancelled(target, run);
+    }
+    expect(target.runs.size).to.equal(8);
+  });
 });
