Accept waiting connections before a stopping host closes its listener

Cause: closing a listener resets the connections that are established but not accepted yet.

Ruled out: connections that were reused; the lost requests were the first on theirs, and no server got them.

Change: a stopping host takes turns of its event loop until no connection is accepted in one, at most 511, the length of the queue. Connections without a request so far stay open for 100 ms more.

--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -219,7 +219,7 @@
     const lastUseMs = startMs + DELISTING_MS + maxAddressUseMs(settings);
     const listenUntilMs = Math.min(this.stopAtMs - LAST_ANSWER_MARGIN_MS, lastUseMs);
     await waitUntilIdle(clock, () => false, listenUntilMs);
-    this.clientServer.stopAccepting();
+    await this.clientServer.stopAccepting();
     await waitUntilIdle(clock, () => this.clientServer.inFlight === 0, this.stopAtMs);
     await this.quota.release();
     for (const task of this.tasks) task.cancel();
--- a/packages/relay/src/request/client-connections.ts
+++ b/packages/relay/src/request/client-connections.ts
@@ -1,9 +1,17 @@
 import {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {Server as NetServer, Socket} from 'node:net';
+import {Clock, SystemClock} from '@radishgw/core';
+
+/** Maximum number of connections that wait to be accepted, by default in Node.js. */
+const MAX_WAITING_CONNECTIONS = 511;
+
+/** Time in which the first request on a new connection arrives at a host that stops. */
+const FIRST_REQUEST_MS = 100;
 
 /** The requests on a connection whose answers haven't been sent completely. */
 interface ConnectionState {
   requestCount: number;
+  hasHadRequest: boolean;
   /** Resolves when the latest of them has been answered or the connection is closed. */
   latestAnswered: Promise<void>;
   /** Called when the connection is closed. */
@@ -14,12 +22,18 @@
 export class ClientConnections {
   private readonly connections = new Map<Socket, ConnectionState>();
   private isAccepting = true;
+  private acceptedCount = 0;
 
-  constructor(private readonly server: Server) {
+  constructor(
+    private readonly server: Server,
+    private readonly clock: Clock = new SystemClock(),
+  ) {
     server.on('connection', (socket: Socket) => {
+      this.acceptedCount++;
       const closeListeners = new Set<() => void>();
       const latestAnswered = Promise.resolve();
-      this.connections.set(socket, {requestCount: 0, latestAnswered, closeListeners});
+      const state = {requestCount: 0, hasHadRequest: false, latestAnswered, closeListeners};
+      this.connections.set(socket, state);
       socket.once('close', () => {
         this.connections.delete(socket);
         // Node.js 20 emits no event for responses that wait for an earlier one.
@@ -45,6 +59,7 @@
     if (!connection) return false;
     const {latestAnswered: earlierAnswered} = connection;
     const hasEarlier = connection.requestCount++ > 0;
+    connection.hasHadRequest = true;
     connection.latestAnswered = new Promise(resolve => {
       const settle = () => {
         connection.closeListeners.delete(settle);
@@ -69,13 +84,35 @@
   /**
    * Stops accepting connections; closes the idle ones, and the others once they are idle, as their
    * clients may not know that the host stops. `Server.close` and `closeIdleConnections` of Node.js 20
-   * would also close those whose answers still wait for a client to read them.
+   * would also close those whose answers still wait for a client to read them. Resolves when all
+   * connections that are left have a request in progress.
    */
-  stopAccepting(): void {
+  async stopAccepting(): Promise<void> {
+    await this.acceptWaiting();
     this.isAccepting = false;
     NetServer.prototype.close.call(this.server);
-    for (const [socket, {requestCount}] of this.connections) {
-      if (requestCount === 0) this.close(socket);
+    this.closeIdle(({hasHadRequest}) => hasHadRequest);
+    if ([...this.connections.values()].every(({requestCount}) => requestCount > 0)) return;
+    await new Promise<void>(resolve => this.clock.setTimer(FIRST_REQUEST_MS, resolve));
+    this.closeIdle(() => true);
+  }
+
+  /**
+   * Accepts the connections that wait for it: closing the server would reset them, with requests
+   * that may have been sent. Node.js accepts few of them in one turn of its event loop.
+   */
+  private async acceptWaiting(): Promise<void> {
+    for (let turns = 0; turns < MAX_WAITING_CONNECTIONS; turns++) {
+      const {acceptedCount} = this;
+      // The first immediate may run before connections are polled for.
+      for (let i = 0; i < 2; i++) await new Promise<void>(resolve => setImmediate(resolve));
+      if (this.acceptedCount === acceptedCount) return;
+    }
+  }
+
+  private closeIdle(mayClose: (state: ConnectionState) => boolean): void {
+    for (const [socket, state] of this.connections) {
+      if (state.requestCount === 0 && mayClose(state)) this.close(socket);
     }
   }
 
--- a/packages/relay/src/request/client-server.ts
+++ b/packages/relay/src/request/client-server.ts
@@ -38,7 +38,7 @@
       },
       (request, response) => void this.handle(request, response),
     );
-    this.connections = new ClientConnections(this.server);
+    this.connections = new ClientConnections(this.server, deps.clock);
     this.server.on('connection', () => deps.targets.readGate.hold());
     this.applyLimits();
   }
@@ -58,8 +58,8 @@
   }
 
   /** Stops accepting connections and closes those without a request in progress. */
-  stopAccepting(): void {
-    this.connections.stopAccepting();
+  stopAccepting(): Promise<void> {
+    return this.connections.stopAccepting();
   }
 
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/packages/relay/test/client-connections.test.ts
+++ b/packages/relay/test/client-connections.test.ts
@@ -29,6 +29,26 @@
 });
 `;
 
+/** Sends a request on each of many connections at once. */
+const MANY_CLIENTS = `
+const {connect} = require('node:net');
+const {workerData, parentPort} = require('node:worker_threads');
+const {port, text, signal, count} = workerData;
+const received = new Array(count).fill('');
+let sent = 0;
+let closed = 0;
+for (let i = 0; i < count; i++) {
+  const socket = connect(port, '127.0.0.1', () => socket.write(text, () => {
+    if (++sent < count) return;
+    Atomics.store(new Int32Array(signal), 0, 1);
+    Atomics.notify(new Int32Array(signal), 0);
+  }));
+  socket.on('data', chunk => (received[i] += chunk));
+  socket.on('error', () => undefined);
+  socket.on('close', () => ++closed === count && parentPort.postMessage(received));
+}
+`;
+
 /** Serves requests as {@link ClientServer} does, with answers that the test sends. */
 class Fixture {
   readonly server: Server = createServer((request, response) => void this.serve(request, response));
@@ -130,7 +150,7 @@
       }),
     );
     await wait(100);
-    fixture.connections.stopAccepting();
+    void fixture.connections.stopAccepting();
     await Promise.all(received.map(({closed}) => closed));
     expect(fixture.connections.requestCount).to.equal(0);
     const counts = received.map(
@@ -153,9 +173,28 @@
     worker.postMessage('send');
     // Blocks the event loop until the second request has waited for 250 ms.
     Atomics.wait(new Int32Array(signal), 0, 0, 5000);
-    fixture.connections.stopAccepting();
+    void fixture.connections.stopAccepting();
     const [received] = await closed;
     await worker.terminate();
     expect(received.split('done').length - 1).to.equal(fixture.readCount);
   });
+
+  it('answers requests on connections that wait to be accepted as it stops', async () => {
+    // Guards against a stop that resets connections on which requests have been sent.
+    fixture.onServe = response => response.end('done');
+    await once(fixture.server.listen(0, '127.0.0.1'), 'listening');
+    const {port} = fixture.server.address() as AddressInfo;
+    const signal = new SharedArrayBuffer(4);
+    const count = 50;
+    const workerData = {port, text: REQUEST, signal, count};
+    const worker = new Worker(MANY_CLIENTS, {eval: true, workerData});
+    const closed = once(worker, 'message') as Promise<[string[]]>;
+    // Blocks the event loop until all requests have been sent.
+    Atomics.wait(new Int32Array(signal), 0, 0, 5000);
+    expect(fixture.accepted).to.have.length(0);
+    await fixture.connections.stopAccepting();
+    const [received] = await closed;
+    await worker.terminate();
+    expect(received.filter(text => text.includes('done'))).to.have.length(count);
+  });
 });
