--- a/packages/relay/src/request/serve-stream.ts
+++ b/packages/relay/src/request/serve-stream.ts
@@ -42,7 +42,7 @@
   useReserved,
 } from './serve-outcome.js';
 import {releaseReturn, RunResult, StreamState} from './stream-state.js';
-import {awaitLossChecks, checkLoss, mayRun, recordWholeRun} from './suspect-runs.js';
+import {awaitLossChecks, cancelRun, checkLoss, mayRun, recordWholeRun} from './suspect-runs.js';
 import {SILENCE_CHECK_MS} from '../targets/target-answer.js';
 import {preferWarm} from '../targets/target-access.js';
 import {PooledTarget} from '../targets/target-pool.js';
@@ -520,9 +520,8 @@
     close: () => {
       const nowMs = deps.clock.nowMs();
       if (expectation) recordStreamWork(deps.work, target, nowMs - sentMs, nowMs);
-      target.runs.delete(meta.requestId);
+      cancelRun(deps, request, sent);
       removePending();
-      sent.finish('cancelled');
       if (!run.hasEvents) run.releaseSource?.();
     },
   };
