Keep requests from failure domains that are evacuated

Operators could not take a failure domain out of service: an object of kind evacuations in the store was not read.

Where the settings have bounds.evacuation-ms, the objects are read like the list of targets and shared within a failure domain. The gate of each target closes, which TargetPool.send asks on every path; a cache isn't fetched from an evacuated engine, connections that are being opened fail as unsent, and a host sends nothing before it has read the evacuations. The lease holder orders the capacity of the domain elsewhere at once. Without the setting the store gets no additional call.

--- a/packages/coordination/src/platform.ts
+++ b/packages/coordination/src/platform.ts
@@ -13,6 +13,8 @@
   readonly key: string;
   readonly revision: Revision;
   readonly value: string;
+  /** Time in Unix milliseconds at which the object was created; missing if unknown. */
+  readonly createdMs?: number;
 }
 
 /** A change reported by a watch; a `removed` object has an empty value. */
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -50,7 +50,17 @@
   targetLeaving: {number: 1815, level: 'info', text: 'target has said that it leaves'},
   targetBackoff: {number: 1816, level: 'info', text: 'target has asked for a pause'},
   targetCold: {number: 1818, level: 'info', text: 'target is cold and takes few requests'},
+  evacuationStarted: {
+    number: 1819,
+    level: 'warn',
+    text: 'targets of a failure domain get no requests',
+  },
   quotaFallback: {number: 1820, level: 'warn', text: 'quota decided without its owner'},
+  evacuationEnded: {
+    number: 1821,
+    level: 'info',
+    text: 'targets of a failure domain get requests again',
+  },
   leaseAcquired: {number: 1830, level: 'info', text: 'fleet lease acquired'},
   leaseLost: {number: 1831, level: 'warn', text: 'fleet lease lost'},
   targetCrashed: {number: 1850, level: 'warn', text: 'target crashed with runs in progress'},
--- a/packages/relay/src/duties/capacity-controller.ts
+++ b/packages/relay/src/duties/capacity-controller.ts
@@ -46,7 +46,15 @@
       }
       const demand = hosts.reduce((sum, host) => sum + (host.demand?.[service.name] ?? 0), 0);
       const nowMs = deps.clock.nowMs();
-      const orders = decideCapacity(state, service, entries, demand, this.settings, nowMs);
+      const orders = decideCapacity(
+        state,
+        service,
+        entries,
+        demand,
+        this.settings,
+        nowMs,
+        deps.targets.evacuatedDomains,
+      );
       for (const order of orders) {
         const term = currentTerm();
         if (term === undefined) return;
--- a/packages/relay/src/duties/capacity-policy.ts
+++ b/packages/relay/src/duties/capacity-policy.ts
@@ -41,6 +41,9 @@
   resendMs: 3000,
 };
 
+/** Time that the targets of an evacuated failure domain have to return, in times of a start. */
+const RETURN_BOOT_TIMES = 3;
+
 /** State that the holder of the fleet lease keeps for one service. */
 export interface CapacityState {
   /** Time at which this holder first saw a target of the service. */
@@ -53,6 +56,8 @@
   readonly domains: Set<FailureDomain>;
   /** Latest order by failure domain and kind of target. */
   readonly lastOrders: Map<string, {readonly count: number; readonly atMs: number}>;
+  /** Failure domains that return after an evacuation, with the time until which that may last. */
+  readonly returning: Map<FailureDomain, number>;
   /** Maximum desired number of targets so far. */
   desiredTotal: number;
 }
@@ -64,6 +69,7 @@
     inheritedCount: 0,
     domains: new Set(),
     lastOrders: new Map(),
+    returning: new Map(),
     desiredTotal: 0,
   };
 }
@@ -81,6 +87,7 @@
   demandPerSecond: number,
   settings: CapacitySettings,
   nowMs: number,
+  evacuated: ReadonlySet<FailureDomain> = new Set(),
 ): CapacityOrder[] {
   const {scaling} = service;
   if (!scaling || !service.engine) return [];
@@ -95,7 +102,11 @@
   const usesPreemptible =
     scaling.cheapPriceRatio !== undefined &&
     scaling.cheapPriceRatio <= settings.maxPreemptiblePriceRatio;
-  const domains = sortByPrice([...state.domains], scaling);
+  const domains = sortByPrice(
+    [...state.domains].filter(domain => !evacuated.has(domain)),
+    scaling,
+  );
+  recordReturns(state, evacuated, scaling, nowMs);
   const orders: CapacityOrder[] = [];
   domains.forEach((failureDomain, index) => {
     const share = splitEvenly(state.desiredTotal, domains.length, index);
@@ -116,7 +127,43 @@
       usesPreemptible ? Math.max(minOnDemand, Math.min(ready.onDemand, needed)) : needed,
     );
   });
-  return orders.filter(order => isDue(state, order, entries, settings, nowMs));
+  return orders
+    .filter(order => isDue(state, order, entries, settings, nowMs))
+    .filter(order => !replacesReturning(state, order, orders, entries));
+}
+
+/** Records the failure domains whose targets have to return after an evacuation. */
+function recordReturns(
+  {domains, returning}: CapacityState,
+  evacuated: ReadonlySet<FailureDomain>,
+  {bootMs}: ScalingTraits,
+  nowMs: number,
+): void {
+  for (const domain of domains) {
+    if (evacuated.has(domain)) returning.set(domain, nowMs + RETURN_BOOT_TIMES * bootMs);
+    else if (nowMs >= (returning.get(domain) ?? Infinity)) returning.delete(domain);
+  }
+}
+
+/**
+ * Whether an order would release targets that still stand in for those of a failure domain that was
+ * evacuated. Its targets may be gone or cold when the evacuation ends.
+ */
+function replacesReturning(
+  {returning}: CapacityState,
+  order: CapacityOrder,
+  orders: readonly CapacityOrder[],
+  entries: readonly TargetEntry[],
+): boolean {
+  if (returning.has(order.failureDomain)) return false;
+  const readyCount = ({failureDomain, isCheap}: CapacityOrder) => {
+    const ready = countReady(entries, failureDomain);
+    return isCheap ? ready.preemptible : ready.onDemand;
+  };
+  if (order.desiredCount >= readyCount(order)) return false;
+  return orders.some(
+    other => returning.has(other.failureDomain) && readyCount(other) < other.desiredCount,
+  );
 }
 
 /**
--- a/packages/relay/src/duties/stage-controller.ts
+++ b/packages/relay/src/duties/stage-controller.ts
@@ -34,7 +34,10 @@
     if (!config) return;
     for (const service of config.services.values()) {
       if (!service.engine) continue;
-      const targets = deps.targets.forService(service.name);
+      const evacuated = deps.targets.evacuatedDomains;
+      const targets = deps.targets
+        .forService(service.name)
+        .filter(({entry}) => !evacuated.has(entry.failureDomain));
       const entries = targets.map(target => target.entry);
       const nowMs = deps.clock.nowMs();
       const orders = decideStages(this.lastOrderMs, entries, DEFAULT_STAGE_SETTINGS, nowMs);
--- a/packages/relay/src/model.ts
+++ b/packages/relay/src/model.ts
@@ -140,6 +140,22 @@
   readonly unreadable?: readonly TargetId[];
 }
 
+/** A failure domain whose targets get no requests until the operator ends this. */
+export interface Evacuation {
+  readonly failureDomain: FailureDomain;
+  /** Time in Unix milliseconds at which the store acknowledged it; missing if unknown. */
+  readonly acknowledgedMs?: number;
+}
+
+/** All evacuations, as read from the store. */
+export interface EvacuationList {
+  /** Era of the store at which the list was current; missing if the store has only one. */
+  readonly era?: number;
+  /** Revision of the store at which the list was current. */
+  readonly revision: number;
+  readonly evacuations: readonly Evacuation[];
+}
+
 /** A part of a prompt; requests with the same leading parts share their cache entries. */
 export interface PromptPart {
   readonly id: PromptPartId;
--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -47,6 +47,7 @@
   SharedStore,
   syncConfig,
   SyncDependencies,
+  syncEvacuations,
   syncTargets,
 } from './store/store-sync.js';
 import {ColdBounds} from './targets/cold-shares.js';
@@ -140,6 +141,7 @@
       clock,
       hostKey: formatIncarnation({hostId: settings.hostId, incarnation: this.incarnation}),
       coldBounds: settings.coldBounds ?? NO_COLD_BOUNDS,
+      hasEvacuations: settings.evacuationMs !== undefined,
       findService: name => this.configView.config?.services.get(name),
     });
     this.targets = new TargetPool({
@@ -200,6 +202,7 @@
     };
     startLoop(() => syncConfig(sync));
     startLoop(() => syncTargets(sync));
+    if (settings.evacuationMs !== undefined) startLoop(() => syncEvacuations(sync));
     const {directoryAddress} = settings;
     await Promise.all([
       listen(this.clientServer.server, settings.clientAddress),
@@ -265,6 +268,7 @@
   private get canServe(): boolean {
     if (this.stopAtMs !== undefined || !this.targets.hasSynced || !this.configView.config)
       return false;
+    if (!this.access.knowsEvacuations) return false;
 
     const {revokeMs} = this.options.settings;
     const ageMs = configAgeMs(this.configView, readInstant(this.options.clock));
@@ -412,6 +416,7 @@
       monitor: this.monitor,
       intervals: readIntervals(this.options.settings.changeBoundMs),
       onConfig: config => this.applyConfig(config),
+      onEvacuations: list => this.targets.applyEvacuations(list),
       onTargetsUnavailable: () => this.targets.recordFailedRead(),
       onTargets: (list, asOfMs, isShared) => this.targets.update(list, asOfMs, isShared),
     };
@@ -533,6 +538,7 @@
       ),
       `radishgw_rejected_entries ${this.options.source.rejectedCount + this.shared.rejectedCount}`,
       `radishgw_cold_targets ${this.targets.countCold()}`,
+      `radishgw_evacuated_domains ${this.targets.evacuatedDomains.size}`,
       `radishgw_ready ${this.isReady ? 1 : 0}`,
     ];
     return this.metrics.format() + gauges.join('\n') + '\n';
--- a/packages/relay/src/request/serve-stream.ts
+++ b/packages/relay/src/request/serve-stream.ts
@@ -29,7 +29,7 @@
 import {preferWarm} from '../targets/target-access.js';
 import {PooledTarget} from '../targets/target-pool.js';
 import {sendToTarget, writeTargetRequest} from './target-request.js';
-import {estimateCachedTokens, recordParts, TargetState} from '../targets/target-state.js';
+import {estimateCachedTokens, isClosed, recordParts, TargetState} from '../targets/target-state.js';
 import {recordWait} from '../placing/wait-calibration.js';
 import {waitForTarget} from './wait-for-target.js';
 
@@ -174,8 +174,9 @@
   return listEngines(state).filter(engine => engine !== standby?.target && isReturn(state, engine));
 }
 
-function isReturn({failed}: StreamState, engine: PooledTarget): boolean {
+function isReturn({deps, failed}: StreamState, engine: PooledTarget): boolean {
   const {id, isDraining} = engine.entry;
+  if (isClosed(engine, deps.clock.nowMs())) return false;
   return stageOf(engine) === 'decode' && !isDraining && !failed.has(id);
 }
 
@@ -324,6 +325,8 @@
     for (;;) {
       if (!mayRun(deps, request)) return {type: 'notRun', isUnsent: true};
       const nowMs = deps.clock.nowMs();
+      // The cache can't be fetched from there; the prompt is prefilled elsewhere.
+      if (isClosed(placement.prefill, nowMs)) return {type: 'notRun', isUnsent: true};
       const engines = preferWarm(listEngines(state), tried, nowMs, stageOf);
       const decode = confirmDecode(engines, placement, tried, {
         nowMs,
@@ -359,6 +362,7 @@
   state.tried.add(target.entry.id);
   const outgoing = writeTargetRequest(deps, request, target, {
     cacheSource: source,
+    cacheTarget: source && placement.type === 'staged' ? placement.prefill : undefined,
     lastEventId: state.lastEventId,
   });
   progress.addRun(target.entry.id);
--- a/packages/relay/src/request/target-request.ts
+++ b/packages/relay/src/request/target-request.ts
@@ -4,11 +4,14 @@
 import {AnswerReader, Standby} from '../targets/target-answer.js';
 import {OutgoingRequest} from '../targets/target-connections.js';
 import {PooledAttempt, PooledTarget} from '../targets/target-pool.js';
+import {TargetState} from '../targets/target-state.js';
 
 /** Fields that differ between the attempts of one request. */
 export interface AttemptFields {
   readonly prefillOnly?: boolean;
   readonly cacheSource?: CacheSource;
+  /** Target that has that cache. */
+  readonly cacheTarget?: TargetState;
   readonly lastEventId?: string;
 }
 
@@ -60,6 +63,7 @@
     method: exchange.method,
     path: exchange.path,
     body: exchange.body,
+    cacheTarget: fields.cacheTarget,
     headers: deps.codec.writeTargetHeaders(exchange.headers, {
       expectedTarget: target.entry.id,
       deadlineMs: Math.max(1, Math.floor(request.deadlineAtMs - deps.clock.nowMs())),
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -35,6 +35,11 @@
   readonly attemptBudget: AttemptBudgetSettings;
   /** What may be granted beyond the rate and burst of a team, over all hosts. */
   readonly quotaBounds: QuotaBounds;
+  /**
+   * Time within which the evacuation of a failure domain must be obeyed; undefined where there are
+   * no evacuations, which aren't read then.
+   */
+  readonly evacuationMs?: number;
   /** What cold targets may be sent beyond their rate; nothing if undefined. */
   readonly coldBounds?: ColdBounds;
   readonly usageWindowMs: number;
--- a/packages/relay/src/store/shared-kinds.ts
+++ b/packages/relay/src/store/shared-kinds.ts
@@ -1,19 +1,19 @@
 import {HostId, toId} from '@radishgw/core';
 import {HostHeartbeat, HostRecord} from './host-registry.js';
-import {RelayConfig, TargetList} from '../model.js';
+import {EvacuationList, RelayConfig, TargetList} from '../model.js';
 import {CrashEvidence} from '../quarantine/quarantine.js';
 import {ReadIntervals} from './read-intervals.js';
 import {joinConfig, splitConfig} from './shared-config.js';
 
 /** Kinds of values that readers share. */
-export type SharedKind = 'config' | 'targets' | 'hosts' | 'beats';
+export type SharedKind = 'config' | 'targets' | 'evacuations' | 'hosts' | 'beats';
 
 /** Splits values of a kind into entries, so that only changed entries are sent. */
 interface KindHandler {
   /** Maximum age of a read that is accepted from a reader: its interval plus one slow call. */
   maxAgeMs(intervals: ReadIntervals): number;
   /** Kind that is fetched at about the same times; both are fetched with one call. */
-  readonly companion: SharedKind;
+  readonly companion?: SharedKind;
   split(value: unknown): readonly (readonly [string, unknown])[];
   join(
     entries: ReadonlyMap<string, unknown>,
@@ -84,6 +84,14 @@
     revisionOf: value => (value as TargetList).revision,
     eraOf: value => (value as TargetList).era,
   },
+  evacuations: {
+    maxAgeMs: ({directMs}) => directMs + SLOW_CALL_MS,
+    split: value =>
+      (value as EvacuationList).evacuations.map(item => [item.failureDomain, item] as const),
+    join: (entries, revision, era) => ({evacuations: [...entries.values()], era, revision}),
+    revisionOf: value => (value as EvacuationList).revision,
+    eraOf: value => (value as EvacuationList).era,
+  },
   hosts: {
     maxAgeMs: () => MAX_RECORDS_AGE_MS,
     companion: 'beats',
--- a/packages/relay/src/store/shared-reads.ts
+++ b/packages/relay/src/store/shared-reads.ts
@@ -190,8 +190,12 @@
     }
     const {companion} = KINDS[kind];
     const sentAt = readInstant(clock);
-    const question = {...this.createQuestion(kind), companion: this.createQuestion(companion)};
+    const question = {
+      ...this.createQuestion(kind),
+      companion: companion && this.createQuestion(companion),
+    };
     const answered = ask(peers, address, question).then(result => ({sentAt, result}));
+    if (!companion) return answered;
     this.asked.set(
       companion,
       answered.then(({result}) =>
--- a/packages/relay/src/store/store-sync.ts
+++ b/packages/relay/src/store/store-sync.ts
@@ -3,7 +3,7 @@
 import {confirmConfig, ConfigView} from './config-view.js';
 import {HostRecord, selectNewestRecords} from './host-registry.js';
 import {LeaseRecord} from './lease.js';
-import {RelayConfig, TargetList, WindowCounts} from '../model.js';
+import {EvacuationList, RelayConfig, TargetList, WindowCounts} from '../model.js';
 import {ReadIntervals} from './read-intervals.js';
 import {RejectedEntries} from './rejected-entries.js';
 import {decodeHostObject, decodeLease, decodeWindow} from './state-schemas.js';
@@ -16,6 +16,8 @@
   readConfig(): PlatformAnswer<RelayConfig>;
   /** Returns the entries that can be decoded. */
   readTargets(): PlatformAnswer<TargetList>;
+  /** Returns all evacuations; one counts by its name, whatever its entry contains. */
+  readEvacuations(): PlatformAnswer<EvacuationList>;
   /** Number of entries that can't be decoded. */
   readonly rejectedCount: number;
 }
@@ -69,6 +71,7 @@
    * whether another host read it.
    */
   onTargets(list: TargetList, asOfMs: number, isShared: boolean): void;
+  onEvacuations(list: EvacuationList): void;
   /** Called when the list of targets could not be read. */
   onTargetsUnavailable(): void;
 }
@@ -128,6 +131,21 @@
   }
 }
 
+/** Polls the evacuations until cancelled; what is known stays in force while they can't be read. */
+export function* syncEvacuations(deps: SyncDependencies): Procedure<void> {
+  for (;;) {
+    const answer = yield* deps.reads.read('evacuations', () => deps.source.readEvacuations());
+    if (answer.ok) {
+      recordReadSuccess(deps, answer.val);
+      deps.onEvacuations(answer.val.value);
+      yield* sleep(intervalAfter(deps, answer.val));
+      continue;
+    }
+    deps.monitor.recordOutcome(answer.val);
+    yield* sleep(RETRY_DELAY_MS);
+  }
+}
+
 /** A usage window whose counts are final, so that all reports of it are the same. */
 export interface FrozenWindow {
   readonly windowIndex: number;
--- a/packages/relay/src/targets/target-access.ts
+++ b/packages/relay/src/targets/target-access.ts
@@ -1,4 +1,4 @@
-import {Clock} from '@radishgw/core';
+import {Clock, FailureDomain} from '@radishgw/core';
 import {
   COLD_INTERVAL_MS,
   ColdBounds,
@@ -11,7 +11,13 @@
 } from './cold-shares.js';
 import {Instant, readInstant} from '../instant.js';
 import {incarnationKey} from './leaving-targets.js';
-import {Service, ServiceName, TargetEntry} from '../model.js';
+import {
+  createEvacuationView,
+  EvacuationChanges,
+  hasReadEvacuations,
+  updateEvacuations,
+} from './evacuations.js';
+import {EvacuationList, Service, ServiceName, TargetEntry} from '../model.js';
 import {
   AccessRefusal,
   estimateRequests,
@@ -29,6 +35,8 @@
   /** Incarnation of this host, as other hosts list it. */
   readonly hostKey: string;
   readonly coldBounds: ColdBounds;
+  /** Whether failure domains may be evacuated; no request is sent before that has been read. */
+  readonly hasEvacuations: boolean;
   /** The service as it is configured now; undefined if there is none. */
   findService(name: ServiceName): Service | undefined;
 }
@@ -39,6 +47,7 @@
  */
 export class TargetAccess {
   private readonly coldHosts: ColdHosts;
+  private readonly evacuations = createEvacuationView();
 
   constructor(private readonly deps: TargetAccessDependencies) {
     this.coldHosts = createColdHosts(deps.hostKey);
@@ -54,6 +63,21 @@
     recordColdRecord(this.coldHosts, madeAt, readInstant(this.deps.clock));
   }
 
+  /** Whether it is known which failure domains are evacuated, where they may be. */
+  get knowsEvacuations(): boolean {
+    return !this.deps.hasEvacuations || hasReadEvacuations(this.evacuations);
+  }
+
+  /** Failure domains that are evacuated now. */
+  get evacuatedDomains(): ReadonlySet<FailureDomain> {
+    return new Set(this.evacuations.active.keys());
+  }
+
+  /** Applies a complete list of the evacuations. */
+  applyEvacuations(list: EvacuationList): EvacuationChanges {
+    return updateEvacuations(this.evacuations, list, this.deps.clock.nowMs());
+  }
+
   /** Creates the gate of a target. */
   createGate(target: Pick<TargetState, 'entry' | 'coldUntilMs'>): TargetGate {
     const sentMs: number[] = [];
@@ -69,7 +93,9 @@
       return share.count;
     };
     const isLimited = (nowMs: number) => nowMs < target.coldUntilMs && findRate() > 0;
+    const {active} = this.evacuations;
     const findRefusal = (nowMs: number): AccessRefusal | undefined => {
+      if (active.has(target.entry.failureDomain) || !this.knowsEvacuations) return 'evacuated';
       if (!isLimited(nowMs)) return undefined;
       if (!hasColdShares(this.coldHosts, readInstant(this.deps.clock))) return 'cold';
       dropBefore(sentMs, nowMs - COLD_INTERVAL_MS);
--- a/packages/relay/src/targets/target-backoff.ts
+++ b/packages/relay/src/targets/target-backoff.ts
@@ -1,6 +1,6 @@
 import {RandomSource} from '@radishgw/core';
 import {getHealthState} from '@radishgw/scheduling';
-import {TargetState} from './target-state.js';
+import {isClosed, TargetState} from './target-state.js';
 
 /** A target that asks for more than this has sent a value by mistake. */
 const MAX_PLAUSIBLE_MS = 300_000;
@@ -33,6 +33,7 @@
   let earliestMs: number | undefined;
   for (const target of targets) {
     if (target.entry.isDraining || target.backoffUntilMs === -Infinity) continue;
+    if (isClosed(target, nowMs)) continue;
     const isProbing = getHealthState(target.health, nowMs) === 'probing';
     if (nowMs >= target.backoffUntilMs && !isProbing) continue;
     const atMs = Math.max(target.backoffUntilMs, nowMs + (isProbing ? PROBE_POLL_MS : 0));
--- a/packages/relay/src/targets/target-connections.ts
+++ b/packages/relay/src/targets/target-connections.ts
@@ -11,6 +11,7 @@
 } from '@radishgw/core';
 import {Client, Dispatcher} from 'undici';
 import {AnswerMeta, RawHeaders} from '../model.js';
+import {TargetState} from './target-state.js';
 
 /** Timeouts of connections to targets, in milliseconds. */
 export interface ConnectionTimeouts {
@@ -53,6 +54,8 @@
   readonly path: string;
   readonly headers: string[];
   readonly body: Buffer | undefined;
+  /** Target from which the receiver fetches the cache of a prompt. */
+  readonly cacheTarget?: TargetState;
 }
 
 /** The head of a target's answer. */
@@ -248,7 +251,7 @@
   return code ? `${code}: ${error.message}` : error.message;
 }
 
-const LEFT_DETAIL = 'target left before the connection was established';
+const LEFT_DETAIL = 'target was withdrawn before the connection was established';
 
 /** One connection to a target; carries one request at a time and is never reopened. */
 export class TargetConnection {
@@ -416,6 +419,11 @@
   retire(): void {
     this.isRetired = true;
     for (const connection of this.idle.splice(0)) connection.destroy();
+    this.cancelOpening();
+  }
+
+  /** Fails the requests whose connection isn't established yet as unsent. */
+  cancelOpening(): void {
     for (const connection of this.busy) connection.cancelOpening();
   }
 
--- a/packages/relay/src/targets/target-pool.ts
+++ b/packages/relay/src/targets/target-pool.ts
@@ -3,6 +3,7 @@
   AnswerMemory,
   Clock,
   EventLog,
+  FailureDomain,
   RandomSource,
   ReadGate,
   RequestId,
@@ -25,12 +26,19 @@
   recordLeaving,
 } from './leaving-targets.js';
 import {RelayMetrics} from '../metrics.js';
-import {AnswerMeta, RelayCodec, ServiceName, TargetEntry, TargetList} from '../model.js';
+import {
+  AnswerMeta,
+  EvacuationList,
+  RelayCodec,
+  ServiceName,
+  TargetEntry,
+  TargetList,
+} from '../model.js';
 import {RunInProgress} from './run-identity.js';
 import {TargetAccess} from './target-access.js';
 import {backoffUntil} from './target-backoff.js';
 import {Attempt, OutgoingRequest, TargetConnections} from './target-connections.js';
-import {AccessRefusal, createTargetState, TargetState} from './target-state.js';
+import {AccessRefusal, createTargetState, isClosed, TargetState} from './target-state.js';
 import {createTargetView, isSameIncarnation, updateTargets} from './target-view.js';
 
 /** Failed targets are excluded only briefly because most failures last only seconds. */
@@ -183,11 +191,42 @@
     return count;
   }
 
+  /** Failure domains whose targets get no requests. */
+  get evacuatedDomains(): ReadonlySet<FailureDomain> {
+    return this.deps.access?.evacuatedDomains ?? new Set();
+  }
+
+  /** Applies a complete list of the evacuations. */
+  applyEvacuations(list: EvacuationList): void {
+    const {access, log} = this.deps;
+    if (!access) return;
+    const {started, ended} = access.applyEvacuations(list);
+    for (const {failureDomain, acknowledgedMs} of started) {
+      const targets = [...this.targets.values()].filter(
+        ({entry}) => entry.failureDomain === failureDomain,
+      );
+      for (const {connections} of targets) connections.cancelOpening();
+      const {era, revision} = list;
+      const acknowledged = toIsoTime(acknowledgedMs);
+      const fields = {domain: failureDomain, acknowledged, targets: targets.length, era, revision};
+      log.write('evacuationStarted', fields);
+    }
+    for (const {failureDomain, acknowledgedMs, forMs} of ended) {
+      const acknowledged = toIsoTime(acknowledgedMs);
+      log.write('evacuationEnded', {domain: failureDomain, acknowledged, forMs: Math.round(forMs)});
+    }
+  }
+
   /** The last decision on a request: placements are older than the moment of sending. */
-  private findRefusal(target: PooledTarget, request: OutgoingRequest): AccessRefusal | undefined {
-    // Orders and releases are few and come from one host; only requests are limited.
-    if (!request.identity) return undefined;
-    return target.gate?.findRefusal(this.deps.clock.nowMs());
+  private findRefusal(
+    target: PooledTarget,
+    {identity, cacheTarget}: OutgoingRequest,
+  ): AccessRefusal | undefined {
+    const nowMs = this.deps.clock.nowMs();
+    if (cacheTarget && isClosed(cacheTarget, nowMs)) return cacheTarget.gate?.findRefusal(nowMs);
+    const refusal = target.gate?.findRefusal(nowMs);
+    // Orders and releases are few and come from one host; only the rate of requests is limited.
+    return refusal === 'cold' && !identity ? undefined : refusal;
   }
 
   /** Dates the time for which a target is cold by the moment at which this host read it. */
@@ -282,6 +321,12 @@
   }
 }
 
+/** Formats a time of day in Unix milliseconds; undefined if it is unknown or out of range. */
+function toIsoTime(unixMs: number | undefined): string | undefined {
+  const date = new Date(unixMs ?? NaN);
+  return Number.isNaN(date.getTime()) ? undefined : date.toISOString();
+}
+
 /** An attempt that counts towards the load of its target until it is finished. */
 export class PooledAttempt {
   private isFinished = false;
--- a/packages/relay/src/targets/target-state.ts
+++ b/packages/relay/src/targets/target-state.ts
@@ -16,7 +16,7 @@
 const MAX_CACHED_PARTS = 2000;
 
 /** Why a request may not be sent to a target now. */
-export type AccessRefusal = 'cold';
+export type AccessRefusal = 'cold' | 'evacuated';
 
 /** Decides whether requests may be sent to a target; see `TargetAccess`. */
 export interface TargetGate {
@@ -114,6 +114,15 @@
   return tokens;
 }
 
+/**
+ * Whether no request may reach the target for a reason other than its own state, also to fetch the
+ * cache of a prompt.
+ */
+export function isClosed(state: TargetState, nowMs: number): boolean {
+  const refusal = state.gate?.findRefusal(nowMs);
+  return refusal !== undefined && refusal !== 'cold';
+}
+
 /** Whether the target accepts new requests, as far as this host knows. */
 export function isAvailable(state: TargetState, nowMs: number): boolean {
   if (state.entry.isDraining || nowMs < state.backoffUntilMs) return false;
--- a/packages/relay/test/cold-targets.test.ts
+++ b/packages/relay/test/cold-targets.test.ts
@@ -157,6 +157,7 @@
       clock,
       hostKey: key,
       coldBounds: BOUNDS,
+      hasEvacuations: false,
       findService: () => SERVICE,
     });
     const target = createTargetState(makeEntry('cold'), 0);
@@ -242,6 +243,7 @@
     clock,
     hostKey: 'own',
     coldBounds: BOUNDS,
+    hasEvacuations: false,
     findService: () => service,
   });
   const lines: string[] = [];
