--- a/packages/relay/src/duties/capacity-controller.ts
+++ b/packages/relay/src/duties/capacity-controller.ts
@@ -71,6 +71,7 @@
         demand,
         this.settings,
         nowMs,
+        deps.targets.evacuatedDomains,
         isByWork ? work : undefined,
       );
       const uncached = isByWork ? Math.round(work.uncachedPerSecond) : undefined;
--- a/packages/relay/src/duties/capacity-policy.ts
+++ b/packages/relay/src/duties/capacity-policy.ts
@@ -52,6 +52,9 @@
   work: DEFAULT_WORK_PLAN_SETTINGS,
 };
 
+/** Time that the targets of an evacuated failure domain have to return, in times of a start. */
+const RETURN_BOOT_TIMES = 3;
+
 /** State that the holder of the fleet lease keeps for one service. */
 export interface CapacityState {
   /** Time at which this holder first saw a target of the service. */
@@ -64,6 +67,8 @@
   readonly domains: Set<FailureDomain>;
   /** Latest order by failure domain and kind of target. */
   readonly lastOrders: Map<string, SentOrder>;
+  /** Failure domains that return after an evacuation, with the time until which that may last. */
+  readonly returning: Map<FailureDomain, number>;
   /** Desired number of targets; the maximum so far if the service isn't planned by work. */
   desiredTotal: number;
   /** Set once the service is planned by work. */
@@ -86,6 +91,7 @@
     inheritedCount: 0,
     domains: new Set(),
     lastOrders: new Map(),
+    returning: new Map(),
     desiredTotal: 0,
     plan: undefined,
   };
@@ -104,6 +110,7 @@
   demandPerSecond: number,
   settings: CapacitySettings,
   nowMs: number,
+  evacuated: ReadonlySet<FailureDomain> = new Set(),
   work?: WorkDemand,
 ): CapacityOrder[] {
   const {scaling} = service;
@@ -115,7 +122,11 @@
   const usesPreemptible =
     scaling.cheapPriceRatio !== undefined &&
     scaling.cheapPriceRatio <= settings.maxPreemptiblePriceRatio;
-  const domains = sortByPrice([...state.domains], scaling);
+  const domains = sortByPrice(
+    [...state.domains].filter(domain => !evacuated.has(domain)),
+    scaling,
+  );
+  recordReturns(state, evacuated, scaling, nowMs);
   if (work) {
     const riskyDomainCount = usesPreemptible ? domains.length : 0;
     state.desiredTotal = planByWork(state, work, entries, riskyDomainCount, settings, nowMs);
@@ -146,7 +157,9 @@
     );
   });
   const bootMs = state.plan ? scaling.bootMs : 0;
-  return orders.filter(order => isDue(state, order, entries, settings, bootMs, nowMs));
+  return orders
+    .filter(order => isDue(state, order, entries, settings, bootMs, nowMs))
+    .filter(order => !replacesReturning(state, order, orders, entries));
 }
 
 /**
@@ -180,6 +193,40 @@
   return planEngines(state.plan, work, fleet, settings.work, nowMs);
 }
 
+/** Records the failure domains whose targets have to return after an evacuation. */
+function recordReturns(
+  {domains, returning}: CapacityState,
+  evacuated: ReadonlySet<FailureDomain>,
+  {bootMs}: ScalingTraits,
+  nowMs: number,
+): void {
+  for (const domain of domains) {
+    if (evacuated.has(domain)) returning.set(domain, nowMs + RETURN_BOOT_TIMES * bootMs);
+    else if (nowMs >= (returning.get(domain) ?? Infinity)) returning.delete(domain);
+  }
+}
+
+/**
+ * Whether an order would release targets that still stand in for those of a failure domain that was
+ * evacuated. Its targets may be gone or cold when the evacuation ends.
+ */
+function replacesReturning(
+  {returning}: CapacityState,
+  order: CapacityOrder,
+  orders: readonly CapacityOrder[],
+  entries: readonly TargetEntry[],
+): boolean {
+  if (returning.has(order.failureDomain)) return false;
+  const readyCount = ({failureDomain, isCheap}: CapacityOrder) => {
+    const ready = countReady(entries, failureDomain);
+    return isCheap ? ready.preemptible : ready.onDemand;
+  };
+  if (order.desiredCount >= readyCount(order)) return false;
+  return orders.some(
+    other => returning.has(other.failureDomain) && readyCount(other) < other.desiredCount,
+  );
+}
+
 /**
  * Records the targets that exist before this holder has sent orders. Preemptible targets show that
  * a predecessor has already sized the fleet. The demand that it knew may be lost, for example after
--- a/packages/relay/src/request/serve-stream.ts
+++ b/packages/relay/src/request/serve-stream.ts
@@ -50,6 +50,7 @@
 import {
   estimateCachedTokens,
   isAvailable,
+  isClosed,
   recordParts,
   TargetState,
 } from '../targets/target-state.js';
@@ -255,8 +256,9 @@
   return listEngines(state).filter(engine => engine !== standby?.target && isReturn(state, engine));
 }
 
-function isReturn({failed}: StreamState, engine: PooledTarget): boolean {
+function isReturn({deps, failed}: StreamState, engine: PooledTarget): boolean {
   const {id, isDraining} = engine.entry;
+  if (isClosed(engine, deps.clock.nowMs())) return false;
   return stageOf(engine) === 'decode' && !isDraining && !failed.has(id);
 }
 
@@ -418,6 +420,8 @@
   try {
     for (;;) {
       if (!mayRun(deps, request)) return {type: 'notRun', isUnsent: true};
+      // The cache can't be fetched from there; the prompt is prefilled elsewhere.
+      if (isClosed(placement.prefill, deps.clock.nowMs())) return {type: 'notRun', isUnsent: true};
       const decode = chooseConfirmed(state, placement);
       if (!decode) return {type: 'notRun', isUnsent: true};
       if (decode !== placement.decode) recordReplacement(state, placement, decode);
@@ -478,6 +482,7 @@
   state.tried.add(target.entry.id);
   const outgoing = writeTargetRequest(deps, request, target, {
     cacheSource: source,
+    cacheTarget: source && placement.type === 'staged' ? placement.prefill : undefined,
     lastEventId: state.lastEventId,
   });
   progress.addRun(target.entry.id);
--- a/packages/relay/test/work-plan.test.ts
+++ b/packages/relay/test/work-plan.test.ts
@@ -96,6 +96,7 @@
       tokensPerSecond,
       settings,
       this.nowMs,
+      new Set(),
       work,
     );
     for (const order of orders) {
