Keep the order of urgency when estimates are imprecise

The error of the estimates widened the bounds of the queues. The error now counts only where a prompt is refused because of its deadline.

--- a/packages/relay/src/placing/admission.ts
+++ b/packages/relay/src/placing/admission.ts
@@ -27,7 +27,7 @@
   readonly maxHeld: number;
   /** One of so many requests is admitted although it should wait, so that estimates keep learning. */
   readonly probeInterval: number;
-  /** Maximum part of an estimated queue that its error may take off. */
+  /** Maximum part of the expected time of a request that the error of estimates may take off. */
   readonly maxErrorShare: number;
   /** Time that a request keeps for its answer before its deadline. */
   readonly deadlineMarginMs: number;
@@ -155,10 +155,12 @@
   const boundMs = isLate
     ? ownBoundMs * settings.lateShare
     : Math.min(ownBoundMs, objectiveMs * settings.queueObjectiveShare - ageMs);
-  const likelyMs = queueMs - Math.min(errorMs, queueMs * settings.maxErrorShare);
+  // A refusal allows for the error, as it may be wrong. The order of those that wait doesn't: with
+  // an error of 150 ms, bounds that allow for it make all prompts late under a shortage.
+  const surelyMs = workMs - Math.min(errorMs, workMs * settings.maxErrorShare);
   const wasHeld = state.held.has(request.id);
   const hasTurn = isFirst(state, request.id, urgency, nowMs);
-  if (hasTurn && likelyMs <= boundMs && likelyMs + workMs - errorMs <= leftMs) {
+  if (hasTurn && queueMs <= boundMs && queueMs + surelyMs <= leftMs) {
     admitHeld(state, request, nowMs);
     return {type: 'admit', isProbe: false};
   }
@@ -166,7 +168,7 @@
     state.delayedCount = 0;
     return {type: 'admit', isProbe: true};
   }
-  const canWait = leftMs > workMs + settings.deadlineMarginMs;
+  const canWait = leftMs > surelyMs + settings.deadlineMarginMs;
   if (canWait && hold(state, request, urgency, nowMs, settings)) return {type: 'hold'};
   release(state, request.id);
   return {type: 'refuse', retryAfterMs: Math.max(0, queueMs - Math.max(0, boundMs))};
