Place calls of plain services by expected work

Placement by used slots sends a slow target as many calls as a fast one while both have free slots, and lets light calls wait behind heavy ones.

Learn the time of calls by kind (route, path, size class, team) and the speed of targets, and choose the target by its expected completion time once the service is placed by work. More than six hosts would all choose the same target by what they all know; they take the targets in a random order weighted by speed, and leave the first one only for a wait or a slowdown that they know of themselves.

--- a/packages/relay/src/placing/work-model.ts
+++ b/packages/relay/src/placing/work-model.ts
@@ -1,4 +1,6 @@
 import {EngineStage, ServiceName, WorkReport} from '../model.js';
+import {Backlog} from './backlog.js';
+import {CostModel} from './cost-model.js';
 import {SpeedModel} from './speed-model.js';
 import {incarnationKey} from '../targets/leaving-targets.js';
 import {TargetState} from '../targets/target-state.js';
@@ -41,6 +43,8 @@
 /** What this host knows of the work of requests and of the speed of targets. */
 export class WorkModel {
   readonly speeds = new SpeedModel();
+  readonly costs = new CostModel();
+  readonly backlog = new Backlog();
   private readonly reporting = new Set<string>();
   private readonly services = new Map<ServiceName, ServiceWork>();
   private readonly keys = new WeakMap<TargetState['entry'], string>();
--- a/packages/relay/src/request/serve-call.ts
+++ b/packages/relay/src/request/serve-call.ts
@@ -3,6 +3,14 @@
 import {RefusalName} from './refusals.js';
 import {AdmittedRequest, recordStep, RelayDependencies} from './request-context.js';
 import {mayRetry, ServeOutcome} from './serve-outcome.js';
+import {
+  CallExpectation,
+  CallPlacement,
+  placeCallByWork,
+  recordCall,
+  recordCallSent,
+} from '../placing/call-work-placement.js';
+import {CallKinds, kindsOf} from '../placing/cost-model.js';
 import {placeRequest} from '../placing/service-placement.js';
 import {
   AnswerCollector,
@@ -33,12 +41,20 @@
 /** Time before its deadline at which a call is answered with a target's error. */
 const FALLBACK_MARGIN_MS = 50;
 
+/** Refusals and errors say nothing of the cost of a call. */
+const MIN_UNSUCCESSFUL_STATUS = 300;
+
 const MIN_SERVER_ERROR_STATUS = 500;
 
 /** An attempt of a call that hasn't ended. */
 interface CallAttempt {
   readonly sent: PooledAttempt;
   readonly collector: AnswerCollector;
+  readonly sentMs: number;
+  /** What is expected of it; undefined if its target was chosen by slots. */
+  readonly expectation: CallExpectation | undefined;
+  /** Removes it from the outstanding work of its target. */
+  readonly removeWork: () => void;
   wasSilent: boolean;
 }
 
@@ -47,6 +63,8 @@
   readonly deps: RelayDependencies;
   readonly request: AdmittedRequest;
   readonly mayRepeat: boolean;
+  /** Kinds by which the cost is estimated; undefined if the service is placed by slots. */
+  readonly kinds: CallKinds | undefined;
   readonly tried: Set<TargetId>;
   /** More than one if a target was silent and another one was asked; the latest is the last one. */
   readonly attempts: Set<CallAttempt>;
@@ -75,6 +93,7 @@
     deps,
     request,
     mayRepeat,
+    kinds: findKinds(deps, request),
     tried: new Set(),
     attempts,
     dueMs: 0,
@@ -121,7 +140,8 @@
       yield* call(() => waitForEvent(deps.clock, waiting, untilMs - nowMs));
     }
   } finally {
-    for (const {sent} of attempts) {
+    for (const {sent, removeWork} of attempts) {
+      removeWork();
       sent.target.runs.delete(request.meta.requestId);
       sent.finish('cancelled');
     }
@@ -132,17 +152,23 @@
 function* startAttempt(state: CallState): Procedure<boolean> {
   const {deps, request, tried, mayRepeat, attempts} = state;
   const {progress} = request;
-  let target = findTarget(state);
-  while (!target) {
+  let placement = findPlacement(state);
+  while (!placement) {
     if (!(yield* waitForTarget(deps, request, tried)) || !mayRunNow(state)) return false;
-    target = findTarget(state);
+    placement = findPlacement(state);
   }
+  const {target, expectation} = placement;
   tried.add(target.entry.id);
   progress.addRun(target.entry.id);
   const outgoing = writeTargetRequest(deps, request, target);
-  target.runs.set(request.meta.requestId, {identity: request.identity, sentMs: deps.clock.nowMs()});
+  const sentMs = deps.clock.nowMs();
+  target.runs.set(request.meta.requestId, {identity: request.identity, sentMs});
   const sent = sendToTarget(deps, request, target, outgoing, mayRepeat);
-  attempts.add({sent, collector: new AnswerCollector(), wasSilent: false});
+  const removeWork = expectation
+    ? recordCallSent(deps.work, target, expectation, sentMs)
+    : () => undefined;
+  const collector = new AnswerCollector();
+  attempts.add({sent, collector, sentMs, expectation, removeWork, wasSilent: false});
   state.dueMs = deps.clock.nowMs() + attemptTimeoutMs(deps, request);
   state.fallbackAtMs = request.deadlineAtMs - FALLBACK_MARGIN_MS;
   return true;
@@ -154,9 +180,41 @@
   return false;
 }
 
-function findTarget({deps, request, tried}: CallState): PooledTarget | undefined {
+function findTarget(state: CallState): PooledTarget | undefined {
+  return findPlacement(state)?.target;
+}
+
+function findPlacement({
+  deps,
+  request,
+  kinds,
+  tried,
+}: CallState):
+  (Pick<CallPlacement<PooledTarget>, 'target'> & Partial<CallPlacement<PooledTarget>>) | undefined {
   const targets = deps.targets.forService(request.service);
-  return placeRequest(targets, tried, deps.clock.nowMs(), deps.random);
+  const {work, random} = deps;
+  const nowMs = deps.clock.nowMs();
+  const context = {work, hostCount: deps.countHosts(), nowMs, random};
+  const placement = kinds && placeCallByWork(targets, kinds, tried, context);
+  if (placement) return placement;
+  const target = placeRequest(targets, tried, nowMs, random);
+  return target && {target};
+}
+
+/** The kinds of a call whose service is placed by work. */
+function findKinds(
+  deps: RelayDependencies,
+  {service, route, team, exchange}: AdmittedRequest,
+): CallKinds | undefined {
+  if (!deps.work.isPlacedByWork(service)) return undefined;
+  return kindsOf({
+    service,
+    route: route.name,
+    pathPrefix: route.pathPrefix,
+    path: exchange.path,
+    bodyBytes: exchange.body.length,
+    team: team?.id,
+  });
 }
 
 /**
@@ -175,7 +233,13 @@
 }
 
 /** Reads what has arrived; returns the result of the first attempt that has ended. */
-function takeResult({deps, request, attempts, fallback}: CallState): AttemptResult | undefined {
+function takeResult({
+  deps,
+  request,
+  kinds,
+  attempts,
+  fallback,
+}: CallState): AttemptResult | undefined {
   const mayBuffer = () => {
     let bytes = fallback?.body.length ?? 0;
     for (const {collector} of attempts) bytes += collector.bytes;
@@ -187,7 +251,13 @@
       const answer = collector.push(event, mayBuffer);
       if (!answer) continue;
       attempts.delete(attempt);
+      attempt.removeWork();
       const result = classifyAnswer(deps, request, sent, answer);
+      if (kinds && result.type === 'final' && result.answer.status < MIN_UNSUCCESSFUL_STATUS) {
+        const nowMs = deps.clock.nowMs();
+        const actualMs = nowMs - attempt.sentMs;
+        recordCall(deps.work, sent.target, kinds, attempt.expectation, actualMs, nowMs);
+      }
       sent.target.runs.delete(request.meta.requestId);
       recordStep(request, `${sent.target.entry.id}:${result.note}`);
       if (result.type !== 'final' && !result.mayHaveRun) {
@@ -239,6 +309,7 @@
     return {type: 'retry', note: fault, mayHaveRun: true};
   }
   if (meta.load) recordLoad(sent.target, meta.load, deps.clock.nowMs());
+  deps.work.recordReport(sent.target);
   if (statesNotRun(status, meta)) {
     const isElsewhere = status === MISDIRECTED_REQUEST_STATUS;
     sent.finish(isElsewhere || meta.retryAfterMs !== undefined ? refusalOutcome(meta) : 'failed');
--- a/packages/relay/test/placement-load.ts
+++ b/packages/relay/test/placement-load.ts
@@ -12,7 +12,15 @@
   recordPrefillSent,
   recordStreamWork,
 } from '../src/placing/engine-work-placement.js';
+import {
+  CallPlacementContext,
+  placeCallByWork,
+  recordCall,
+  recordCallSent,
+} from '../src/placing/call-work-placement.js';
+import {kindsOf} from '../src/placing/cost-model.js';
 import {createPendingAverage} from '../src/placing/pending-average.js';
+import {placeRequest} from '../src/placing/service-placement.js';
 import {createWaitCalibration, recordWait} from '../src/placing/wait-calibration.js';
 import {WorkModel} from '../src/placing/work-model.js';
 import {
@@ -96,10 +104,18 @@
 
   constructor(
     readonly speed: number,
-    private readonly load: EngineLoad,
+    private readonly load: Pick<EngineLoad, 'slowdown' | 'durationMs'>,
     random: RandomSource,
+    turn?: {readonly index: number; readonly count: number; readonly slowMs: number},
   ) {
     if (!load.slowdown) return;
+    if (turn) {
+      const {index, count, slowMs} = turn;
+      for (let atMs = index * slowMs; atMs < load.durationMs * 2; atMs += count * slowMs) {
+        this.switchesMs.push(atMs, atMs + slowMs);
+      }
+      return;
+    }
     const {usualMs, slowMs} = load.slowdown;
     let atMs = 0;
     while (atMs < load.durationMs * 2) {
@@ -377,21 +393,7 @@
       );
     }
   });
-  for (let atMs = 0; atMs < load.durationMs; atMs += REPORT_INTERVAL_MS) {
-    queue.add(atMs, () => {
-      const live = hosts.filter(host => !host.isGone);
-      const reports = live.map(host => ({host, report: host.work.report(atMs)!}));
-      queue.add(atMs + (load.reportDelayMs ?? 800), () => {
-        for (const host of live) {
-          const others = reports.filter(other => other.host !== host);
-          host.work.applyReports(
-            others.map(({report}) => report),
-            queue.nowMs,
-          );
-        }
-      });
-    });
-  }
+  scheduleReports(queue, hosts, load.durationMs, load.reportDelayMs ?? 800);
   if (load.lossAtMs !== undefined) {
     queue.add(load.lossAtMs, () => {
       for (const host of hosts) host.isGone = host.index % 2 === 0;
@@ -410,3 +412,168 @@
     utilization: busy.reduce((sum, ms) => sum + ms, 0) / busy.length / load.durationMs,
   };
 }
+
+/** Calls with the same path. */
+export interface CallKind {
+  readonly path: string;
+  readonly share: number;
+  /** Range of the time at a target of mean speed. */
+  readonly minMs: number;
+  readonly maxMs: number;
+  readonly objectiveMs: number;
+}
+
+/** A load of calls at plain targets. */
+export interface CallLoad {
+  readonly seed: number;
+  readonly hosts: number;
+  readonly slots: number;
+  /** Relative speed of each target. */
+  readonly speeds: readonly number[];
+  readonly durationMs: number;
+  readonly kinds: readonly CallKind[];
+  /** Load relative to the capacity of all targets. */
+  readonly utilization: number;
+  readonly slowdown?: EngineLoad['slowdown'] & {
+    /** Whether one target after the other is slower, each for `slowMs`. */
+    readonly isInTurns?: boolean;
+  };
+  /** Time at which half of the hosts are gone. */
+  readonly lossAtMs?: number;
+  /** Kind that has several times its share between two times. */
+  readonly burst?: {readonly kind: number; readonly fromMs: number; readonly toMs: number};
+}
+
+/** Plays calls with one scheduler; returns the share that was answered within its objective. */
+export function playCallLoad(load: CallLoad, scheduler: Scheduler): number {
+  const random = createSeededRandom(load.seed);
+  const choices = createSeededRandom(load.seed + 1000);
+  const queue = new EventQueue();
+  const entries = load.speeds.map((_, i) =>
+    makeEntry(`target-${i}`, {slots: load.slots, stage: undefined}),
+  );
+  const servers = new Map(
+    entries.map(({id}, i) => {
+      const turnMs = load.slowdown?.isInTurns
+        ? {index: i, count: entries.length, slowMs: load.slowdown.slowMs}
+        : undefined;
+      const server = new SimulatedEngine(load.speeds[i], load, random, turnMs);
+      return [id, {server, freeMs: Array.from({length: load.slots}, () => 0)}] as const;
+    }),
+  );
+  const hosts = Array.from({length: load.hosts}, (_, index) => ({
+    index,
+    states: entries.map(entry => createTargetState(entry, -100_000)),
+    work: new WorkModel('work'),
+    isGone: false,
+  }));
+  type Host = (typeof hosts)[number];
+  let total = 0;
+  let inTime = 0;
+
+  function placeComplete(states: readonly TargetState[], workMs: number) {
+    let best = states[0];
+    let bestMs = Infinity;
+    for (const state of states) {
+      const {server, freeMs} = servers.get(state.entry.id)!;
+      const doneMs = server.finish(Math.max(queue.nowMs + NETWORK_MS, Math.min(...freeMs)), workMs);
+      if (doneMs >= bestMs) continue;
+      best = state;
+      bestMs = doneMs;
+    }
+    return best;
+  }
+
+  function serve(host: Host, kind: CallKind): void {
+    const kinds = kindsOf({
+      service: ENGINES,
+      route: 'route',
+      pathPrefix: '/a/',
+      path: `/a/${kind.path}`,
+      bodyBytes: 100,
+      team: undefined,
+    });
+    const workMs = kind.minMs + random.next() * (kind.maxMs - kind.minMs);
+    const sentMs = queue.nowMs;
+    const context: CallPlacementContext = {
+      work: host.work,
+      hostCount: hosts.filter(other => !other.isGone).length,
+      nowMs: sentMs,
+      random: choices,
+    };
+    const tried = new Set<TargetId>();
+    const byWork =
+      scheduler === 'work' ? placeCallByWork(host.states, kinds, tried, context) : undefined;
+    const target =
+      scheduler === 'complete'
+        ? placeComplete(host.states, workMs)
+        : (byWork?.target ?? placeRequest(host.states, tried, sentMs, choices)!);
+    const {server, freeMs} = servers.get(target.entry.id)!;
+    const slot = freeMs.indexOf(Math.min(...freeMs));
+    freeMs[slot] = server.finish(Math.max(sentMs + NETWORK_MS, freeMs[slot]), workMs);
+    server.addStream(freeMs[slot]);
+    const answeredMs = freeMs[slot] + NETWORK_MS;
+    total++;
+    if (answeredMs - sentMs <= kind.objectiveMs) inTime++;
+    target.ownRequests++;
+    const release = byWork && recordCallSent(host.work, target, byWork.expectation, sentMs);
+    queue.add(answeredMs, () => {
+      target.ownRequests--;
+      release?.();
+      const report = server.report(queue.nowMs);
+      recordLoad(target, {...report, slots: load.slots}, queue.nowMs);
+      const expectation = byWork?.expectation;
+      recordCall(host.work, target, kinds, expectation, answeredMs - sentMs, queue.nowMs);
+    });
+  }
+
+  const meanMs = load.kinds.reduce(
+    (sum, kind) => sum + (kind.share * (kind.minMs + kind.maxMs)) / 2,
+    0,
+  );
+  const capacity = load.slots * load.speeds.reduce((sum, speed) => sum + speed, 0);
+  const count = Math.round((load.utilization * capacity * load.durationMs) / meanMs);
+  for (let i = 0; i < count; i++) {
+    const atMs = random.next() * load.durationMs;
+    let point = random.next();
+    let kind = load.kinds.find(({share}) => (point -= share) < 0) ?? load.kinds[0];
+    const {burst} = load;
+    if (burst && atMs > burst.fromMs && atMs < burst.toMs) kind = load.kinds[burst.kind];
+    queue.add(atMs, () => {
+      const live = hosts.filter(host => !host.isGone);
+      serve(live[random.nextInt(live.length)], kind);
+    });
+  }
+  scheduleReports(queue, hosts, load.durationMs, 800);
+  if (load.lossAtMs !== undefined) {
+    queue.add(load.lossAtMs, () => {
+      for (const host of hosts) host.isGone = host.index % 2 === 0;
+    });
+  }
+  queue.run();
+  return inTime / total;
+}
+
+/** Exchanges the reports of the hosts each second. */
+function scheduleReports(
+  queue: EventQueue,
+  hosts: readonly {readonly work: WorkModel; isGone: boolean}[],
+  durationMs: number,
+  delayMs: number,
+): void {
+  for (let atMs = 0; atMs < durationMs; atMs += REPORT_INTERVAL_MS) {
+    queue.add(atMs, () => {
+      const live = hosts.filter(host => !host.isGone);
+      const reports = live.map(host => ({host, report: host.work.report(atMs)!}));
+      queue.add(atMs + delayMs, () => {
+        for (const host of live) {
+          const others = reports.filter(other => other.host !== host);
+          host.work.applyReports(
+            others.map(({report}) => report),
+            queue.nowMs,
+          );
+        }
+      });
+    });
+  }
+}
