--- a/packages/testkit/src/fault-proxy.ts
+++ b/packages/testkit/src/fault-proxy.ts
@@ -136,10 +136,11 @@
   }
 
   async stop(): Promise<void> {
-    this.cutAll('rst');
-    for (const socket of this.sockets) socket.destroy();
     const closed = once(this.server, 'close');
+    // First, so that a peer that has lost its connection can't open another one.
     this.server.close();
+    this.cutAll('rst');
+    for (const socket of this.sockets) socket.destroy();
     await closed;
   }
 
