Serve requests only in the home regions of their route and team

The fields allowed-regions of routes and tenants and the table of regions in the settings were not read, so that a client's data could reach any target.

A request with home regions is placed only at targets of failure domains that belong to one of them, and TargetPool.send checks the target and the source of a cache again. If its route and its team have some, those of both count. A request without a target at home is refused with 503 before it takes quota. Regions to which no failure domain belongs are logged once and counted. While the configuration has home regions, the directory names only hosts of the client's region, if there are any.

--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -61,6 +61,11 @@
     level: 'info',
     text: 'targets of a failure domain get requests again',
   },
+  homeRegionUnknown: {
+    number: 1822,
+    level: 'warn',
+    text: 'home regions name a region without failure domains',
+  },
   leaseAcquired: {number: 1830, level: 'info', text: 'fleet lease acquired'},
   leaseLost: {number: 1831, level: 'warn', text: 'fleet lease lost'},
   targetCrashed: {number: 1850, level: 'warn', text: 'target crashed with runs in progress'},
--- a/packages/relay/src/host-interfaces.ts
+++ b/packages/relay/src/host-interfaces.ts
@@ -43,6 +43,8 @@
   isReady(): boolean;
   isStopping(): boolean;
   listReady(): readonly HostRecord[];
+  /** Whether requests may be bound to regions, so that clients are sent to hosts of theirs. */
+  usesHomeRegions(): boolean;
   formatMetrics(): string;
 }
 
@@ -122,7 +124,11 @@
   }
   if (hosts.length === 0) return answerEmpty(503);
   const domain = entryCodec.readClientDomain(path);
-  const selected = selectForClients(hosts, domain, MAX_DIRECTORY_ADDRESSES);
+  const regions = deps.usesHomeRegions() ? settings.regions : undefined;
+  const region = regions && entryCodec.readClientRegion(path);
+  const local = hosts.filter(host => regions?.get(host.failureDomain) === region);
+  const candidates = region !== undefined && local.length > 0 ? local : hosts;
+  const selected = selectForClients(candidates, domain, MAX_DIRECTORY_ADDRESSES);
   const addresses = selected.map(host => host.address);
   const body = entryCodec.writeDirectory(addresses, directoryTtlMs(settings));
   return {status: 200, contentType: JSON_TYPE, body};
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -1,6 +1,7 @@
 export * from './duties/capacity-policy.js';
 export * from './request/client-exchange.js';
 export * from './store/config-view.js';
+export * from './home-regions.js';
 export * from './instant.js';
 export * from './placing/engine-placement.js';
 export * from './store/entry-codec.js';
--- a/packages/relay/src/model.ts
+++ b/packages/relay/src/model.ts
@@ -3,6 +3,8 @@
 export type ServiceName = Branded<'ServiceName'>;
 export type RouteName = Branded<'RouteName'>;
 export type PromptPartId = Branded<'PromptPartId'>;
+/** A set of failure domains that a client's data may be bound to. */
+export type Region = Branded<'Region'>;
 
 /** `safe` requests may be repeated, `unsafe` ones may not, `streaming` ones if resumable. */
 export type RequestKind = 'safe' | 'unsafe' | 'streaming';
@@ -35,6 +37,8 @@
   /** Maximum gap between events that still meets the objective; 0 if there is no such limit. */
   readonly maxGapMs: number;
   readonly shares: readonly TrafficShare[];
+  /** Regions whose targets may serve the route; undefined if all may. */
+  readonly homeRegions?: readonly Region[];
 }
 
 /** Properties of a model engine. */
@@ -84,6 +88,8 @@
   /** Takes precedence over the priority of the route. */
   readonly priority: number | undefined;
   readonly limit: TeamLimit | undefined;
+  /** Regions whose targets may serve the team; undefined if all may. */
+  readonly homeRegions?: readonly Region[];
 }
 
 /** Limits on the size of clients' requests and on the time that clients may take. */
--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -10,6 +10,7 @@
 import {ObjectStore, StoreEra} from '@radishgw/coordination';
 import {ClientServer} from './request/client-server.js';
 import {configAgeMs, createConfigView} from './store/config-view.js';
+import {findUnknownRegions, usesHomeRegions} from './home-regions.js';
 import {readInstant} from './instant.js';
 import {EntryCodec} from './store/entry-codec.js';
 import {CapacityController} from './duties/capacity-controller.js';
@@ -125,6 +126,9 @@
   private stopAtMs: number | undefined;
   private stopped: Promise<void> | undefined;
   private knownHosts = '';
+  private hasHomeRegions = false;
+  /** Home regions that are unknown, as JSON with the route or team that names them. */
+  private unknownRegions: ReadonlySet<string> = new Set();
   /** Whether the latest record said that this host takes requests. */
   private wasReady = false;
 
@@ -141,6 +145,7 @@
       clock,
       hostKey: formatIncarnation({hostId: settings.hostId, incarnation: this.incarnation}),
       coldBounds: settings.coldBounds ?? NO_COLD_BOUNDS,
+      regions: settings.regions,
       hasEvacuations: settings.evacuationMs !== undefined,
       findService: name => this.configView.config?.services.get(name),
     });
@@ -183,6 +188,7 @@
       isReady: () => this.isReady,
       isStopping: () => this.stopAtMs !== undefined,
       listReady: () => this.listReady(),
+      usesHomeRegions: () => this.hasHomeRegions,
       formatMetrics: () => this.formatMetrics(),
     });
     this.auxiliaryServers = {
@@ -423,12 +429,25 @@
   }
 
   private applyConfig(config: RelayConfig): void {
+    this.hasHomeRegions = usesHomeRegions(config);
+    this.applyUnknownRegions(config);
     this.clientServer.applyLimits();
     for (const name of config.services.keys()) {
       if (!this.attemptBudgets.has(name)) this.attemptBudgets.set(name, createAttemptBudget());
     }
   }
 
+  /** Logs home regions that no failure domain belongs to, once each. */
+  private applyUnknownRegions(config: RelayConfig): void {
+    const {settings, log} = this.options;
+    const unknown = findUnknownRegions(config, settings.regions ?? new Map());
+    const previous = this.unknownRegions;
+    this.unknownRegions = new Set(unknown.map(item => JSON.stringify(item)));
+    for (const item of unknown) {
+      if (!previous.has(JSON.stringify(item))) log.write('homeRegionUnknown', {...item});
+    }
+  }
+
   private listPossible(): readonly HostRecord[] {
     return possibleHosts(this.registry, this.duties.lastReadMs);
   }
@@ -539,6 +558,7 @@
       `radishgw_rejected_entries ${this.options.source.rejectedCount + this.shared.rejectedCount}`,
       `radishgw_cold_targets ${this.targets.countCold()}`,
       `radishgw_evacuated_domains ${this.targets.evacuatedDomains.size}`,
+      `radishgw_unknown_home_regions ${this.unknownRegions.size}`,
       `radishgw_ready ${this.isReady ? 1 : 0}`,
     ];
     return this.metrics.format() + gauges.join('\n') + '\n';
--- a/packages/relay/src/request/request-context.ts
+++ b/packages/relay/src/request/request-context.ts
@@ -14,7 +14,7 @@
 import {DemandMeter} from '../placing/demand-meter.js';
 import {AttemptBudget, AttemptBudgetSettings} from './attempt-budget.js';
 import {RelayMetrics} from '../metrics.js';
-import {RelayCodec, RequestMeta, Route, ServiceName, Team} from '../model.js';
+import {RelayCodec, Region, RequestMeta, Route, ServiceName, Team} from '../model.js';
 import {PendingAverage} from '../placing/pending-average.js';
 import {QuarantineService} from '../quarantine/quarantine-service.js';
 import {QuotaClient} from '../quota/quota-client.js';
@@ -70,6 +70,8 @@
   readonly route: Route;
   readonly service: ServiceName;
   readonly team: Team | undefined;
+  /** Regions whose targets may serve it; undefined if all may. */
+  readonly homeRegions: ReadonlySet<Region> | undefined;
   readonly urgency: number;
   /** Monotonic time at which the final answer is due. */
   readonly deadlineAtMs: number;
--- a/packages/relay/src/request/serve-call.ts
+++ b/packages/relay/src/request/serve-call.ts
@@ -157,8 +157,8 @@
 
 function findTarget({deps, request, tried}: CallState): PooledTarget | undefined {
   const nowMs = deps.clock.nowMs();
-  const targets = preferWarm(deps.targets.forService(request.service), tried, nowMs);
-  return placeRequest(targets, tried, nowMs, deps.random);
+  const targets = deps.targets.forService(request.service, request.homeRegions);
+  return placeRequest(preferWarm(targets, tried, nowMs), tried, nowMs, deps.random);
 }
 
 /**
--- a/packages/relay/src/request/serve-request.ts
+++ b/packages/relay/src/request/serve-request.ts
@@ -1,6 +1,7 @@
 import {call, LogEventName, Procedure, RequestId} from '@radishgw/core';
 import {ClientExchange} from './client-exchange.js';
 import {configAgeMs, isConfigFresh} from '../store/config-view.js';
+import {findHomeRegions} from '../home-regions.js';
 import {maxElapsedMs, readInstant} from '../instant.js';
 import {RelayConfig, RequestMeta, Route, Team} from '../model.js';
 import {sharedPartIds} from '../quarantine/quarantine.js';
@@ -141,6 +142,10 @@
   const service = chooseService(route, deps.random);
   if (!service || !config.services.has(service)) return refuse('noTarget');
   const admittedTeam = team === 'anonymous' ? undefined : team;
+  const homeRegions = findHomeRegions(route, admittedTeam);
+  if (homeRegions && deps.targets.forService(service, homeRegions).length === 0) {
+    return {...refuse('noTarget'), inputs: {homeRegions: [...homeRegions]}};
+  }
   const identity = identifyRun(exchange, meta, admittedTeam);
   const admission = deps.quarantine.admit(identity);
   if (admission.type === 'refused') {
@@ -156,6 +161,7 @@
     route,
     service,
     team: admittedTeam,
+    homeRegions,
     urgency: team === 'anonymous' ? route.priority : (team.priority ?? route.priority),
     deadlineAtMs,
     progress: new RequestProgress(),
@@ -261,6 +267,11 @@
   const route = request?.route.name ?? 'none';
   const result = outcome.type === 'refused' ? outcome.refusal : outcome.type;
   const durationMs = exchange.ageMs();
+  const inputs = 'inputs' in outcome ? outcome.inputs : undefined;
+  const hasHome = request?.homeRegions !== undefined || inputs?.homeRegions !== undefined;
+  if (result === 'noTarget' && hasHome) {
+    deps.metrics.count('no_home_target_total', `route="${route}"`);
+  }
   deps.metrics.count('requests_total', `route="${route}",result="${result}"`);
   deps.metrics.observeMs('request_ms', `route="${route}"`, durationMs);
   if (request?.team) {
@@ -272,6 +283,7 @@
     request: 'requestId' in meta ? meta.requestId : undefined,
     route,
     team: request?.team?.id,
+    homeRegions: request?.homeRegions && [...request.homeRegions],
     result,
     status: outcome.type === 'answered' ? outcome.status : undefined,
     retryAfterMs: outcome.type === 'refused' ? outcome.retryAfterMs : undefined,
@@ -288,6 +300,6 @@
     retryRefusal: outcome.type === 'answered' ? undefined : request?.progress.retryRefusal,
     placements: request?.progress.placements,
     calls: request?.progress.calls,
-    ...('inputs' in outcome && outcome.inputs),
+    ...inputs,
   });
 }
--- a/packages/relay/src/request/serve-stream.ts
+++ b/packages/relay/src/request/serve-stream.ts
@@ -182,8 +182,8 @@
 
 /** Engines at which the request may run without exceeding the number of targets of its route. */
 function listEngines({deps, request}: StreamState): readonly PooledTarget[] {
-  const {progress, route, service} = request;
-  const engines = deps.targets.forService(service);
+  const {progress, route, service, homeRegions} = request;
+  const engines = deps.targets.forService(service, homeRegions);
   if (progress.targetCount < route.maxAttempts) return engines;
   return engines.filter(
     engine => stageOf(engine) === 'prefill' || progress.mayHaveRunAt(engine.entry.id),
--- a/packages/relay/src/request/target-request.ts
+++ b/packages/relay/src/request/target-request.ts
@@ -64,6 +64,7 @@
     path: exchange.path,
     body: exchange.body,
     cacheTarget: fields.cacheTarget,
+    homeRegions: request.homeRegions,
     headers: deps.codec.writeTargetHeaders(exchange.headers, {
       expectedTarget: target.entry.id,
       deadlineMs: Math.max(1, Math.floor(request.deadlineAtMs - deps.clock.nowMs())),
--- a/packages/relay/src/request/wait-for-target.ts
+++ b/packages/relay/src/request/wait-for-target.ts
@@ -22,7 +22,7 @@
 ): Procedure<boolean> {
   const {service, exchange, route, deadlineAtMs, progress} = request;
   if (progress.mayHaveRun || exchange.isFinished) return false;
-  const targets = deps.targets.forService(service);
+  const targets = deps.targets.forService(service, request.homeRegions);
   recordWithheld(deps, service);
   const nowMs = deps.clock.nowMs();
   const returnMs = minDefined(nextReturnMs(targets, nowMs), nextColdMs(targets, nowMs));
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -1,4 +1,5 @@
 import {FailureDomain, HostId} from '@radishgw/core';
+import {RegionTable} from './home-regions.js';
 import {AttemptBudgetSettings} from './request/attempt-budget.js';
 import {LeaseTimes} from './store/lease.js';
 import {QuotaBounds} from './quota/team-quota.js';
@@ -40,6 +41,8 @@
    * no evacuations, which aren't read then.
    */
   readonly evacuationMs?: number;
+  /** Region of each failure domain; undefined if there is one for all. */
+  readonly regions?: RegionTable;
   /** What cold targets may be sent beyond their rate; nothing if undefined. */
   readonly coldBounds?: ColdBounds;
   readonly usageWindowMs: number;
--- a/packages/relay/src/store/entry-codec.ts
+++ b/packages/relay/src/store/entry-codec.ts
@@ -1,4 +1,5 @@
 import {FailureDomain} from '@radishgw/core';
+import {Region} from '../model.js';
 
 /** Paths and formats of the readiness and directory interfaces of an entry host. */
 export interface EntryCodec {
@@ -8,6 +9,8 @@
   isDirectoryPath(path: string): boolean;
   /** Failure domain of the client that asks; undefined if it doesn't say. */
   readClientDomain(path: string): FailureDomain | undefined;
+  /** Region of the client that asks; undefined if it doesn't say. */
+  readClientRegion(path: string): Region | undefined;
   /** Returns the body of an answer that lists the hosts to use. */
   writeDirectory(addresses: readonly string[], ttlMs: number): string;
 }
--- a/packages/relay/src/targets/target-access.ts
+++ b/packages/relay/src/targets/target-access.ts
@@ -9,6 +9,7 @@
   recordColdHosts,
   recordColdRecord,
 } from './cold-shares.js';
+import {isAtHome, RegionTable} from '../home-regions.js';
 import {Instant, readInstant} from '../instant.js';
 import {incarnationKey} from './leaving-targets.js';
 import {
@@ -17,7 +18,7 @@
   hasReadEvacuations,
   updateEvacuations,
 } from './evacuations.js';
-import {EvacuationList, Service, ServiceName, TargetEntry} from '../model.js';
+import {EvacuationList, Region, Service, ServiceName, TargetEntry} from '../model.js';
 import {
   AccessRefusal,
   estimateRequests,
@@ -29,6 +30,8 @@
 /** Maximum number of a host's requests to one cold target within an interval. */
 const MAX_TRACKED_SENDS = 1000;
 
+const NO_REGIONS: RegionTable = new Map();
+
 /** Dependencies of {@link TargetAccess}. */
 export interface TargetAccessDependencies {
   readonly clock: Clock;
@@ -37,6 +40,8 @@
   readonly coldBounds: ColdBounds;
   /** Whether failure domains may be evacuated; no request is sent before that has been read. */
   readonly hasEvacuations: boolean;
+  /** Region of each failure domain; undefined if there is one for all. */
+  readonly regions?: RegionTable;
   /** The service as it is configured now; undefined if there is none. */
   findService(name: ServiceName): Service | undefined;
 }
@@ -78,6 +83,11 @@
     return updateEvacuations(this.evacuations, list, this.deps.clock.nowMs());
   }
 
+  /** Whether a target may serve a request with these home regions. */
+  isAtHome({failureDomain}: TargetEntry, homeRegions: ReadonlySet<Region> | undefined): boolean {
+    return isAtHome(this.deps.regions ?? NO_REGIONS, failureDomain, homeRegions);
+  }
+
   /** Creates the gate of a target. */
   createGate(target: Pick<TargetState, 'entry' | 'coldUntilMs'>): TargetGate {
     const sentMs: number[] = [];
--- a/packages/relay/src/targets/target-connections.ts
+++ b/packages/relay/src/targets/target-connections.ts
@@ -10,7 +10,7 @@
   verifyEnds,
 } from '@radishgw/core';
 import {Client, Dispatcher} from 'undici';
-import {AnswerMeta, RawHeaders} from '../model.js';
+import {AnswerMeta, RawHeaders, Region} from '../model.js';
 import {TargetState} from './target-state.js';
 
 /** Timeouts of connections to targets, in milliseconds. */
@@ -56,6 +56,8 @@
   readonly body: Buffer | undefined;
   /** Target from which the receiver fetches the cache of a prompt. */
   readonly cacheTarget?: TargetState;
+  /** Regions that the request may not leave; undefined if it may go anywhere. */
+  readonly homeRegions?: ReadonlySet<Region>;
 }
 
 /** The head of a target's answer. */
--- a/packages/relay/src/targets/target-pool.ts
+++ b/packages/relay/src/targets/target-pool.ts
@@ -29,6 +29,7 @@
 import {
   AnswerMeta,
   EvacuationList,
+  Region,
   RelayCodec,
   ServiceName,
   TargetEntry,
@@ -161,8 +162,12 @@
     this.view.hasFailedRead = true;
   }
 
-  forService(service: ServiceName): readonly PooledTarget[] {
-    return this.byService.get(service) ?? [];
+  /** The targets of a service that may serve requests with these home regions. */
+  forService(service: ServiceName, homeRegions?: ReadonlySet<Region>): readonly PooledTarget[] {
+    const targets = this.byService.get(service) ?? [];
+    const {access} = this.deps;
+    if (!access || !homeRegions) return targets;
+    return targets.filter(({entry}) => access.isAtHome(entry, homeRegions));
   }
 
   all(): Iterable<PooledTarget> {
@@ -220,9 +225,13 @@
   /** The last decision on a request: placements are older than the moment of sending. */
   private findRefusal(
     target: PooledTarget,
-    {identity, cacheTarget}: OutgoingRequest,
+    {identity, cacheTarget, homeRegions}: OutgoingRequest,
   ): AccessRefusal | undefined {
-    const nowMs = this.deps.clock.nowMs();
+    const {access, clock} = this.deps;
+    const nowMs = clock.nowMs();
+    for (const reached of [target, cacheTarget]) {
+      if (reached && access?.isAtHome(reached.entry, homeRegions) === false) return 'outsideHome';
+    }
     if (cacheTarget && isClosed(cacheTarget, nowMs)) return cacheTarget.gate?.findRefusal(nowMs);
     const refusal = target.gate?.findRefusal(nowMs);
     // Orders and releases are few and come from one host; only the rate of requests is limited.
--- a/packages/relay/src/targets/target-state.ts
+++ b/packages/relay/src/targets/target-state.ts
@@ -16,7 +16,7 @@
 const MAX_CACHED_PARTS = 2000;
 
 /** Why a request may not be sent to a target now. */
-export type AccessRefusal = 'cold' | 'evacuated';
+export type AccessRefusal = 'cold' | 'evacuated' | 'outsideHome';
 
 /** Decides whether requests may be sent to a target; see `TargetAccess`. */
 export interface TargetGate {
