--- a/packages/relay/src/request/serve-call.ts
+++ b/packages/relay/src/request/serve-call.ts
@@ -193,7 +193,8 @@
   (Pick<CallPlacement<PooledTarget>, 'target'> & Partial<CallPlacement<PooledTarget>>) | undefined {
   const {work, random} = deps;
   const nowMs = deps.clock.nowMs();
-  const targets = preferWarm(deps.targets.forService(request.service), tried, nowMs);
+  const allowed = deps.targets.forService(request.service, request.homeRegions);
+  const targets = preferWarm(allowed, tried, nowMs);
   const context = {work, hostCount: deps.countHosts(), nowMs, random};
   const placement = kinds && placeCallByWork(targets, kinds, tried, context);
   if (placement) return placement;
