Add estimates of completion times for admission

Admission needs the wait and the work of a request at a target, and how far the estimates of a service can be relied upon.

--- a/packages/relay/src/placing/engine-work-placement.ts
+++ b/packages/relay/src/placing/engine-work-placement.ts
@@ -2,6 +2,7 @@
 import {EngineStage} from '../model.js';
 import {
   countTokens,
+  EngineEstimates,
   EnginePlacement,
   PlacementContext,
   PlacementTimes,
@@ -138,10 +139,9 @@
   const {estimates, nowMs, random} = context;
   const prefix = sharedPrefix(work.parts);
   const prefixTokens = countTokens(prefix);
-  const tokensPerMs =
-    stage === 'prefill' ? estimates.prefillTokensPerMs : estimates.decodeTokensPerMs;
+  const tokensPerMs = usualTokensPerMs(stage, estimates);
   const speeds = speedsOf(targets, context);
-  const preferred = prefixTokens > 0 ? orderForPrefix(targets, speeds, prefixKey(prefix)) : [];
+  const preferred = prefixTokens > 0 ? orderForPrefix(targets, speeds, prefix) : [];
   const sampleStep = Math.max(1, Math.floor(targets.length / OTHER_CANDIDATES));
   const sampleStart = random.nextInt(sampleStep);
   let best: Candidate | undefined;
@@ -151,15 +151,10 @@
     const sentTokens = estimateCachedTokens(target, prefix, nowMs);
     const isSampled = index % sampleStep === sampleStart;
     if (rank < 0 && sentTokens === 0 && !isSampled) return;
-    const isWarm = nowMs - target.knownSinceMs > estimates.cacheWarmUpMs;
-    const likelyTokens = rank >= 0 && isWarm ? ASSUMED_CACHED_SHARES[rank] * prefixTokens : 0;
+    const likelyTokens = likelyCachedTokens(target, rank, prefixTokens, context);
     const newTokens = work.promptTokens - Math.max(sentTokens, likelyTokens);
-    const timeFactor = speed.timeFactor * currentSlowdown(target, nowMs);
-    const msPerToken = timeFactor / tokensPerMs;
-    const ownMs = target.ownPromptTokens * msPerToken;
-    const {reportedMs, usualMs} = othersWait(target, speed, msPerToken, context);
-    const prefillMs = FIXED_MS * timeFactor + newTokens * msPerToken;
-    const waitMs = ownMs + reportedMs + usualMs + prefillMs;
+    const {knownMs, usualMs, prefillMs} = prefillTimes(target, speed, newTokens, stage, context);
+    const waitMs = knownMs + usualMs + prefillMs;
     const copiedTokens = rank === 0 ? 0 : prefixTokens - Math.max(sentTokens, likelyTokens);
     const copyMs = Math.max(0, copiedTokens) * estimates.msPerCopiedToken;
     const randomMs = rank < 0 ? random.next() * MAX_RANDOM_MS : 0;
@@ -170,7 +165,7 @@
       waitMs,
       costMs,
       newTokens,
-      queueMs: ownMs + reportedMs,
+      queueMs: knownMs,
       uncalibratedMs: waitMs,
       expectation: {
         target,
@@ -189,6 +184,51 @@
   return best;
 }
 
+/**
+ * Tokens of a prefix that other hosts have probably sent to the engine; `rank` is its place in the
+ * order of the prefix, or -1.
+ */
+export function likelyCachedTokens(
+  {knownSinceMs}: TargetState,
+  rank: number,
+  prefixTokens: number,
+  {estimates, nowMs}: Pick<WorkPlacementContext, 'estimates' | 'nowMs'>,
+): number {
+  const isWarm = nowMs - knownSinceMs > estimates.cacheWarmUpMs;
+  return isWarm ? (ASSUMED_CACHED_SHARES[rank] ?? 0) * prefixTokens : 0;
+}
+
+function usualTokensPerMs(stage: EngineStage, estimates: EngineEstimates): number {
+  return stage === 'prefill' ? estimates.prefillTokensPerMs : estimates.decodeTokensPerMs;
+}
+
+/** Expected times of a prefill. */
+export interface PrefillTimes {
+  /** Wait behind the prompts of this host and those that the engine has reported. */
+  readonly knownMs: number;
+  /** Usual wait behind the prompts of other hosts, as far as no report is fresh. */
+  readonly usualMs: number;
+  readonly prefillMs: number;
+}
+
+/** Estimates the times of a prompt with `newTokens` uncached tokens at an engine. */
+export function prefillTimes(
+  target: TargetState,
+  speed: TargetSpeed,
+  newTokens: number,
+  stage: EngineStage,
+  context: Pick<WorkPlacementContext, 'estimates' | 'nowMs' | 'hostCount' | 'service'>,
+): PrefillTimes {
+  const timeFactor = speed.timeFactor * currentSlowdown(target, context.nowMs);
+  const msPerToken = timeFactor / usualTokensPerMs(stage, context.estimates);
+  const {reportedMs, usualMs} = othersWait(target, speed, msPerToken, context);
+  return {
+    knownMs: target.ownPromptTokens * msPerToken + reportedMs,
+    usualMs,
+    prefillMs: FIXED_MS * timeFactor + newTokens * msPerToken,
+  };
+}
+
 function speedsOf(
   targets: readonly TargetState[],
   {work, nowMs}: Pick<WorkPlacementContext, 'work' | 'nowMs'>,
@@ -199,18 +239,14 @@
   );
 }
 
-function prefixKey(prefix: PromptWork['parts']): string {
-  return prefix.map(part => part.id).join(',');
-}
-
 /**
  * The engines at which a prefix is preferably cached, the first one first. Fast engines come first
  * for more prefixes, as one that isn't cached yet takes long to prefill.
  */
-function orderForPrefix(
+export function orderForPrefix(
   targets: readonly TargetState[],
   speeds: readonly TargetSpeed[],
-  key: string,
+  prefix: PromptWork['parts'],
 ): readonly TargetId[] {
   const logs = speeds.map(({timeFactor}) => Math.log(timeFactor));
   const level = logs.reduce((sum, log) => sum + log, 0) / Math.max(1, logs.length);
@@ -218,6 +254,7 @@
     const steps = Math.round((logs[index] - level) / ORDER_SPEED_STEP);
     return {id: target.entry.id, weight: Math.exp(-steps * ORDER_SPEED_STEP)};
   });
+  const key = prefix.map(part => part.id).join(',');
   return rankByKey(key, weighted).slice(0, ASSUMED_CACHED_SHARES.length);
 }
 
@@ -229,7 +266,7 @@
   target: TargetState,
   {utilization}: TargetSpeed,
   msPerToken: number,
-  {hostCount, nowMs, service}: WorkPlacementContext,
+  {hostCount, nowMs, service}: Pick<WorkPlacementContext, 'hostCount' | 'nowMs' | 'service'>,
 ): {readonly reportedMs: number; readonly usualMs: number} {
   const reportWeight = loadWeight(target, nowMs);
   const reportedTokens = target.othersRequests * OTHERS_PENDING_SHARE * service.meanWork;
--- a/packages/relay/src/placing/work-model.ts
+++ b/packages/relay/src/placing/work-model.ts
@@ -21,6 +21,8 @@
   meanSquareWork: number;
   /** Mean absolute difference between expected and actual time. */
   errorMs: number;
+  /** Number of responses in that mean. */
+  errorCount: number;
 }
 
 /** What was expected of a prefill; compared with the actual time. */
@@ -67,7 +69,7 @@
   ofService(service: ServiceName): ServiceWork {
     let work = this.services.get(service);
     if (!work) {
-      work = {meanWork: 0, meanSquareWork: 0, errorMs: 0};
+      work = {meanWork: 0, meanSquareWork: 0, errorMs: 0, errorCount: 0};
       this.services.set(service, work);
     }
     return work;
@@ -126,5 +128,7 @@
 
 /** Records the difference between the expected and the actual time of a response. */
 export function recordError(service: ServiceWork, expectedMs: number, actualMs: number): void {
-  service.errorMs += SMOOTHING_FACTOR * (Math.abs(actualMs - expectedMs) - service.errorMs);
+  service.errorCount++;
+  const weight = Math.max(SMOOTHING_FACTOR, 1 / service.errorCount);
+  service.errorMs += weight * (Math.abs(actualMs - expectedMs) - service.errorMs);
 }
