Log expected and actual times of placements by work

The line of a request names what was expected of each prefill and call and what it took, so that a late request can be traced to its estimate.

--- a/packages/relay/src/request/prefill-prompt.ts
+++ b/packages/relay/src/request/prefill-prompt.ts
@@ -91,6 +91,12 @@
     if (prefill) state.hasPrefilled = true;
     if (prefill && times.expectation) {
       recordPrefilled(deps.work, times.expectation, actualMs, deps.clock.nowMs());
+      request.progress.placements.push({
+        type: 'prefilled',
+        reader: target.entry.id,
+        expectedMs: Math.round(times.expectation.totalMs),
+        actualMs: Math.round(actualMs),
+      });
     }
     if (!prefill) recordFailure(state, `${target.entry.id}:prefill ${answer.status}`);
     return prefill && {address: target.entry.address, handle: prefill.handle};
--- a/packages/relay/src/request/serve-call.ts
+++ b/packages/relay/src/request/serve-call.ts
@@ -257,6 +257,7 @@
         const nowMs = deps.clock.nowMs();
         const actualMs = nowMs - attempt.sentMs;
         recordCall(deps.work, sent.target, kinds, attempt.expectation, actualMs, nowMs);
+        recordPlacement(request, attempt, actualMs);
       }
       sent.target.runs.delete(request.meta.requestId);
       recordStep(request, `${sent.target.entry.id}:${result.note}`);
@@ -269,6 +270,24 @@
   return undefined;
 }
 
+/** Records what was expected of a call and what it took, for the log. */
+function recordPlacement(
+  {progress}: AdmittedRequest,
+  {sent, expectation}: CallAttempt,
+  actualMs: number,
+): void {
+  if (!expectation) return;
+  const {waitMs, workMs, timeFactor} = expectation;
+  progress.placements.push({
+    type: 'called',
+    target: sent.target.entry.id,
+    queueMs: Math.round(waitMs),
+    expectedMs: Math.round(waitMs + workMs),
+    actualMs: Math.round(actualMs),
+    timeFactor: Number(timeFactor.toFixed(2)),
+  });
+}
+
 interface FinalAnswer {
   readonly status: number;
   readonly headers: readonly string[];
