Add tests of clients that exhaust a host's memory or descriptors

Cause: clients that send bodies without an end, tiny chunks or requests ahead make the process exit or exceed the memory of its machine.

Change: a crowd of each kind is sent from a process of its own to a real process with lowered limits. The memory and descriptors of a host are read from its settings and not yet used.

--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -23,6 +23,8 @@
   platformTimeoutMs: positiveNumber,
   maxBodyBytes: positiveNumber,
   maxInFlight: positiveNumber,
+  memoryMb: positiveNumber,
+  fileDescriptors: positiveNumber,
   defaultDeadlineMs: positiveNumber,
   progressTimeoutMs: positiveNumber,
   requestTimeoutMs: positiveNumber,
@@ -70,6 +72,16 @@
         describe: 'Size limit for a request body',
       },
       'max-in-flight': {type: 'number', default: 4096, describe: 'Limit on requests in flight'},
+      'memory-mb': {
+        type: 'number',
+        default: 1024,
+        describe: 'Memory of the host in MiB, which bounds what is held for callers',
+      },
+      'file-descriptors': {
+        type: 'number',
+        default: 4096,
+        describe: 'Limit on open descriptors, which bounds the connections of callers',
+      },
       'default-deadline-ms': {
         type: 'number',
         default: 600_000,
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -21,6 +21,10 @@
   readonly peerAddress: ListenAddress;
   /** Share of a processor that the host may use, above 1 with several; undefined if unknown. */
   readonly processorCapacity?: number;
+  /** Memory of the host in MiB; undefined if unknown. */
+  readonly memoryMb?: number;
+  /** Limit on the open descriptors of the process; undefined if unknown. */
+  readonly fileDescriptors?: number;
   /** Maximum time between the revocation of an API key and its last use. */
   readonly revokeMs: number;
   /**
--- a/packages/testkit/src/deployment.ts
+++ b/packages/testkit/src/deployment.ts
@@ -23,6 +23,8 @@
   readonly decodeMsPerToken: number;
   /** Additional command-line flags of each host. */
   readonly hostFlags?: readonly string[];
+  /** Environment variables of the hosts, besides those of this process. */
+  readonly hostEnv?: Record<string, string>;
   /** Puts fault proxies in front of each host's inner address and between it and the platform. */
   readonly proxied?: boolean;
   readonly tokensPerSecond?: number;
@@ -190,7 +192,7 @@
         }
       : undefined;
     const innerAddress = proxies ? new URL(proxies.inner.url).host : innerListenAddress;
-    const child = startChild(hostId, GATEWAY_MAIN, [
+    const args = [
       '--host-id',
       hostId,
       '--failure-domain',
@@ -213,7 +215,8 @@
       certificate.keyFile,
       ...(options.hostFlags ?? []),
       ...flags,
-    ]);
+    ];
+    const child = startChild(hostId, GATEWAY_MAIN, args, options.hostEnv);
     hostChildren.push(child);
     await Promise.race([
       waitForUrl(`${operatorUrl}/readyz`, AbortSignal.timeout(START_TIMEOUT_MS)),
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -9,6 +9,8 @@
 export * from './deployment.js';
 export * from './early-server.js';
 export * from './endless-server.js';
+export * from './hostile-clients.js';
+export * from './hostile-crowd.js';
 export * from './raw-requests.js';
 export * from './raw-server.js';
 export * from './silent-listener.js';
