Bound what a host holds for its clients

Cause: bodies were kept as one buffer per chunk and without a common bound, requests sent ahead were all read, and connections weren't counted.

Change: ClientGuard counts the bytes of requests in a budget of a tenth of the host's memory, evicts the largest stalled body, stores bodies in blocks, pauses and then closes connections with many pending requests, reads connections with very many chunks in turn, bounds connections by the descriptors, and closes those whose answer isn't read. Refused bodies are discarded up to 1 MiB, so that their clients read the refusal. The relay ends a body at the timeout of its route with 408. Buffers that were read are collected early while memory is short, as V8 leaves over 64 MiB.

--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -67,6 +67,11 @@
   },
   requestQuarantineEnded: {number: 1855, level: 'info', text: 'request is served again'},
   requestProbed: {number: 1856, level: 'info', text: 'quarantined request is tried'},
+  clientLimited: {
+    number: 1860,
+    level: 'warn',
+    text: 'client has exceeded a bound for the first time',
+  },
   configLost: {
     number: 1204,
     level: 'warn',
--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -1,6 +1,7 @@
 import {
   Clock,
   createHandlers,
+  deriveClientBounds,
   EventLog,
   Procedure,
   RandomSource,
@@ -273,6 +274,7 @@
       pendingAverages: new Map(),
       returns: new Map(),
       waiting: new Map(),
+      clientBounds: deriveClientBounds(settings),
       demand: this.demand,
       crashes: new CrashMonitor({
         clock,
@@ -499,6 +501,8 @@
     const gauges = [
       `radishgw_in_flight ${this.clientServer.inFlight}`,
       `radishgw_connections_opened ${opened}`,
+      `radishgw_client_connections ${this.clientServer.guard.connectionCount}`,
+      `radishgw_client_held_bytes ${this.clientServer.guard.heldBytes}`,
       `radishgw_buffered_answer_bytes ${this.targets.bufferedBytes}`,
       ...Object.entries(this.quarantine.countByKind()).map(
         ([kind, count]) => `radishgw_quarantines{kind="${kind}"} ${count}`,
--- a/packages/relay/src/request/client-connections.ts
+++ b/packages/relay/src/request/client-connections.ts
@@ -1,5 +1,6 @@
 import {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {Server as NetServer, Socket} from 'node:net';
+import {ClientGuard, deriveClientBounds, GuardedRequest, SystemClock} from '@radishgw/core';
 
 /** The requests on a connection whose answers haven't been sent completely. */
 interface ConnectionState {
@@ -15,7 +16,15 @@
   private readonly connections = new Map<Socket, ConnectionState>();
   private isAccepting = true;
 
-  constructor(private readonly server: Server) {
+  constructor(
+    private readonly server: Server,
+    private readonly guard = new ClientGuard({
+      server,
+      bounds: deriveClientBounds(),
+      clock: new SystemClock(),
+      onFault: () => undefined,
+    }),
+  ) {
     server.on('connection', (socket: Socket) => {
       const closeListeners = new Set<() => void>();
       const latestAnswered = Promise.resolve();
@@ -38,11 +47,16 @@
   /**
    * Counts a request until its answer has been sent or its connection is closed. Resolves when the
    * answers to earlier requests on the connection have been sent, with false if it is closed then:
-   * the request mustn't be served, as it can't be answered.
+   * the request mustn't be served, as it can't be answered. The same holds if the guard ignores it.
    */
-  async begin({socket}: IncomingMessage, response: ServerResponse): Promise<boolean> {
+  async begin(
+    request: IncomingMessage,
+    response: ServerResponse,
+    guarded: GuardedRequest | undefined = this.guard.begin(request, response),
+  ): Promise<boolean> {
+    const {socket} = request;
     const connection = this.connections.get(socket);
-    if (!connection) return false;
+    if (!connection || !guarded) return false;
     const {latestAnswered: earlierAnswered} = connection;
     const hasEarlier = connection.requestCount++ > 0;
     connection.latestAnswered = new Promise(resolve => {
--- a/packages/relay/src/request/client-exchange.ts
+++ b/packages/relay/src/request/client-exchange.ts
@@ -78,23 +78,6 @@
     this.cancelListener?.();
   }
 
-  /** Reads the body, unless it is larger than `maxBytes` or the client disconnects. */
-  async readBody(maxBytes: number): Promise<'read' | 'tooLarge' | 'disconnected'> {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    try {
-      for await (const chunk of this.request as AsyncIterable<Buffer>) {
-        bytes += chunk.length;
-        if (bytes > maxBytes) return 'tooLarge';
-        chunks.push(chunk);
-      }
-    } catch {
-      return 'disconnected'; // The stream fails only if the connection ends within the body.
-    }
-    this.body = chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
-    return 'read';
-  }
-
   /**
    * Waits until the connection has been looked at once more; false if the client has closed it. A
    * host that reads a request late finds the end of the connection only in the next turn of its
--- a/packages/relay/src/request/refusals.ts
+++ b/packages/relay/src/request/refusals.ts
@@ -1,8 +1,9 @@
-/** Error answers of the host itself. 429 and 503 guarantee that the request has not run. */
+/** Error answers of the host itself. 408, 429 and 503 guarantee that the request has not run. */
 export const REFUSALS = {
   malformed: {status: 400, retryAfterMs: undefined},
   keyUnknown: {status: 401, retryAfterMs: undefined},
   routeUnknown: {status: 404, retryAfterMs: undefined},
+  bodyTimeout: {status: 408, retryAfterMs: undefined},
   bodyTooLarge: {status: 413, retryAfterMs: undefined},
   headerTooLarge: {status: 431, retryAfterMs: undefined},
   rateExceeded: {status: 429, retryAfterMs: 500},
--- a/packages/relay/src/request/request-context.ts
+++ b/packages/relay/src/request/request-context.ts
@@ -1,6 +1,7 @@
 import {
   AnswerBuffer,
   BodyFraming,
+  ClientBounds,
   Clock,
   EventLog,
   HostId,
@@ -45,6 +46,8 @@
   readonly returns: Map<ServiceName, ReturnSchedule>;
   /** Number of requests that wait for a target to return, by service. */
   readonly waiting: Map<ServiceName, number>;
+  /** Bounds of what is held for clients; the default ones if undefined. */
+  readonly clientBounds?: ClientBounds;
   readonly demand: DemandMeter;
   readonly crashes: CrashMonitor;
   readonly quarantine: QuarantineService;
