--- a/packages/gateway/src/caller/caller-server.ts
+++ b/packages/gateway/src/caller/caller-server.ts
@@ -3,11 +3,22 @@
 import {Server as NetServer, Socket} from 'node:net';
 import {Duplex} from 'node:stream';
 import {RouteConfig} from '@radishgw/config';
-import {abortResponse, EffectHandlers, RequestId, startTask, toId} from '@radishgw/core';
+import {
+  abortResponse,
+  ClientBounds,
+  ClientGuard,
+  deriveClientBounds,
+  EffectHandlers,
+  GuardedRequest,
+  RequestId,
+  startTask,
+  toId,
+} from '@radishgw/core';
 import findMyWay from 'find-my-way';
 import {DecisionLog} from '../operator/decision-log.js';
 import {Metrics} from '../operator/metrics.js';
 import {parseDeadlineMs} from '../request/caller-headers.js';
+import {createMemoryRefusal} from '../request/body.js';
 import {AbortReason, RequestContext} from '../request/context.js';
 import {Refusal} from '../request/refusal.js';
 import {
@@ -28,6 +39,8 @@
   readonly metrics: Metrics;
   readonly decisions: DecisionLog;
   readonly maxInFlight: number;
+  /** Bounds of what is held for callers; the default ones if undefined. */
+  readonly clientBounds?: ClientBounds;
   readonly defaultDeadlineMs: number;
   /** Time in which a complete request must arrive, in milliseconds. */
   readonly requestTimeoutMs: number;
@@ -62,6 +75,8 @@
 /** HTTP server for callers. */
 export class CallerServer {
   readonly server: ReturnType<typeof createHttpServer> | HttpsServer;
+  /** Bounds what is held for callers. */
+  readonly guard: ClientGuard;
   private readonly inFlight: InFlightLimiter;
   private readonly active = new Set<ActiveRequest>();
   private readonly closeCallbacks = new WeakMap<Socket, Set<() => void>>();
@@ -82,6 +97,17 @@
     this.server = tls
       ? createHttpsServer({...options, ...readTlsFiles(tls)})
       : createHttpServer(options);
+    this.guard = new ClientGuard({
+      server: this.server,
+      bounds: services.clientBounds ?? deriveClientBounds(),
+      clock: services.clock,
+      onFault: (fault, isFirst) => {
+        services.metrics.count('radishgw_client_faults_total', {fault});
+        if (isFirst) services.log.write('clientLimited', {fault});
+      },
+    });
+    // Later than the timeout of requests, which are answered then.
+    this.guard.setAnswerTimeout(services.requestTimeoutMs + 2 * TIMEOUT_CHECK_MS);
     const route = (request: IncomingMessage, response: ServerResponse) => {
       this.route(request, response);
     };
@@ -153,9 +179,15 @@
   }
 
   private serve(request: IncomingMessage, response: ServerResponse, endpoint: Endpoint): void {
+    const guarded = this.guard.begin(request, response);
+    if (!guarded) return;
     const controller = new AbortController();
-    const {context, refusal} = this.createContext(request, response, controller.signal);
+    const {context, refusal} = this.createContext(request, response, guarded, controller.signal);
     if (this.stopping) setConnectionClose(response);
+    if (!guarded.hasMemory) {
+      this.finish(context, createMemoryRefusal());
+      return;
+    }
     if (!this.inFlight.tryAcquire()) {
       this.finish(context, this.inFlight.createRefusal());
       return;
@@ -223,6 +255,7 @@
   private createContext(
     request: IncomingMessage,
     response: ServerResponse,
+    guarded: GuardedRequest,
     signal: AbortSignal,
   ): {context: RequestContext; refusal: Refusal | undefined} {
     const {clock, random, defaultDeadlineMs} = this.services;
@@ -240,6 +273,7 @@
       requestId,
       request,
       response,
+      guarded,
       arrivedMs,
       deadlineMs: arrivedMs + timeoutMs,
       signal,
@@ -268,7 +302,7 @@
     if (error !== undefined) {
       const refusal = toRefusal(context, error);
       sendRefusal(context.response, refusal, context.requestId);
-      this.drainRequestBody(context.request);
+      this.drainRequestBody(context);
       metrics.count('radishgw_refusals_total', {team: labels.team, code: refusal.kind.code});
       const {execution, message} = refusal;
       this.services.decisions.add({
@@ -294,12 +328,13 @@
    * Discards the rest of a refused request's body, so that the caller gets the refusal instead of a
    * connection reset. Closes the connection if the rest is too long.
    */
-  private drainRequestBody(request: IncomingMessage): void {
+  private drainRequestBody({request, guarded}: RequestContext): void {
     if (request.complete || request.destroyed) return;
     let size = 0;
     request.on('error', () => undefined);
     request.on('data', (chunk: Buffer) => {
       size += chunk.length;
+      guarded.countDiscarded(chunk.length);
       if (size > this.services.maxBodyBytes) request.socket.destroy();
     });
     request.resume();
--- a/packages/gateway/src/request/body.ts
+++ b/packages/gateway/src/request/body.ts
@@ -2,27 +2,30 @@
 import {RequestContext} from './context.js';
 import {Refusal} from './refusal.js';
 
+/** Time after which a request that was refused for lack of memory may be sent again. */
+const MEMORY_RETRY_MS = 1000;
+
 /** Reads a request body of at most `maxBytes` bytes; rejects if the connection closes early. */
-export function readBody(context: RequestContext, maxBytes: number): Promise<Buffer> {
-  const {request, response} = context;
+export async function readBody(context: RequestContext, maxBytes: number): Promise<Buffer> {
+  const {request, response, guarded} = context;
   const contentLength = Number(request.headers['content-length'] ?? 0);
-  if (contentLength > maxBytes) return Promise.reject(createTooLargeRefusal(maxBytes));
+  if (contentLength > maxBytes) throw createTooLargeRefusal(maxBytes);
   // "100 Continue" is sent only after all earlier checks have passed.
   if (request.headers.expect !== undefined) response.writeContinue();
-  return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    request.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size <= maxBytes) chunks.push(chunk);
-      else reject(createTooLargeRefusal(maxBytes));
-    });
-    request.once('end', () => resolve(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)));
-    request.once('error', reject);
-    request.once('close', () =>
-      reject(new Error('caller disconnected before the request body was complete')),
-    );
-  });
+  // The server's request timeout and the deadline end a body that stalls.
+  const read = await guarded.readBody(maxBytes, Infinity);
+  if (read.type === 'tooLarge') throw createTooLargeRefusal(maxBytes);
+  if (read.type === 'noMemory' || (read.type === 'read' && !guarded.keep())) {
+    throw createMemoryRefusal();
+  }
+  if (read.type === 'read') return read.body;
+  throw new Error('caller disconnected before the request body was complete');
+}
+
+/** Creates the refusal of a request that there is no memory for. */
+export function createMemoryRefusal(): Refusal {
+  const message = 'the host has no memory for the request';
+  return new Refusal('tooManyRequestsInFlight', message, 'not_run', MEMORY_RETRY_MS);
 }
 
 function createTooLargeRefusal(maxBytes: number): Refusal {
--- a/packages/gateway/src/request/context.ts
+++ b/packages/gateway/src/request/context.ts
@@ -1,6 +1,6 @@
 import {IncomingMessage, ServerResponse} from 'node:http';
 import {Team, WorkClass} from '@radishgw/config';
-import {RequestId, TargetId} from '@radishgw/core';
+import {GuardedRequest, RequestId, TargetId} from '@radishgw/core';
 
 /** Why a request is aborted before its response is complete. */
 export type AbortReason = 'closed' | 'deadline' | 'shutdown';
@@ -10,6 +10,8 @@
   readonly requestId: RequestId;
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
+  /** Counts what is held for the request. */
+  readonly guarded: GuardedRequest;
   /** Monotonic time of arrival, in milliseconds. */
   readonly arrivedMs: number;
   /** Monotonic time after which the request is aborted, in milliseconds. */
