Name the limits of clients in the settings and document them

Change: client-memory-mb, client-connections and client-pending-requests take the place of the shares of memory and descriptors; values that aren't positive end the program at its start.

--- a/packages/core/src/client-memory.ts
+++ b/packages/core/src/client-memory.ts
@@ -33,23 +33,38 @@
 const MIN_CONNECTIONS = 16;
 
 /** Well above what clients send ahead. A read of 64 KiB may hold 3,600 requests. */
-const PAUSED_REQUESTS = 100;
 const PENDING_REQUESTS = 1000;
 
-/** Derives the bounds from the limits of a host: memory in MiB, and open descriptors. */
+/** Share of the pending requests of a connection at which it isn't read further. */
+const PAUSED_SHARE = 0.1;
+
+/** Settings of a host from which its bounds follow; all may be missing. */
+export interface ClientSettings {
+  /** Memory of the host in MiB. */
+  readonly memoryMb?: number;
+  /** Limit on open descriptors. */
+  readonly fileDescriptors?: number;
+  /** Memory held for clients in MiB, instead of a share of the host's. */
+  readonly clientMemoryMb?: number;
+  /** Open connections of clients, instead of a share of the descriptors. */
+  readonly clientConnections?: number;
+  /** Requests on a connection that haven't been answered. */
+  readonly clientPendingRequests?: number;
+}
+
+/** Derives the bounds of a host from its settings. */
 export function deriveClientBounds({
   memoryMb = DEFAULT_MEMORY_MIB,
   fileDescriptors = DEFAULT_FILE_DESCRIPTORS,
-}: {
-  readonly memoryMb?: number;
-  readonly fileDescriptors?: number;
-} = {}): ClientBounds {
-  const free = Math.floor((fileDescriptors - RESERVED_DESCRIPTORS) * CLIENT_DESCRIPTOR_SHARE);
+  clientMemoryMb = memoryMb * MEMORY_SHARE,
+  clientConnections = (fileDescriptors - RESERVED_DESCRIPTORS) * CLIENT_DESCRIPTOR_SHARE,
+  clientPendingRequests = PENDING_REQUESTS,
+}: ClientSettings = {}): ClientBounds {
   return {
-    memoryBytes: Math.floor(memoryMb * MIB * MEMORY_SHARE),
-    connections: Math.max(MIN_CONNECTIONS, free),
-    pausedRequests: PAUSED_REQUESTS,
-    pendingRequests: PENDING_REQUESTS,
+    memoryBytes: Math.floor(clientMemoryMb * MIB),
+    connections: Math.max(MIN_CONNECTIONS, Math.floor(clientConnections)),
+    pausedRequests: Math.ceil(clientPendingRequests * PAUSED_SHARE),
+    pendingRequests: clientPendingRequests,
   };
 }
 
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -25,6 +25,9 @@
   maxInFlight: positiveNumber,
   memoryMb: positiveNumber,
   fileDescriptors: positiveNumber,
+  clientMemoryMb: positiveNumber.optional(),
+  clientConnections: positiveNumber.optional(),
+  clientPendingRequests: positiveNumber.optional(),
   defaultDeadlineMs: positiveNumber,
   progressTimeoutMs: positiveNumber,
   requestTimeoutMs: positiveNumber,
@@ -82,6 +85,18 @@
         default: 4096,
         describe: 'Limit on open descriptors, which bounds the connections of callers',
       },
+      'client-memory-mb': {
+        type: 'number',
+        describe: 'Memory for requests in MiB; a tenth of --memory-mb by default',
+      },
+      'client-connections': {
+        type: 'number',
+        describe: 'Connections of callers; by default 0.6 of --file-descriptors less 200',
+      },
+      'client-pending-requests': {
+        type: 'number',
+        describe: 'Requests on a connection that are not answered; 1000 by default',
+      },
       'default-deadline-ms': {
         type: 'number',
         default: 600_000,
--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -274,7 +274,7 @@
       pendingAverages: new Map(),
       returns: new Map(),
       waiting: new Map(),
-      clientBounds: deriveClientBounds(settings),
+      clientBounds: deriveClientBounds(settings.client),
       demand: this.demand,
       crashes: new CrashMonitor({
         clock,
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -1,4 +1,4 @@
-import {FailureDomain, HostId} from '@radishgw/core';
+import {ClientSettings, FailureDomain, HostId} from '@radishgw/core';
 import {AttemptBudgetSettings} from './request/attempt-budget.js';
 import {LeaseTimes} from './store/lease.js';
 import {QuotaBounds} from './quota/team-quota.js';
@@ -21,10 +21,8 @@
   readonly peerAddress: ListenAddress;
   /** Share of a processor that the host may use, above 1 with several; undefined if unknown. */
   readonly processorCapacity?: number;
-  /** Memory of the host in MiB; undefined if unknown. */
-  readonly memoryMb?: number;
-  /** Limit on the open descriptors of the process; undefined if unknown. */
-  readonly fileDescriptors?: number;
+  /** Memory and descriptors, from which the bounds of what is held for clients follow. */
+  readonly client?: ClientSettings;
   /** Maximum time between the revocation of an API key and its last use. */
   readonly revokeMs: number;
   /**
