--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -1,6 +1,7 @@
 import {
   Clock,
   createHandlers,
+  deriveClientBounds,
   EventLog,
   Procedure,
   RandomSource,
@@ -307,6 +308,7 @@
       pendingAverages: new Map(),
       returns: new Map(),
       waiting: new Map(),
+      clientBounds: deriveClientBounds(settings.client),
       demand: this.demand,
       crashes: new CrashMonitor({
         clock,
@@ -594,6 +596,8 @@
       `radishgw_in_flight ${this.clientServer.inFlight}`,
       `radishgw_connections_opened ${opened}`,
       `radishgw_invalid_slowdowns ${invalidSlowdowns}`,
+      `radishgw_client_connections ${this.clientServer.guard.connectionCount}`,
+      `radishgw_client_held_bytes ${this.clientServer.guard.heldBytes}`,
       `radishgw_buffered_answer_bytes ${this.targets.bufferedBytes}`,
       ...Object.entries(this.quarantine.countByKind()).map(
         ([kind, count]) => `radishgw_quarantines{kind="${kind}"} ${count}`,
--- a/packages/relay/src/request/client-connections.ts
+++ b/packages/relay/src/request/client-connections.ts
@@ -1,6 +1,6 @@
 import {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {Server as NetServer, Socket} from 'node:net';
-import {Clock, SystemClock} from '@radishgw/core';
+import {Clock, ClientGuard, deriveClientBounds, GuardedRequest, SystemClock} from '@radishgw/core';
 
 /** Maximum number of connections that wait to be accepted, by default in Node.js. */
 const MAX_WAITING_CONNECTIONS = 511;
@@ -26,6 +26,12 @@
 
   constructor(
     private readonly server: Server,
+    private readonly guard = new ClientGuard({
+      server,
+      bounds: deriveClientBounds(),
+      clock: new SystemClock(),
+      onFault: () => undefined,
+    }),
     private readonly clock: Clock = new SystemClock(),
   ) {
     server.on('connection', (socket: Socket) => {
@@ -52,11 +58,16 @@
   /**
    * Counts a request until its answer has been sent or its connection is closed. Resolves when the
    * answers to earlier requests on the connection have been sent, with false if it is closed then:
-   * the request mustn't be served, as it can't be answered.
+   * the request mustn't be served, as it can't be answered. The same holds if the guard ignores it.
    */
-  async begin({socket}: IncomingMessage, response: ServerResponse): Promise<boolean> {
+  async begin(
+    request: IncomingMessage,
+    response: ServerResponse,
+    guarded: GuardedRequest | undefined = this.guard.begin(request, response),
+  ): Promise<boolean> {
+    const {socket} = request;
     const connection = this.connections.get(socket);
-    if (!connection) return false;
+    if (!connection || !guarded) return false;
     const {latestAnswered: earlierAnswered} = connection;
     const hasEarlier = connection.requestCount++ > 0;
     connection.hasHadRequest = true;
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -1,4 +1,4 @@
-import {FailureDomain, HostId} from '@radishgw/core';
+import {ClientSettings, FailureDomain, HostId} from '@radishgw/core';
 import {RegionTable} from './home-regions.js';
 import {AttemptBudgetSettings} from './request/attempt-budget.js';
 import {LeaseTimes} from './store/lease.js';
@@ -23,6 +23,8 @@
   readonly peerAddress: ListenAddress;
   /** Share of a processor that the host may use, above 1 with several; undefined if unknown. */
   readonly processorCapacity?: number;
+  /** Memory and descriptors, from which the bounds of what is held for clients follow. */
+  readonly client?: ClientSettings;
   /** Maximum time between the revocation of an API key and its last use. */
   readonly revokeMs: number;
   /**
