Bind requests with a key to their team's regions on routes without keys

The team of a request on a route that needs no key isn't looked up, so that a tenant's home regions didn't apply there although its key was sent.

--- a/packages/relay/src/request/serve-request.ts
+++ b/packages/relay/src/request/serve-request.ts
@@ -142,7 +142,8 @@
   const service = chooseService(route, deps.random);
   if (!service || !config.services.has(service)) return refuse('noTarget');
   const admittedTeam = team === 'anonymous' ? undefined : team;
-  const homeRegions = findHomeRegions(route, admittedTeam);
+  // A key binds a request to its team's regions on routes that need none as well.
+  const homeRegions = findHomeRegions(route, admittedTeam ?? findKeyTeam(config, meta));
   if (homeRegions && deps.targets.forService(service, homeRegions).length === 0) {
     return {...refuse('noTarget'), inputs: {homeRegions: [...homeRegions]}};
   }
@@ -190,8 +191,12 @@
   meta: RequestMeta,
 ): Team | 'anonymous' | 'unknown' {
   if (config.teams.size === 0 || route.allowsAnonymous) return 'anonymous';
-  const id = meta.apiKey === undefined ? undefined : config.teamsByKey.get(meta.apiKey);
-  return (id && config.teams.get(id)) || 'unknown';
+  return findKeyTeam(config, meta) ?? 'unknown';
+}
+
+function findKeyTeam(config: RelayConfig, {apiKey}: RequestMeta): Team | undefined {
+  const id = apiKey === undefined ? undefined : config.teamsByKey.get(apiKey);
+  return id && config.teams.get(id);
 }
 
 function* takeRequestQuota(
--- a/packages/relay/src/request/wait-for-target.ts
+++ b/packages/relay/src/request/wait-for-target.ts
@@ -12,8 +12,9 @@
 import {ServiceName} from '../model.js';
 
 /**
- * Waits until a target that has asked for a pause or is cold takes requests again, if the request can still be
- * served in time; false if it is to be refused. Targets that refused it may be tried again then.
+ * Waits until a target that has asked for a pause or is cold takes requests again, if the request
+ * can still be served in time; false if it is to be refused. Targets that refused it may be tried
+ * again then.
  */
 export function* waitForTarget(
   deps: RelayDependencies,
