Count few streams of a decode engine as waiting prompts

Half of the requests that a decode engine reported counted as prompts that wait for prefill. Without prefill engines, a prompt at an engine with 32 streams had an expected queue of 3 s and would have been refused as overloaded; a test now bounds it at 350 ms.

--- a/packages/relay/src/placing/engine-work-placement.ts
+++ b/packages/relay/src/placing/engine-work-placement.ts
@@ -53,8 +53,11 @@
 /** Highest utilization that is assumed of an engine; above it the queue has no steady length. */
 const MAX_UTILIZATION = 0.9;
 
-/** Share of other hosts' requests at an engine that is assumed to await prefill. */
-const OTHERS_PENDING_SHARE = 0.5;
+/**
+ * Share of other hosts' requests at an engine that is assumed to await prefill, by stage. Most of
+ * those at a decode engine are streams.
+ */
+const OTHERS_PENDING_SHARE: Readonly<Record<EngineStage, number>> = {prefill: 0.5, decode: 0.05};
 
 /**
  * Random part of the cost of an engine that isn't preferred for the prefix, so that hosts which
@@ -269,7 +272,8 @@
   {hostCount, nowMs, service}: Pick<WorkPlacementContext, 'hostCount' | 'nowMs' | 'service'>,
 ): {readonly reportedMs: number; readonly usualMs: number} {
   const reportWeight = loadWeight(target, nowMs);
-  const reportedTokens = target.othersRequests * OTHERS_PENDING_SHARE * service.meanWork;
+  const pendingCount = target.othersRequests * OTHERS_PENDING_SHARE[stageOf(target)];
+  const reportedTokens = pendingCount * service.meanWork;
   const othersShare = (hostCount - 1) / hostCount;
   const busyShare = Math.min(MAX_UTILIZATION, utilization * othersShare);
   const usualTokens = (residualWork(service) * busyShare) / (1 - busyShare);
--- a/packages/relay/test/engine-work-placement.test.ts
+++ b/packages/relay/test/engine-work-placement.test.ts
@@ -181,6 +181,20 @@
     }
   });
 
+  it('expects no long queue at a decode engine with many streams', () => {
+    // Guards against prompts that are refused as the streams of a decode engine count as prompts
+    // that wait there.
+    const work = new WorkModel('work');
+    const context = makeContext(work);
+    context.service.meanWork = 6000;
+    context.service.meanSquareWork = 6000 ** 2;
+    const [engine] = makeEngines(1, 0);
+    recordLoad(engine, {running: 32, waiting: 0, slots: 64, slowdown: 1}, 99_950);
+    const prompt = {parts: [], promptTokens: 3000, urgency: 0};
+    const placement = placePromptByWork([engine], prompt, new Set(), context);
+    expect(placement.type === 'direct' && placement.queueMs).to.be.lessThan(350);
+  });
+
   it('finds an engine whatever the number of engines is', () => {
     // Guards against a prompt that is refused as no engine was considered.
     for (let count = 1; count < 40; count++) {
