Keep bodies that arrive at once without a copy

Cause: the body of an ordinary request was copied into a block.

Change: a chunk that is the whole stated body is kept as it is.

--- a/packages/core/src/client-guard.ts
+++ b/packages/core/src/client-guard.ts
@@ -393,13 +393,21 @@
   readBody(maxBytes: number, timeoutMs: number): Promise<BodyResult> {
     const {request, hooks, account} = this;
     if (!this.hasMemory) return Promise.resolve({type: 'noMemory'});
-    if (Number(request.headers['content-length'] ?? 0) > maxBytes) {
+    const statedBytes = Number(request.headers['content-length'] ?? 0);
+    if (statedBytes > maxBytes) {
       hooks.onFault('bodyTooLarge');
       return Promise.resolve({type: 'tooLarge'});
     }
     this.isReading = true;
     return new Promise(resolve => {
       const blocks = new BodyBlocks(bytes => account.grow(bytes));
+      /** A body that arrives at once isn't copied. */
+      let whole: Buffer | undefined;
+      const add = (chunk: Buffer): boolean => {
+        if (chunk.length !== statedBytes) return blocks.push(chunk);
+        whole = chunk;
+        return account.grow(chunk.length);
+      };
       const finish = (result: BodyResult) => {
         this.isReading = false;
         timer?.cancel();
@@ -413,7 +421,7 @@
           hooks.onFault('bodyTooLarge');
           finish({type: 'tooLarge'});
           account.release();
-        } else if (!blocks.push(chunk)) {
+        } else if (!add(chunk)) {
           // An evicted account has been reported.
           if (this.hasMemory) hooks.onFault('memory');
           this.hasMemory = false;
@@ -422,7 +430,7 @@
         }
       };
       const onEnd = () => {
-        finish({type: 'read', body: blocks.take()});
+        finish({type: 'read', body: whole ?? blocks.take()});
       };
       const onClose = () => finish({type: 'disconnected'});
       const timer =
