--- a/packages/relay/src/model.ts
+++ b/packages/relay/src/model.ts
@@ -3,6 +3,8 @@
 export type ServiceName = Branded<'ServiceName'>;
 export type RouteName = Branded<'RouteName'>;
 export type PromptPartId = Branded<'PromptPartId'>;
+/** A set of failure domains that a client's data may be bound to. */
+export type Region = Branded<'Region'>;
 
 /** `safe` requests may be repeated, `unsafe` ones may not, `streaming` ones if resumable. */
 export type RequestKind = 'safe' | 'unsafe' | 'streaming';
@@ -35,6 +37,8 @@
   /** Maximum gap between events that still meets the objective; 0 if there is no such limit. */
   readonly maxGapMs: number;
   readonly shares: readonly TrafficShare[];
+  /** Regions whose targets may serve the route; undefined if all may. */
+  readonly homeRegions?: readonly Region[];
 }
 
 /** Properties of a model engine. */
@@ -60,6 +64,13 @@
   readonly connectionLimit: number;
   readonly engine: EngineTraits | undefined;
   readonly scaling: ScalingTraits | undefined;
+  /**
+   * Rate of requests that a cold target takes from all hosts together; 0 or undefined if it isn't
+   * limited.
+   */
+  readonly coldRequestsPerSecond?: number;
+  /** Time for which a target is cold after its start; undefined if unknown. */
+  readonly coldStartMs?: number;
 }
 
 /** Rate limit of a team over all hosts together, in units of cost. */
@@ -77,6 +88,8 @@
   /** Takes precedence over the priority of the route. */
   readonly priority: number | undefined;
   readonly limit: TeamLimit | undefined;
+  /** Regions whose targets may serve the team; undefined if all may. */
+  readonly homeRegions?: readonly Region[];
 }
 
 /** Limits on the size of clients' requests and on the time that clients may take. */
@@ -114,6 +127,10 @@
   readonly stage: EngineStage | undefined;
   /** Whether the target is preemptible: it may be withdrawn at short notice. */
   readonly isCheap: boolean;
+  /** Time for which the target is cold from when its entry is read; missing if it is warm. */
+  readonly coldForMs?: number;
+  /** Set if the entry states a time for which the target is cold that can't be used. */
+  readonly hasInvalidColdTime?: true;
   /** Set if the store came back from an older copy and the entry hasn't been written since. */
   readonly isFromCopy?: true;
 }
@@ -129,6 +146,22 @@
   readonly unreadable?: readonly TargetId[];
 }
 
+/** A failure domain whose targets get no requests until the operator ends this. */
+export interface Evacuation {
+  readonly failureDomain: FailureDomain;
+  /** Time in Unix milliseconds at which the store acknowledged it; missing if unknown. */
+  readonly acknowledgedMs?: number;
+}
+
+/** All evacuations, as read from the store. */
+export interface EvacuationList {
+  /** Era of the store at which the list was current; missing if the store has only one. */
+  readonly era?: number;
+  /** Revision of the store at which the list was current. */
+  readonly revision: number;
+  readonly evacuations: readonly Evacuation[];
+}
+
 /** A part of a prompt; requests with the same leading parts share their cache entries. */
 export interface PromptPart {
   readonly id: PromptPartId;
@@ -176,6 +209,25 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /** How long work takes at the moment: 1 is as usual, 2.5 means 2.5 times as long. */
+  readonly slowdown?: number;
+  /** Whether the target reported a slowdown that can't be used. */
+  readonly hasInvalidSlowdown?: true;
+}
+
+/**
+ * Observations of one target over the last seconds: the weight of the observed responses, the
+ * weighted sum of the logarithms of actual by expected time, and the work sent to it in ms. The
+ * first two are in hundredths.
+ */
+export type TargetWork = readonly [weight: number, logSum: number, workMs: number];
+
+/** What a host has observed of targets, for the other hosts. */
+export interface WorkReport {
+  /** Services with a target that has reported a slowdown. */
+  readonly services: readonly string[];
+  /** By incarnation of the target. */
+  readonly targets: Readonly<Record<string, TargetWork>>;
 }
 
 /** Metadata in the head of a target's answer. */
--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -1,15 +1,18 @@
 import {
   Clock,
   createHandlers,
+  deriveClientBounds,
   EventLog,
   Procedure,
   RandomSource,
   startTask,
   Task,
+  toId,
 } from '@radishgw/core';
 import {ObjectStore, StoreEra} from '@radishgw/coordination';
 import {ClientServer} from './request/client-server.js';
 import {configAgeMs, createConfigView} from './store/config-view.js';
+import {findUnknownRegions, usesHomeRegions} from './home-regions.js';
 import {readInstant} from './instant.js';
 import {EntryCodec} from './store/entry-codec.js';
 import {CapacityController} from './duties/capacity-controller.js';
@@ -24,6 +27,7 @@
   findDomainReader,
   HostRecord,
   HostRegistry,
+  listedHosts,
   possibleHosts,
   readyHosts,
 } from './store/host-registry.js';
@@ -46,10 +50,15 @@
   SharedStore,
   syncConfig,
   SyncDependencies,
+  syncEvacuations,
   syncTargets,
 } from './store/store-sync.js';
+import {ColdBounds} from './targets/cold-shares.js';
+import {TargetAccess} from './targets/target-access.js';
 import {TargetPool} from './targets/target-pool.js';
+import {reportsSlowdown} from './targets/target-state.js';
 import {createWaitCalibration} from './placing/wait-calibration.js';
+import {WorkModel} from './placing/work-model.js';
 import {
   countRequest,
   createUsageLedger,
@@ -83,6 +92,9 @@
 /** A stopping host takes a request only if its deadline is at least this long before the exit. */
 const LAST_ANSWER_MARGIN_MS = 200;
 
+/** Bounds of deployments that state none. */
+const NO_COLD_BOUNDS: ColdBounds = {overageFactor: 1, slackRequests: 0};
+
 /** Time after which no other host names a host that has begun to stop. */
 const DELISTING_MS = 1000;
 
@@ -99,6 +111,8 @@
   private readonly usage: UsageLedger = createUsageLedger();
   private readonly attemptBudgets = new Map<ServiceName, AttemptBudget>();
   private readonly demand = new DemandMeter();
+  private readonly access: TargetAccess;
+  private readonly work: WorkModel;
   private readonly targets: TargetPool;
   private readonly peers = new PeerClient();
   /** Calls for quota are short and many; they don't share connections with the others. */
@@ -108,6 +122,7 @@
   private readonly reads: SharedReads;
   private readonly clientServer: ClientServer;
   private readonly shared: SharedStore;
+  private readonly capacity: CapacityController;
   private readonly duties: FleetDuties;
   private readonly records: RecordWriter;
   private readonly auxiliaryServers;
@@ -117,6 +132,9 @@
   private stopAtMs: number | undefined;
   private stopped: Promise<void> | undefined;
   private knownHosts = '';
+  private hasHomeRegions = false;
+  /** Home regions that are unknown, as JSON with the route or team that names them. */
+  private unknownRegions: ReadonlySet<string> = new Set();
   /** Whether the latest record said that this host takes requests. */
   private wasReady = false;
 
@@ -129,10 +147,21 @@
       this.quarantine.restore();
     });
     this.fleetTime = createFleetTime(readInstant(clock));
+    this.access = new TargetAccess({
+      clock,
+      hostKey: formatIncarnation({hostId: settings.hostId, incarnation: this.incarnation}),
+      coldBounds: settings.coldBounds ?? NO_COLD_BOUNDS,
+      regions: settings.regions,
+      hasEvacuations: settings.evacuationMs !== undefined,
+      findService: name => this.configView.config?.services.get(name),
+    });
+    this.work = new WorkModel(settings.placement);
     this.targets = new TargetPool({
       clock,
       log,
       random,
+      access: this.access,
+      metrics: this.metrics,
       codec: options.codec,
       onLeaving: () => void startTask(this.records.write(), createHandlers(clock)).done,
     });
@@ -150,6 +179,7 @@
     });
     this.clientServer = new ClientServer(this.createDependencies());
     this.monitor = new DependencyMonitor('store', clock, log);
+    this.capacity = this.createCapacity();
     this.duties = this.createDuties();
     this.records = this.createRecords();
     const onError = (error: unknown) =>
@@ -166,6 +196,7 @@
       isReady: () => this.isReady,
       isStopping: () => this.stopAtMs !== undefined,
       listReady: () => this.listReady(),
+      usesHomeRegions: () => this.hasHomeRegions,
       formatMetrics: () => this.formatMetrics(),
     });
     this.auxiliaryServers = {
@@ -185,6 +216,7 @@
     };
     startLoop(() => syncConfig(sync));
     startLoop(() => syncTargets(sync));
+    if (settings.evacuationMs !== undefined) startLoop(() => syncEvacuations(sync));
     const {directoryAddress} = settings;
     await Promise.all([
       listen(this.clientServer.server, settings.clientAddress),
@@ -219,7 +251,7 @@
     const lastUseMs = startMs + DELISTING_MS + maxAddressUseMs(settings);
     const listenUntilMs = Math.min(this.stopAtMs - LAST_ANSWER_MARGIN_MS, lastUseMs);
     await waitUntilIdle(clock, () => false, listenUntilMs);
-    this.clientServer.stopAccepting();
+    await this.clientServer.stopAccepting();
     await waitUntilIdle(clock, () => this.clientServer.inFlight === 0, this.stopAtMs);
     await this.quota.release();
     for (const task of this.tasks) task.cancel();
@@ -250,6 +282,7 @@
   private get canServe(): boolean {
     if (this.stopAtMs !== undefined || !this.targets.hasSynced || !this.configView.config)
       return false;
+    if (!this.access.knowsEvacuations) return false;
 
     const {revokeMs} = this.options.settings;
     const ageMs = configAgeMs(this.configView, readInstant(this.options.clock));
@@ -270,9 +303,12 @@
       targets: this.targets,
       quota: this.quota,
       calibration: createWaitCalibration(),
+      work: this.work,
+      admissions: new Map(),
       pendingAverages: new Map(),
       returns: new Map(),
       waiting: new Map(),
+      clientBounds: deriveClientBounds(settings.client),
       demand: this.demand,
       crashes: new CrashMonitor({
         clock,
@@ -335,11 +371,26 @@
       monitor: this.monitor,
       findReader: () => findDomainReader(this.listReady(), settings.failureDomain),
       makeRecord: (start, beat) => this.makeRecord(start, beat),
-      onStored: madeAt => this.quota.confirmRecord(madeAt),
+      onStored: madeAt => {
+        this.quota.confirmRecord(madeAt);
+        this.access.recordStored(madeAt);
+      },
       isStopping: () => this.stopAtMs !== undefined,
     });
   }
 
+  private createCapacity(): CapacityController {
+    const {settings, clock, log, duties} = this.options;
+    return new CapacityController({
+      hostId: settings.hostId,
+      clock,
+      log,
+      duties,
+      configView: this.configView,
+      targets: this.targets,
+    });
+  }
+
   private createDuties(): FleetDuties {
     const {settings, clock, log, duties} = this.options;
     return new FleetDuties({
@@ -358,21 +409,19 @@
       onRecords: (records, era) => {
         this.restoreUsage(records, era);
         this.applyLeaving(records);
+        this.applyWork(this.listReady());
       },
-      onSharedRecords: records => this.applyLeaving(records),
+      onSharedRecords: records => {
+        this.applyLeaving(records);
+        this.applyWork(records);
+      },
+      summarizeWork: () => this.work.summarize(clock.nowMs()),
       onEvidence: evidence => this.quarantine.applyEvidence(evidence),
       onHosts: () => this.applyHosts(),
       onRenewedRecords: records => this.judgeTime(records),
       fleetNowMs: () => this.fleetNowMs(),
       isStopping: () => this.stopAtMs !== undefined,
-      capacity: new CapacityController({
-        hostId: settings.hostId,
-        clock,
-        log,
-        duties,
-        configView: this.configView,
-        targets: this.targets,
-      }),
+      capacity: this.capacity,
       stages: new StageController({
         hostId: settings.hostId,
         clock,
@@ -394,18 +443,32 @@
       monitor: this.monitor,
       intervals: readIntervals(this.options.settings.changeBoundMs),
       onConfig: config => this.applyConfig(config),
+      onEvacuations: list => this.targets.applyEvacuations(list),
       onTargetsUnavailable: () => this.targets.recordFailedRead(),
       onTargets: (list, asOfMs, isShared) => this.targets.update(list, asOfMs, isShared),
     };
   }
 
   private applyConfig(config: RelayConfig): void {
+    this.hasHomeRegions = usesHomeRegions(config);
+    this.applyUnknownRegions(config);
     this.clientServer.applyLimits();
     for (const name of config.services.keys()) {
       if (!this.attemptBudgets.has(name)) this.attemptBudgets.set(name, createAttemptBudget());
     }
   }
 
+  /** Logs home regions that no failure domain belongs to, once each. */
+  private applyUnknownRegions(config: RelayConfig): void {
+    const {settings, log} = this.options;
+    const unknown = findUnknownRegions(config, settings.regions ?? new Map());
+    const previous = this.unknownRegions;
+    this.unknownRegions = new Set(unknown.map(item => JSON.stringify(item)));
+    for (const item of unknown) {
+      if (!previous.has(JSON.stringify(item))) log.write('homeRegionUnknown', {...item});
+    }
+  }
+
   private listPossible(): readonly HostRecord[] {
     return possibleHosts(this.registry, this.duties.lastReadMs);
   }
@@ -414,7 +477,17 @@
     return readyHosts(this.registry, this.duties.lastReadMs);
   }
 
+  /** Tells which hosts may send requests to cold targets, also those that take none any more. */
+  private recordColdHosts(): void {
+    const now = readInstant(this.options.clock);
+    const {lastReadMs} = this.duties;
+    const wallMs = now.wallMs - (now.monotonicMs - lastReadMs);
+    const hosts = listedHosts(this.registry, lastReadMs);
+    this.access.recordHosts(hosts.map(formatIncarnation), {monotonicMs: lastReadMs, wallMs});
+  }
+
   private applyHosts(): void {
+    this.recordColdHosts();
     const possible = this.listPossible();
     // All hosts appear lost while records can't be written; the previous list is more accurate.
     if (possible.length === 0) return;
@@ -456,14 +529,33 @@
       madeWallMs: Math.round(this.fleetNowMs()),
       usage: Object.fromEntries(this.usage.windows),
       demand: this.demand.levels(clock.nowMs()),
+      uncachedDemand: this.findUncachedDemand(),
       leaving: this.targets.listLeaving(this.reads.isReader),
+      work: this.work.report(clock.nowMs()),
     };
   }
 
+  /** Demand that isn't cached; undefined if no targets have reported a slowdown. */
+  private findUncachedDemand(): Record<string, number> | undefined {
+    const levels = this.demand.uncachedLevels(this.options.clock.nowMs());
+    const reported = Object.entries(levels).filter(([service]) =>
+      this.targets.forService(toId<ServiceName>(service)).some(reportsSlowdown),
+    );
+    return reported.length > 0 ? Object.fromEntries(reported) : undefined;
+  }
+
   private applyLeaving(records: readonly HostRecord[]): void {
     this.targets.applyLeaving(records.flatMap(record => record.leaving ?? []));
   }
 
+  /** Applies what other hosts have observed of targets. */
+  private applyWork(records: readonly HostRecord[]): void {
+    const {settings, clock} = this.options;
+    const others = records.filter(record => record.hostId !== settings.hostId);
+    const reports = others.flatMap(({work}) => work ?? []);
+    this.work.applyReports(reports, clock.nowMs());
+  }
+
   /** Time of day in milliseconds since the Unix epoch, as the hosts agree on it. */
   private fleetNowMs(): number {
     return fleetNowMs(this.fleetTime, readInstant(this.options.clock));
@@ -495,21 +587,46 @@
 
   private formatMetrics(): string {
     let opened = 0;
-    for (const target of this.targets.all()) opened += target.connections.openedCount;
+    let invalidSlowdowns = 0;
+    for (const target of this.targets.all()) {
+      opened += target.connections.openedCount;
+      invalidSlowdowns += target.invalidSlowdownCount;
+    }
     const gauges = [
       `radishgw_in_flight ${this.clientServer.inFlight}`,
       `radishgw_connections_opened ${opened}`,
+      `radishgw_invalid_slowdowns ${invalidSlowdowns}`,
+      `radishgw_client_connections ${this.clientServer.guard.connectionCount}`,
+      `radishgw_client_held_bytes ${this.clientServer.guard.heldBytes}`,
       `radishgw_buffered_answer_bytes ${this.targets.bufferedBytes}`,
       ...Object.entries(this.quarantine.countByKind()).map(
         ([kind, count]) => `radishgw_quarantines{kind="${kind}"} ${count}`,
       ),
+      ...this.formatPlans(),
+      ...this.work
+        .listErrors()
+        .map(([name, errorMs]) => `radishgw_estimate_error_ms{service="${name}"} ${errorMs}`),
       `radishgw_rejected_entries ${this.options.source.rejectedCount + this.shared.rejectedCount}`,
+      `radishgw_cold_targets ${this.targets.countCold()}`,
+      `radishgw_evacuated_domains ${this.targets.evacuatedDomains.size}`,
+      `radishgw_unknown_home_regions ${this.unknownRegions.size}`,
       `radishgw_ready ${this.isReady ? 1 : 0}`,
     ];
     return this.metrics.format() + gauges.join('\n') + '\n';
   }
+
+  /** The planned numbers of targets, which only the holder of the fleet lease knows. */
+  private formatPlans(): string[] {
+    if (this.duties.currentTerm() === undefined) return [];
+    return [...this.capacity.plannedCounts()].map(
+      ([service, count]) => `radishgw_planned_targets{service="${service}"} ${count}`,
+    );
+  }
 }
 
-function formatIncarnation({hostId, incarnation}: HostRecord): string {
+function formatIncarnation({
+  hostId,
+  incarnation,
+}: Pick<HostRecord, 'hostId' | 'incarnation'>): string {
   return `${hostId}/${incarnation}`;
 }
--- a/packages/relay/src/request/request-context.ts
+++ b/packages/relay/src/request/request-context.ts
@@ -1,6 +1,7 @@
 import {
   AnswerBuffer,
   BodyFraming,
+  ClientBounds,
   Clock,
   EventLog,
   HostId,
@@ -12,9 +13,10 @@
 import {ConfigView} from '../store/config-view.js';
 import {CrashMonitor} from '../quarantine/crash-monitor.js';
 import {DemandMeter} from '../placing/demand-meter.js';
+import {AdmissionState} from '../placing/admission.js';
 import {AttemptBudget, AttemptBudgetSettings} from './attempt-budget.js';
 import {RelayMetrics} from '../metrics.js';
-import {RelayCodec, RequestMeta, Route, ServiceName, Team} from '../model.js';
+import {RelayCodec, Region, RequestMeta, Route, ServiceName, Team} from '../model.js';
 import {PendingAverage} from '../placing/pending-average.js';
 import {QuarantineService} from '../quarantine/quarantine-service.js';
 import {QuotaClient} from '../quota/quota-client.js';
@@ -24,6 +26,7 @@
 import {TargetPool} from '../targets/target-pool.js';
 import {ReturnSchedule} from './return-schedule.js';
 import {WaitCalibration} from '../placing/wait-calibration.js';
+import {WorkModel} from '../placing/work-model.js';
 
 /** Dependencies of the functions that serve requests. */
 export interface RelayDependencies {
@@ -40,11 +43,17 @@
   readonly attemptBudgetSettings: AttemptBudgetSettings;
   /** Corrects estimated waits of prompts by those that this host has measured. */
   readonly calibration: WaitCalibration;
+  /** Estimates for services that are placed by expected work. */
+  readonly work: WorkModel;
+  /** Prompts that wait until it is their turn, by service. */
+  readonly admissions: Map<ServiceName, AdmissionState>;
   readonly pendingAverages: Map<ServiceName, PendingAverage>;
   /** Times at which refused clients are told to return, by service. */
   readonly returns: Map<ServiceName, ReturnSchedule>;
   /** Number of requests that wait for a target to return, by service. */
   readonly waiting: Map<ServiceName, number>;
+  /** Bounds of what is held for clients; the default ones if undefined. */
+  readonly clientBounds?: ClientBounds;
   readonly demand: DemandMeter;
   readonly crashes: CrashMonitor;
   readonly quarantine: QuarantineService;
@@ -70,6 +79,8 @@
   readonly route: Route;
   readonly service: ServiceName;
   readonly team: Team | undefined;
+  /** Regions whose targets may serve it; undefined if all may. */
+  readonly homeRegions: ReadonlySet<Region> | undefined;
   readonly urgency: number;
   /** Monotonic time at which the final answer is due. */
   readonly deadlineAtMs: number;
@@ -88,6 +99,10 @@
   attemptCount = 0;
   /** Why the request got no further attempt when one was last wanted, for the log. */
   retryRefusal: RetryRefusal | undefined;
+  /** Whether the request has waited for an extra attempt, which it does once. */
+  hasAwaitedAttempt = false;
+  /** Whether the prompt has waited on the host until it was its turn. */
+  wasHeld = false;
   hasCountedUsage = false;
   /** Number of targets that are known to have crashed under the request. */
   crashCount = 0;
--- a/packages/relay/src/request/serve-stream.ts
+++ b/packages/relay/src/request/serve-stream.ts
@@ -3,12 +3,29 @@
   confirmDecode,
   DEFAULT_ENGINE_ESTIMATES,
   EnginePlacement,
+  PlacementTimes,
   placePrompt,
   sharedPrefix,
   stageOf,
   StagedPlacement,
 } from '../placing/engine-placement.js';
+import {
+  confirmDecodeByWork,
+  placePromptByWork,
+  recordPrefilled,
+  recordPrefillSent,
+  recordStream,
+  recordStreamWork,
+} from '../placing/engine-work-placement.js';
+import {
+  admitPrompt,
+  isAdmittedByUrgency,
+  PromptAdmission,
+  recordPrompt,
+  releasePrompt,
+} from './admit-prompt.js';
 import {recordRequest} from './attempt-budget.js';
+import {awaitAttempt} from './await-attempt.js';
 import {EngineRun} from './engine-run.js';
 import {EventSplitter} from './events.js';
 import {CacheSource, ServiceName} from '../model.js';
@@ -21,14 +38,22 @@
   reserveAttempt,
   ServeOutcome,
   takeFromAttemptBudget,
+  takeOptionalFromBudget,
   useReserved,
 } from './serve-outcome.js';
 import {releaseReturn, RunResult, StreamState} from './stream-state.js';
-import {awaitLossChecks, checkLoss, mayRun, recordWholeRun} from './suspect-runs.js';
+import {awaitLossChecks, cancelRun, checkLoss, mayRun, recordWholeRun} from './suspect-runs.js';
 import {SILENCE_CHECK_MS} from '../targets/target-answer.js';
+import {preferWarm} from '../targets/target-access.js';
 import {PooledTarget} from '../targets/target-pool.js';
 import {sendToTarget, writeTargetRequest} from './target-request.js';
-import {estimateCachedTokens, recordParts, TargetState} from '../targets/target-state.js';
+import {
+  estimateCachedTokens,
+  isAvailable,
+  isClosed,
+  recordParts,
+  TargetState,
+} from '../targets/target-state.js';
 import {recordWait} from '../placing/wait-calibration.js';
 import {waitForTarget} from './wait-for-target.js';
 
@@ -62,9 +87,12 @@
     lastEventId: meta.lastEventId,
     eventCount: 0,
     hasPrefilled: false,
+    hasPrefillAttempt: false,
+    wasPlaced: false,
     mayLeave: run => mayLeave(state, run),
   };
   recordRequest(deps.attemptBudgets.get(service)!, deps.attemptBudgetSettings, deps.clock.nowMs());
+  recordPrompt(deps, request);
   try {
     let result = yield* startRun(state);
     for (;;) {
@@ -75,11 +103,13 @@
       else if (state.standby) result = yield* continueRun(state, state.standby);
       else if (result.type === 'failed') return result.outcome;
       else if (mayWait && request.progress.retryRefusal === 'attemptBudget') continue;
+      else if (yield* mayStartRunLater(state, result)) result = yield* startRun(state);
       else return failStream(state, 'overloaded');
     }
   } finally {
     endStandby(state);
     releaseReturn(state);
+    releasePrompt(deps, request);
   }
 }
 
@@ -112,6 +142,14 @@
   return true;
 }
 
+/** Waits for an extra attempt if only that is missing for another run; takes it. */
+function* mayStartRunLater(state: StreamState, result: RunResult): Procedure<boolean> {
+  const {deps, request, mayRepeat} = state;
+  const hasFailed = result.type === 'notRun' || result.type === 'broken';
+  if (!hasFailed || request.progress.retryRefusal !== 'attemptBudget') return false;
+  return yield* awaitAttempt(deps, request, () => mayRetry(deps, request, {mayRepeat}));
+}
+
 /**
  * Whether the stream waits for further attempts when its return has failed too: its engine would
  * still be at work if the host hadn't ended the run.
@@ -127,7 +165,8 @@
 /** Places the prompt and runs it. */
 function* startRun(state: StreamState): Procedure<RunResult> {
   const {deps, request, tried} = state;
-  const {progress, route, service, exchange} = request;
+  const {progress, exchange} = request;
+  let wasHeld = false;
   const fail = (refusal: StreamRefusal): RunResult => ({
     type: 'failed',
     outcome: failStream(state, refusal),
@@ -141,28 +180,72 @@
       if (yield* allowTried(state)) continue;
       return fail('noTarget');
     }
-    const leftMs = request.deadlineAtMs - deps.clock.nowMs();
-    const maxQueueMs = Math.min(leftMs, route.objectiveMs * MAX_QUEUE_OBJECTIVE_SHARE);
-    if (!exchange.hasStarted && !progress.mayHaveRun && placement.queueMs > maxQueueMs) {
-      const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, placement.queueMs - maxQueueMs);
-      return {type: 'failed', outcome: {type: 'refused', refusal: 'overloaded', retryAfterMs}};
+    if (!wasHeld) recordDemand(state, placement.newTokens);
+    if (!exchange.hasStarted && !progress.mayHaveRun) {
+      const admission = isAdmittedByUrgency(deps, request.service)
+        ? yield* admitPrompt(deps, request, placement)
+        : decideByObjective(state, placement);
+      wasHeld = admission.type === 'placeAgain';
+      if (wasHeld) continue;
+      if (admission.type === 'refused') {
+        const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, admission.retryAfterMs);
+        return {type: 'failed', outcome: {type: 'refused', refusal: 'overloaded', retryAfterMs}};
+      }
     }
     recordPlacement(state, placement);
     if (placement.type === 'direct') return yield* runOnEngine(state, placement);
     const isExtra = state.hasPrefilled;
-    if (isExtra && !takeFromAttemptBudget(deps, service)) return fail('overloaded');
-    const source = yield* prefillPrompt(state, placement.prefill as PooledTarget, placement);
+    if (isExtra && !(yield* awaitAttempt(deps, request, () => takePrefillAttempt(state)))) {
+      return fail('overloaded');
+    }
     // The cache could not be fetched from this engine if it isn't used, so that another one has to
     // prefill.
     tried.add(placement.prefill.entry.id);
+    const source = yield* prefillPrompt(state, placement.prefill as PooledTarget, placement, () =>
+      mayLeavePrefill(state),
+    );
     if (source) return yield* runPrefilled(state, placement, source);
     if (state.standby && hasGoneOn(state, state.standby)) return {type: 'overtaken'};
     // Another prefill is an extra attempt; prefilling a long prompt at a decode engine instead
     // would stall its streams.
-    if (!mayRetry(deps, request, {mayRepeat: true})) return fail('overloaded');
+    const conditions = {mayRepeat: true, isUnsent: state.hasPrefillAttempt};
+    state.hasPrefillAttempt = false;
+    const mayPrefill = () => mayRetry(deps, request, conditions);
+    if (!(yield* awaitAttempt(deps, request, mayPrefill))) return fail('overloaded');
   }
 }
 
+/** Refuses a prompt that would queue for most of its objective. */
+function decideByObjective(
+  {deps, request}: StreamState,
+  {queueMs}: PlacementTimes,
+): PromptAdmission {
+  const leftMs = request.deadlineAtMs - deps.clock.nowMs();
+  const maxQueueMs = Math.min(leftMs, request.route.objectiveMs * MAX_QUEUE_OBJECTIVE_SHARE);
+  if (queueMs <= maxQueueMs) return {type: 'admitted'};
+  return {type: 'refused', retryAfterMs: queueMs - maxQueueMs};
+}
+
+/** Takes the extra attempt for another prefill. */
+function takePrefillAttempt({deps, request}: StreamState): boolean {
+  const {progress, service} = request;
+  const isTaken = takeFromAttemptBudget(deps, service);
+  progress.retryRefusal = isTaken ? undefined : 'attemptBudget';
+  return isTaken;
+}
+
+/**
+ * Whether a prefill engine that takes long is left for another one, although it may be sound; takes
+ * the extra attempt.
+ */
+function mayLeavePrefill(state: StreamState): boolean {
+  const {deps, request} = state;
+  const {progress, service} = request;
+  if (progress.attemptCount > 0 || state.standby || !hasPlacement(state)) return false;
+  state.hasPrefillAttempt = takeOptionalFromBudget(deps, service);
+  return state.hasPrefillAttempt;
+}
+
 /**
  * Engines that may be asked again when no other one is left. One that was left when it was silent
  * may be sound, and one that has refused may have room again.
@@ -173,15 +256,16 @@
   return listEngines(state).filter(engine => engine !== standby?.target && isReturn(state, engine));
 }
 
-function isReturn({failed}: StreamState, engine: PooledTarget): boolean {
+function isReturn({deps, failed}: StreamState, engine: PooledTarget): boolean {
   const {id, isDraining} = engine.entry;
+  if (isClosed(engine, deps.clock.nowMs())) return false;
   return stageOf(engine) === 'decode' && !isDraining && !failed.has(id);
 }
 
 /** Engines at which the request may run without exceeding the number of targets of its route. */
 function listEngines({deps, request}: StreamState): readonly PooledTarget[] {
-  const {progress, route, service} = request;
-  const engines = deps.targets.forService(service);
+  const {progress, route, service, homeRegions} = request;
+  const engines = deps.targets.forService(service, homeRegions);
   if (progress.targetCount < route.maxAttempts) return engines;
   return engines.filter(
     engine => stageOf(engine) === 'prefill' || progress.mayHaveRunAt(engine.entry.id),
@@ -227,7 +311,8 @@
   const {deps, request, tried} = state;
   const {meta, service, urgency} = request;
   const work = {parts: meta.promptParts, promptTokens: meta.promptTokens ?? 0, urgency};
-  return placePrompt(listEngines(state), work, tried, {
+  const engines = listEngines(state);
+  const context = {
     hostCount: deps.countHosts(),
     nowMs: deps.clock.nowMs(),
     allowsStaging,
@@ -235,7 +320,24 @@
     pending: getPendingAverage(deps, service),
     estimates: DEFAULT_ENGINE_ESTIMATES,
     random: deps.random,
-  });
+  };
+  const place = (candidates: readonly PooledTarget[]) => {
+    if (!deps.work.isPlacedByWork(service)) return placePrompt(candidates, work, tried, context);
+    const workContext = {...context, work: deps.work, service: deps.work.ofService(service)};
+    return placePromptByWork(candidates, work, tried, workContext);
+  };
+  const preferred = preferWarm(engines, tried, context.nowMs, stageOf);
+  const placement = place(preferred);
+  if (preferred === engines || !isQueueTooLong(request, placement)) return placement;
+  // A cold engine is slow, but may still be faster than the queue at the warm ones.
+  const withCold = place(engines);
+  return isQueueTooLong(request, withCold) ? placement : withCold;
+}
+
+function isQueueTooLong({route}: AdmittedRequest, placement: EnginePlacement): boolean {
+  return (
+    placement.type === 'none' || placement.queueMs > route.objectiveMs * MAX_QUEUE_OBJECTIVE_SHARE
+  );
 }
 
 function getPendingAverage(deps: RelayDependencies, service: ServiceName): PendingAverage {
@@ -247,6 +349,14 @@
   return pending;
 }
 
+/** Records the work that a placement takes, also one that is refused because of the queue there. */
+function recordDemand(state: StreamState, newTokens: number): void {
+  const {deps, request} = state;
+  const promptTokens = state.wasPlaced ? 0 : (request.meta.promptTokens ?? 0);
+  state.wasPlaced = true;
+  deps.demand.recordPlaced(request.service, promptTokens, newTokens, deps.clock.nowMs());
+}
+
 /** Records the placement of a prompt and its inputs for the log. */
 function recordPlacement(
   {deps, request}: StreamState,
@@ -269,6 +379,7 @@
     knownTokens: cachedTokens,
     readerOwnTokens: prefillEngine.ownPromptTokens,
     readerOthers: prefillEngine.othersRequests,
+    timeFactor: placement.expectation && Number(placement.expectation.timeFactor.toFixed(2)),
   });
 }
 
@@ -303,18 +414,15 @@
   placement: StagedPlacement,
   source: CacheSource,
 ): Procedure<RunResult> {
-  const {deps, request, tried} = state;
+  const {deps, request} = state;
   const release = () => releaseHandle(state, placement.prefill as PooledTarget, source);
   let isSourceUsed = false;
   try {
     for (;;) {
       if (!mayRun(deps, request)) return {type: 'notRun', isUnsent: true};
-      const nowMs = deps.clock.nowMs();
-      const decode = confirmDecode(listEngines(state), placement, tried, {
-        nowMs,
-        random: deps.random,
-        estimates: DEFAULT_ENGINE_ESTIMATES,
-      });
+      // The cache can't be fetched from there; the prompt is prefilled elsewhere.
+      if (isClosed(placement.prefill, deps.clock.nowMs())) return {type: 'notRun', isUnsent: true};
+      const decode = chooseConfirmed(state, placement);
       if (!decode) return {type: 'notRun', isUnsent: true};
       if (decode !== placement.decode) recordReplacement(state, placement, decode);
       const result = yield* runOnEngine(state, {...placement, decode}, source);
@@ -324,14 +432,44 @@
         state.standby!.releaseSource = release;
         isSourceUsed = true;
       }
-      if (result.type !== 'notRun' || !result.isUnsent) return result;
-      if (!mayRetry(deps, request, {mayRepeat: state.mayRepeat, isUnsent: true})) return result;
+      if (result.type !== 'notRun' || !(yield* mayReplace(state, result.isUnsent))) return result;
     }
   } finally {
     if (!isSourceUsed) release();
   }
 }
 
+/** The decode engine for a prefilled prompt. */
+function chooseConfirmed(state: StreamState, placement: StagedPlacement): TargetState | undefined {
+  const {deps, request, tried} = state;
+  const {work, random} = deps;
+  const nowMs = deps.clock.nowMs();
+  const engines = preferWarm(listEngines(state), tried, nowMs, stageOf);
+  if (work.isPlacedByWork(request.service)) {
+    return confirmDecodeByWork(engines, placement, tried, {nowMs, random, work});
+  }
+  return confirmDecode(engines, placement, tried, {
+    nowMs,
+    random,
+    estimates: DEFAULT_ENGINE_ESTIMATES,
+  });
+}
+
+/** Whether another decode engine may fetch the cache; takes the attempt if the last one refused. */
+function* mayReplace(state: StreamState, isUnsent: boolean): Procedure<boolean> {
+  const {deps, request, tried, mayRepeat} = state;
+  const isFree = (engine: TargetState) =>
+    stageOf(engine) === 'decode' && !tried.has(engine.entry.id);
+  // A run on standby may have gone on, and the attempt for its return is another one.
+  if (!isUnsent && (state.standby || state.returnAttempt || state.leftEngine)) return false;
+  const hasEngine = listEngines(state).some(
+    engine => isFree(engine) && isAvailable(engine, deps.clock.nowMs()),
+  );
+  if (!hasEngine) return false;
+  const take = () => mayRetry(deps, request, {mayRepeat, isUnsent});
+  return yield* awaitAttempt(deps, request, take);
+}
+
 /** Runs the request at an engine and forwards its events. */
 function* runOnEngine(
   state: StreamState,
@@ -344,6 +482,7 @@
   state.tried.add(target.entry.id);
   const outgoing = writeTargetRequest(deps, request, target, {
     cacheSource: source,
+    cacheTarget: source && placement.type === 'staged' ? placement.prefill : undefined,
     lastEventId: state.lastEventId,
   });
   progress.addRun(target.entry.id);
@@ -352,6 +491,10 @@
   const sentMs = deps.clock.nowMs();
   target.runs.set(meta.requestId, {identity, sentMs});
   const sent = sendToTarget(deps, request, target, outgoing, state.mayRepeat);
+  const {expectation} = placement;
+  if (!source && expectation) recordPrefillSent(deps.work, expectation, sentMs);
+  const eventsBefore = state.eventCount;
+  let firstEventMs: number | undefined;
   const run: EngineRun = {
     target,
     sent,
@@ -366,14 +509,24 @@
     releaseSource: undefined,
     onFirstEvent: () => {
       removePending();
+      const nowMs = deps.clock.nowMs();
+      firstEventMs = nowMs;
       if (source || run.wasSilent) return;
-      const actualMs = deps.clock.nowMs() - sentMs;
+      const actualMs = nowMs - sentMs;
+      if (expectation) recordPrefilled(deps.work, expectation, actualMs, nowMs);
       recordWait(deps.calibration, 'decode', request.urgency, placement.uncalibratedMs, actualMs);
     },
+    onWhole: () => {
+      if (firstEventMs === undefined || !deps.work.isPlacedByWork(request.service)) return;
+      const nowMs = deps.clock.nowMs();
+      const gaps = state.eventCount - eventsBefore - 1;
+      recordStream(deps.work, target, nowMs - firstEventMs, gaps, nowMs);
+    },
     close: () => {
-      target.runs.delete(meta.requestId);
+      const nowMs = deps.clock.nowMs();
+      if (expectation) recordStreamWork(deps.work, target, nowMs - sentMs, nowMs);
+      cancelRun(deps, request, sent);
       removePending();
-      sent.finish('cancelled');
       if (!run.hasEvents) run.releaseSource?.();
     },
   };
@@ -392,6 +545,7 @@
   try {
     const result = yield* relayStream(state, run);
     if (result.type === 'notRun') progress.withdrawRun(run.target.entry.id);
+    if (result.type === 'done' && result.outcome.type === 'streamed') run.onWhole();
     if (result.type === 'broken') state.failed.add(run.target.entry.id);
     if (result.type === 'silent') {
       endStandby(state);
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -1,7 +1,9 @@
-import {FailureDomain, HostId} from '@radishgw/core';
+import {ClientSettings, FailureDomain, HostId} from '@radishgw/core';
+import {RegionTable} from './home-regions.js';
 import {AttemptBudgetSettings} from './request/attempt-budget.js';
 import {LeaseTimes} from './store/lease.js';
 import {QuotaBounds} from './quota/team-quota.js';
+import {ColdBounds} from './targets/cold-shares.js';
 
 /** An address to listen on. */
 export interface ListenAddress {
@@ -21,6 +23,8 @@
   readonly peerAddress: ListenAddress;
   /** Share of a processor that the host may use, above 1 with several; undefined if unknown. */
   readonly processorCapacity?: number;
+  /** Memory and descriptors, from which the bounds of what is held for clients follow. */
+  readonly client?: ClientSettings;
   /** Maximum time between the revocation of an API key and its last use. */
   readonly revokeMs: number;
   /**
@@ -34,6 +38,20 @@
   readonly attemptBudget: AttemptBudgetSettings;
   /** What may be granted beyond the rate and burst of a team, over all hosts. */
   readonly quotaBounds: QuotaBounds;
+  /**
+   * Time within which the evacuation of a failure domain must be obeyed; undefined where there are
+   * no evacuations, which aren't read then.
+   */
+  readonly evacuationMs?: number;
+  /** Region of each failure domain; undefined if there is one for all. */
+  readonly regions?: RegionTable;
+  /** What cold targets may be sent beyond their rate; nothing if undefined. */
+  readonly coldBounds?: ColdBounds;
+  /**
+   * Whether targets are chosen by the expected work or by used slots; undefined to decide it for each
+   * service, by whether its targets report slowdowns.
+   */
+  readonly placement?: 'work' | 'slots';
   readonly usageWindowMs: number;
   /** Maximum time for which clients may cache a directory answer. */
   readonly directoryTtlMs: number;
--- a/packages/relay/src/store/host-registry.ts
+++ b/packages/relay/src/store/host-registry.ts
@@ -1,6 +1,6 @@
 import {FailureDomain, HostId} from '@radishgw/core';
 import {Instant} from '../instant.js';
-import {WindowCounts} from '../model.js';
+import {WindowCounts, WorkReport} from '../model.js';
 import {rankByKey} from '../rendezvous.js';
 
 /** Record in which a host describes itself in the store. */
@@ -32,8 +32,18 @@
   readonly usage: Readonly<Record<string, WindowCounts>>;
   /** Prompt tokens per second that clients request from each service through this host. */
   readonly demand?: Readonly<Record<string, number>>;
+  /**
+   * Part of `demand` that isn't cached where the host places it, for the services whose targets
+   * have reported a slowdown.
+   */
+  readonly uncachedDemand?: Readonly<Record<string, number>>;
   /** Incarnations of targets that have said that they leave; see `incarnationKey`. */
   readonly leaving?: readonly string[];
+  /**
+   * What the host has observed of targets in the last seconds. In the records that a reader shares,
+   * its own has the sum over all hosts, and the others have none.
+   */
+  readonly work?: WorkReport;
 }
 
 /** Interval at which a host writes its record. */
@@ -140,7 +150,16 @@
 
 /** Returns a record without the fields that change often or that only the lease holder needs. */
 export function omitVolatileFields(record: HostRecord): HostRecord {
-  return {...record, beat: 0, madeMs: 0, madeWallMs: 0, usage: {}, demand: undefined};
+  return {
+    ...record,
+    beat: 0,
+    madeMs: 0,
+    madeWallMs: 0,
+    usage: {},
+    demand: undefined,
+    uncachedDemand: undefined,
+    work: undefined,
+  };
 }
 
 /**
@@ -302,6 +321,13 @@
   return hosts;
 }
 
+/** All hosts with a live record, also those that aren't ready yet or any more. */
+export function listedHosts(registry: HostRegistry, lastReadMs: number): readonly HostRecord[] {
+  return [...registry.hosts.values()]
+    .filter(({lastChangeMs}) => lastReadMs - lastChangeMs < HOST_TIMEOUT_MS)
+    .map(({record}) => record);
+}
+
 /**
  * Hosts that take requests. Ages are relative to the latest read: while the store is unavailable no
  * record changes, and the previously known hosts remain the best answer.
--- a/packages/relay/src/targets/target-connections.ts
+++ b/packages/relay/src/targets/target-connections.ts
@@ -10,7 +10,8 @@
   verifyEnds,
 } from '@radishgw/core';
 import {Client, Dispatcher} from 'undici';
-import {AnswerMeta, RawHeaders} from '../model.js';
+import {AnswerMeta, RawHeaders, Region} from '../model.js';
+import {TargetState} from './target-state.js';
 
 /** Timeouts of connections to targets, in milliseconds. */
 export interface ConnectionTimeouts {
@@ -35,6 +36,12 @@
 /** Undici closes an idle connection this long before the timeout announced by the target. */
 const KEEP_ALIVE_MARGIN_MS = 300;
 
+/**
+ * Share of the idle timeout announced by a target up to which a connection is reused for a request
+ * that must not be repeated; the rest covers the clocks and the transit of both ends.
+ */
+const NON_REPEATABLE_IDLE_SHARE = 0.5;
+
 /**
  * A client's request. All of its attempts have the same id, so that the connection tells to which of
  * them an answer belongs: no connection carries a request twice.
@@ -53,6 +60,10 @@
   readonly path: string;
   readonly headers: string[];
   readonly body: Buffer | undefined;
+  /** Target from which the receiver fetches the cache of a prompt. */
+  readonly cacheTarget?: TargetState;
+  /** Regions that the request may not leave; undefined if it may go anywhere. */
+  readonly homeRegions?: ReadonlySet<Region>;
 }
 
 /** The head of a target's answer. */
@@ -85,6 +96,8 @@
   onAnswer(status: number, meta: AnswerMeta): void;
 }
 
+const MS_PER_SECOND = 1000;
+
 /** Bytes of an answer that are buffered for a slow client before reading is paused. */
 const MAX_BUFFERED_BYTES = 64 * 1024;
 
@@ -112,6 +125,11 @@
     private readonly onFinished: () => void,
   ) {}
 
+  /** Whether the request may be running at the target, as it was sent and hasn't been answered. */
+  get mayBeRunning(): boolean {
+    return this.sentAtMs !== undefined && !this.isFinished;
+  }
+
   /** The next event, which stays where it is; undefined if there is none. */
   peek(): AttemptEvent | undefined {
     return this.events[0];
@@ -184,6 +202,12 @@
     };
   }
 
+  /** Ends an attempt that was never given to a connection. */
+  failUnsent(detail: string): void {
+    this.push({type: 'failed', wasSent: false, detail});
+    this.finish();
+  }
+
   /** Ends the attempt with a failure. */
   fail(connection: TargetConnection, detail: string): void {
     if (this.isFinished) return;
@@ -242,7 +266,7 @@
   return code ? `${code}: ${error.message}` : error.message;
 }
 
-const LEFT_DETAIL = 'target left before the connection was established';
+const LEFT_DETAIL = 'target was withdrawn before the connection was established';
 
 /** One connection to a target; carries one request at a time and is never reopened. */
 export class TargetConnection {
@@ -259,6 +283,8 @@
   /** Whether the connection was established, after which a request may have reached the target. */
   isConnected = false;
   lastUsedMs: number;
+  /** Idle time after which the target closes the connection, as its latest answer says. */
+  announcedIdleMs: number | undefined;
   private cancelConnect: ((error: Error) => void) | undefined;
   private isCancelled = false;
 
@@ -330,10 +356,12 @@
   ): void {
     const {requestId} = meta;
     if (requestId === undefined || requestId !== expectedId) this.isInStep = false;
-    this.framing = findFraming(method, status, name => {
+    const findHeader = (name: string) => {
       const values = headers.filter((_, i) => i % 2 === 1 && headers[i - 1].toLowerCase() === name);
       return values.length === 0 ? undefined : values.join(', ');
-    });
+    };
+    this.framing = findFraming(method, status, findHeader);
+    this.announcedIdleMs = readIdleTimeoutMs(findHeader('keep-alive'));
   }
 
   /** Fails the request of this connection unless the connection is established. */
@@ -355,11 +383,22 @@
   }
 }
 
+/** Idle timeout in a `Keep-Alive` header (RFC 2068, in seconds); undefined if it has none. */
+function readIdleTimeoutMs(header: string | undefined): number | undefined {
+  const seconds = /(?:^|,)\s*timeout=(\d{1,6})(?![\d.])/i.exec(header ?? '')?.[1];
+  return seconds === undefined ? undefined : Number(seconds) * MS_PER_SECOND;
+}
+
 /** Connections of this host to one incarnation of a target. */
 export class TargetConnections {
   private readonly idle: TargetConnection[] = [];
   private readonly busy = new Set<TargetConnection>();
   private isRetired = false;
+  /**
+   * Whether connections are reused for requests that must not be repeated by the idle timeout that
+   * the target announces, instead of only within `nonRepeatableIdleMs`.
+   */
+  usesAnnouncedTimeout = false;
   /** Number of connections opened since the start. */
   openedCount = 0;
 
@@ -396,6 +435,13 @@
     return attempt;
   }
 
+  /** Returns an attempt that fails as unsent, for a request that may not be sent. */
+  refuse({identity}: OutgoingRequest, detail: string): Attempt {
+    const attempt = new Attempt(this.clock, this.observer, identity?.id, () => undefined);
+    attempt.failUnsent(detail);
+    return attempt;
+  }
+
   /**
    * Called when the target leaves. Requests whose connection isn't established yet fail as unsent;
    * each connection is closed as soon as it is idle. Later requests use connections of their own.
@@ -403,6 +449,11 @@
   retire(): void {
     this.isRetired = true;
     for (const connection of this.idle.splice(0)) connection.destroy();
+    this.cancelOpening();
+  }
+
+  /** Fails the requests whose connection isn't established yet as unsent. */
+  cancelOpening(): void {
     for (const connection of this.busy) connection.cancelOpening();
   }
 
@@ -412,7 +463,7 @@
     excluded?: ReadonlySet<TargetConnection>,
   ): TargetConnection | undefined {
     const nowMs = this.clock.nowMs();
-    const {idleTimeoutMs, nonRepeatableIdleMs} = this.timeouts;
+    const {idleTimeoutMs} = this.timeouts;
     for (let i = this.idle.length - 1; i >= 0; i--) {
       const connection = this.idle[i];
       const idleMs = nowMs - connection.lastUsedMs;
@@ -422,13 +473,19 @@
         continue;
       }
       if (excluded?.has(connection)) continue;
-      if (!mayRepeat && idleMs >= nonRepeatableIdleMs) return undefined;
+      if (!mayRepeat && idleMs >= this.nonRepeatableIdleMs(connection)) return undefined;
       this.idle.splice(i, 1);
       return connection;
     }
     return undefined;
   }
 
+  private nonRepeatableIdleMs({announcedIdleMs = 0}: TargetConnection): number {
+    const {nonRepeatableIdleMs} = this.timeouts;
+    if (!this.usesAnnouncedTimeout) return nonRepeatableIdleMs;
+    return Math.max(nonRepeatableIdleMs, announcedIdleMs * NON_REPEATABLE_IDLE_SHARE);
+  }
+
   private open(): TargetConnection {
     const connection: TargetConnection = new TargetConnection(
       this.address,
--- a/packages/relay/src/targets/target-pool.ts
+++ b/packages/relay/src/targets/target-pool.ts
@@ -3,6 +3,7 @@
   AnswerMemory,
   Clock,
   EventLog,
+  FailureDomain,
   RandomSource,
   ReadGate,
   RequestId,
@@ -24,11 +25,21 @@
   listShared,
   recordLeaving,
 } from './leaving-targets.js';
-import {AnswerMeta, RelayCodec, ServiceName, TargetEntry, TargetList} from '../model.js';
+import {RelayMetrics} from '../metrics.js';
+import {
+  AnswerMeta,
+  EvacuationList,
+  Region,
+  RelayCodec,
+  ServiceName,
+  TargetEntry,
+  TargetList,
+} from '../model.js';
 import {RunInProgress} from './run-identity.js';
+import {TargetAccess} from './target-access.js';
 import {backoffUntil} from './target-backoff.js';
 import {Attempt, OutgoingRequest, TargetConnections} from './target-connections.js';
-import {createTargetState, TargetState} from './target-state.js';
+import {AccessRefusal, createTargetState, isClosed, TargetState} from './target-state.js';
 import {createTargetView, isSameIncarnation, updateTargets} from './target-view.js';
 
 /** Failed targets are excluded only briefly because most failures last only seconds. */
@@ -54,6 +65,9 @@
   readonly log: EventLog;
   readonly random: RandomSource;
   readonly codec: Pick<RelayCodec, 'readAnswer'>;
+  /** Undefined where requests may be sent to all targets. */
+  readonly access?: TargetAccess;
+  readonly metrics?: Pick<RelayMetrics, 'count'>;
   /** Called when a target has told this host that it leaves. */
   onLeaving?(): void;
 }
@@ -101,8 +115,10 @@
     for (const listed of this.view.targets.values()) {
       const entry = isLeaving(this.leaving, listed) ? {...listed, isDraining: true} : listed;
       let target = this.targets.get(entry.id);
+      const previous = target?.entry;
       if (target) target.entry = entry;
       else target = this.add(entry);
+      this.updateCold(target, previous, Number.isFinite(previousAgeMs));
       const sameService = this.byService.get(entry.service);
       if (sameService) sameService.push(target);
       else this.byService.set(entry.service, [target]);
@@ -146,8 +162,12 @@
     this.view.hasFailedRead = true;
   }
 
-  forService(service: ServiceName): readonly PooledTarget[] {
-    return this.byService.get(service) ?? [];
+  /** The targets of a service that may serve requests with these home regions. */
+  forService(service: ServiceName, homeRegions?: ReadonlySet<Region>): readonly PooledTarget[] {
+    const targets = this.byService.get(service) ?? [];
+    const {access} = this.deps;
+    if (!access || !homeRegions) return targets;
+    return targets.filter(({entry}) => access.isAtHome(entry, homeRegions));
   }
 
   all(): Iterable<PooledTarget> {
@@ -159,8 +179,84 @@
     const id = `a${this.attemptCount++}`;
     target.ownRequests++;
     recordHealthDispatch(target.health, id);
-    const attempt = target.connections.send(request, mayRepeat);
-    return new PooledAttempt(target, attempt, id, this.deps.clock);
+    const refusal = this.findRefusal(target, request);
+    if (refusal) this.deps.metrics?.count('access_refusals_total', `reason="${refusal}"`);
+    else target.gate?.recordSent(this.deps.clock.nowMs());
+    const attempt = refusal
+      ? target.connections.refuse(request, `target may not be sent to: ${refusal}`)
+      : target.connections.send(request, mayRepeat);
+    return new PooledAttempt(target, attempt, id, this.deps.clock, refusal !== undefined);
+  }
+
+  /** Number of targets whose requests are limited because they are cold. */
+  countCold(): number {
+    const nowMs = this.deps.clock.nowMs();
+    let count = 0;
+    for (const target of this.targets.values()) if (target.gate?.isCold(nowMs)) count++;
+    return count;
+  }
+
+  /** Failure domains whose targets get no requests. */
+  get evacuatedDomains(): ReadonlySet<FailureDomain> {
+    return this.deps.access?.evacuatedDomains ?? new Set();
+  }
+
+  /** Applies a complete list of the evacuations. */
+  applyEvacuations(list: EvacuationList): void {
+    const {access, log} = this.deps;
+    if (!access) return;
+    const {started, ended} = access.applyEvacuations(list);
+    for (const {failureDomain, acknowledgedMs} of started) {
+      const targets = [...this.targets.values()].filter(
+        ({entry}) => entry.failureDomain === failureDomain,
+      );
+      for (const {connections} of targets) connections.cancelOpening();
+      const {era, revision} = list;
+      const acknowledged = toIsoTime(acknowledgedMs);
+      const fields = {domain: failureDomain, acknowledged, targets: targets.length, era, revision};
+      log.write('evacuationStarted', fields);
+    }
+    for (const {failureDomain, acknowledgedMs, forMs} of ended) {
+      const acknowledged = toIsoTime(acknowledgedMs);
+      log.write('evacuationEnded', {domain: failureDomain, acknowledged, forMs: Math.round(forMs)});
+    }
+  }
+
+  /** The last decision on a request: placements are older than the moment of sending. */
+  private findRefusal(
+    target: PooledTarget,
+    {identity, cacheTarget, homeRegions}: OutgoingRequest,
+  ): AccessRefusal | undefined {
+    const {access, clock} = this.deps;
+    const nowMs = clock.nowMs();
+    for (const reached of [target, cacheTarget]) {
+      if (reached && access?.isAtHome(reached.entry, homeRegions) === false) return 'outsideHome';
+    }
+    if (cacheTarget && isClosed(cacheTarget, nowMs)) return cacheTarget.gate?.findRefusal(nowMs);
+    const refusal = target.gate?.findRefusal(nowMs);
+    // Orders and releases are few and come from one host; only the rate of requests is limited.
+    return refusal === 'cold' && !identity ? undefined : refusal;
+  }
+
+  /** Dates the time for which a target is cold by the moment at which this host read it. */
+  private updateCold(
+    target: PooledTarget,
+    previous: TargetEntry | undefined,
+    hasSynced: boolean,
+  ): void {
+    const {access, clock, log} = this.deps;
+    const {entry} = target;
+    const isSame =
+      previous?.coldForMs === entry.coldForMs &&
+      previous?.hasInvalidColdTime === entry.hasInvalidColdTime;
+    if (!access || (previous && isSame)) return;
+    const nowMs = clock.nowMs();
+    const wasCold = nowMs < target.coldUntilMs;
+    if (entry.hasInvalidColdTime && previous) return;
+    const coldMs = access.findColdMs(entry, hasSynced && !previous);
+    target.coldUntilMs = coldMs > 0 ? nowMs + coldMs : -Infinity;
+    if (wasCold || !target.gate?.isCold(nowMs)) return;
+    log.write('targetCold', {target: entry.id, forMs: Math.round(coldMs)});
   }
 
   /** Incarnations that leave, for the record of this host; those of others too if `sharesAll`. */
@@ -190,12 +286,15 @@
       connections: new TargetConnections(entry.address, clock, observer, this.readGate),
       runs: new Map(),
     };
+    target.gate = this.deps.access?.createGate(target);
     this.targets.set(entry.id, target);
     return target;
   }
 
   /** Records what an answer says about its target. */
   private recordAnswer(target: PooledTarget, status: number, meta: AnswerMeta): void {
+    // Targets that share their machines have the least room for new connections.
+    if (meta.load?.slowdown !== undefined) target.connections.usesAnnouncedTimeout = true;
     if (meta.isLeaving) {
       const key = incarnationKey(target.entry);
       const isNew = recordLeaving(this.leaving, key, true, this.deps.clock.nowMs());
@@ -233,6 +332,12 @@
   }
 }
 
+/** Formats a time of day in Unix milliseconds; undefined if it is unknown or out of range. */
+function toIsoTime(unixMs: number | undefined): string | undefined {
+  const date = new Date(unixMs ?? NaN);
+  return Number.isNaN(date.getTime()) ? undefined : date.toISOString();
+}
+
 /** An attempt that counts towards the load of its target until it is finished. */
 export class PooledAttempt {
   private isFinished = false;
@@ -242,6 +347,8 @@
     readonly attempt: Attempt,
     private readonly id: string,
     private readonly clock: Clock,
+    /** Whether the request was refused by this host, which says nothing about the target. */
+    private readonly isRefused: boolean,
   ) {}
 
   /** Records that the target has made progress with the request. */
@@ -265,6 +372,7 @@
 
   private recordOutcome(outcome: AttemptOutcome): void {
     const nowMs = this.clock.nowMs();
-    recordHealthOutcome(this.target.health, this.id, outcome, nowMs, HEALTH_SETTINGS);
+    const recorded = this.isRefused ? 'cancelled' : outcome;
+    recordHealthOutcome(this.target.health, this.id, recorded, nowMs, HEALTH_SETTINGS);
   }
 }
--- a/packages/relay/src/targets/target-state.ts
+++ b/packages/relay/src/targets/target-state.ts
@@ -15,6 +15,20 @@
 /** Maximum number of prompt parts tracked per target. */
 const MAX_CACHED_PARTS = 2000;
 
+/** Why a request may not be sent to a target now. */
+export type AccessRefusal = 'cold' | 'evacuated' | 'outsideHome';
+
+/** Decides whether requests may be sent to a target; see `TargetAccess`. */
+export interface TargetGate {
+  /** Why no request may be sent now; undefined if one may. */
+  findRefusal(nowMs: number): AccessRefusal | undefined;
+  /** Whether the target is cold and its requests are limited. */
+  isCold(nowMs: number): boolean;
+  recordSent(nowMs: number): void;
+  /** Time at which a cold target may take a request again; undefined if it isn't refused as cold. */
+  returnMs(nowMs: number): number | undefined;
+}
+
 /** State that this host keeps for one incarnation of a target. */
 export interface TargetState {
   entry: TargetEntry;
@@ -27,12 +41,22 @@
   othersRequests: number;
   othersWaiting: number;
   loadAtMs: number;
+  /** Latest reported slowdown; 1 is as usual. */
+  slowdown: number;
+  /** Time of that report; -Infinity if the target has reported none. */
+  slowdownAtMs: number;
+  /** Number of reported slowdowns that could not be used. */
+  invalidSlowdownCount: number;
   /** Time at which this host last sent each prompt part to the target, oldest first. */
   readonly partsMs: Map<PromptPartId, number>;
   /** Time at which this host first saw this incarnation. */
   readonly knownSinceMs: number;
   /** Time until which the target has asked for no calls of this host; -Infinity if it hasn't. */
   backoffUntilMs: number;
+  /** Time until which the target is cold, that is slow after its start; -Infinity if it is warm. */
+  coldUntilMs: number;
+  /** Set by the pool; without it all requests may be sent. */
+  gate?: TargetGate;
 }
 
 export function createTargetState(entry: TargetEntry, nowMs: number): TargetState {
@@ -44,9 +68,13 @@
     othersRequests: 0,
     othersWaiting: 0,
     loadAtMs: -Infinity,
+    slowdown: 1,
+    slowdownAtMs: -Infinity,
+    invalidSlowdownCount: 0,
     partsMs: new Map(),
     knownSinceMs: nowMs,
     backoffUntilMs: -Infinity,
+    coldUntilMs: -Infinity,
   };
 }
 
@@ -56,6 +84,24 @@
   state.othersRequests = Math.max(0, others);
   state.othersWaiting = Math.max(0, load.waiting - state.ownRequests);
   state.loadAtMs = nowMs;
+  recordSlowdown(state, load, nowMs);
+}
+
+/** Records how long work takes, if the target reports it. */
+export function recordSlowdown(
+  state: TargetState,
+  {slowdown, hasInvalidSlowdown}: TargetLoad,
+  nowMs: number,
+): void {
+  if (hasInvalidSlowdown) state.invalidSlowdownCount++;
+  if (slowdown === undefined) return;
+  state.slowdown = slowdown;
+  state.slowdownAtMs = nowMs;
+}
+
+/** Whether the target has reported how long work takes there. */
+export function reportsSlowdown(target: TargetState): boolean {
+  return target.slowdownAtMs > -Infinity;
 }
 
 /** Weight of the latest reported load; decays linearly from 1 to 0 with its age. */
@@ -63,6 +109,19 @@
   return Math.max(0, 1 - (nowMs - state.loadAtMs) / (2 * LOAD_HALF_WEIGHT_MS));
 }
 
+/** Time for which a reported slowdown applies in full; it changes many times a second. */
+const SLOWDOWN_FRESH_MS = 300;
+
+/** Time in which the effect of a slowdown fades after that. */
+const SLOWDOWN_FADE_MS = 600;
+
+/** Factor by which work at the target takes longer than usual, according to its latest report. */
+export function currentSlowdown(state: TargetState, nowMs: number): number {
+  const excessMs = nowMs - state.slowdownAtMs - SLOWDOWN_FRESH_MS;
+  const weight = Math.min(1, Math.max(0, 1 - excessMs / SLOWDOWN_FADE_MS));
+  return 1 + weight * (state.slowdown - 1);
+}
+
 /** Estimated number of requests in progress at the target, over all hosts. */
 export function estimateRequests(state: TargetState, nowMs: number): number {
   return state.ownRequests + state.othersRequests * loadWeight(state, nowMs);
@@ -95,9 +154,19 @@
   return tokens;
 }
 
+/**
+ * Whether no request may reach the target for a reason other than its own state, also to fetch the
+ * cache of a prompt.
+ */
+export function isClosed(state: TargetState, nowMs: number): boolean {
+  const refusal = state.gate?.findRefusal(nowMs);
+  return refusal !== undefined && refusal !== 'cold';
+}
+
 /** Whether the target accepts new requests, as far as this host knows. */
 export function isAvailable(state: TargetState, nowMs: number): boolean {
   if (state.entry.isDraining || nowMs < state.backoffUntilMs) return false;
+  if (state.gate?.findRefusal(nowMs)) return false;
   const health = getHealthState(state.health, nowMs);
   return health === 'healthy' || health === 'probeDue';
 }
