--- a/packages/relay/src/request/admit-prompt.ts
+++ b/packages/relay/src/request/admit-prompt.ts
@@ -10,14 +10,13 @@
 import {PlacementTimes} from '../placing/engine-placement.js';
 import {AdmittedRequest, recordStep, RelayDependencies} from './request-context.js';
 import {ServiceName} from '../model.js';
-import {reportsSlowdown} from '../targets/target-state.js';
 
 /** Interval at which a request that waits on the host looks whether it is its turn. */
 const HOLD_CHECK_MS = 20;
 
 /** Whether the prompts of a service are admitted by their urgency. */
 export function isAdmittedByUrgency(deps: RelayDependencies, service: ServiceName): boolean {
-  return deps.targets.forService(service).some(reportsSlowdown);
+  return deps.work.isPlacedByWork(service);
 }
 
 function getAdmission(deps: RelayDependencies, service: ServiceName): AdmissionState {
--- a/packages/relay/src/request/await-attempt.ts
+++ b/packages/relay/src/request/await-attempt.ts
@@ -1,6 +1,5 @@
 import {Procedure, sleep} from '@radishgw/core';
 import {AdmittedRequest, recordStep, RelayDependencies} from './request-context.js';
-import {reportsSlowdown} from '../targets/target-state.js';
 
 /** Interval at which a request looks whether there is an extra attempt. */
 const CHECK_MS = 50;
@@ -27,7 +26,7 @@
   if (take()) return true;
   const budget = deps.attemptBudgets.get(service)!;
   if (progress.hasAwaitedAttempt || budget.waiting >= MAX_WAITING) return false;
-  if (!deps.targets.forService(service).some(reportsSlowdown)) return false;
+  if (!deps.work.isPlacedByWork(service)) return false;
   const startMs = clock.nowMs();
   const untilMs = startMs + Math.min(MAX_WAIT_MS, (deadlineAtMs - startMs) * MAX_WAIT_SHARE);
   budget.waiting++;
--- a/packages/relay/src/request/prefill-prompt.ts
+++ b/packages/relay/src/request/prefill-prompt.ts
@@ -14,7 +14,7 @@
 import {PooledTarget} from '../targets/target-pool.js';
 import {Attempt, waitForEvent} from '../targets/target-connections.js';
 import {createAnswerReader, sendToTarget, writeTargetRequest} from './target-request.js';
-import {recordLoad, recordParts, reportsSlowdown} from '../targets/target-state.js';
+import {recordLoad, recordParts} from '../targets/target-state.js';
 import {recordWait} from '../placing/wait-calibration.js';
 
 /**
@@ -137,7 +137,7 @@
   mayLeave: () => boolean,
 ): Procedure<boolean> {
   const {deps, request, standby} = state;
-  if (standby || !reportsSlowdown(target)) return false;
+  if (standby || !deps.work.isPlacedByWork(request.service)) return false;
   const {route, exchange} = request;
   const objectiveMs = Math.max(0, route.objectiveMs - exchange.ageMs()) * LEAVE_OBJECTIVE_SHARE;
   const patienceMs = Math.max(MIN_LEAVE_MS, objectiveMs, PREFILL_TIMEOUT_FACTOR * waitMs);
