--- a/packages/relay/src/request/relay-stream.ts
+++ b/packages/relay/src/request/relay-stream.ts
@@ -319,7 +319,10 @@
     sent.finish('failed');
     return {type: 'broken'};
   }
-  if (meta.load) recordLoad(sent.target, meta.load, deps.clock.nowMs());
+  if (meta.load) {
+    recordLoad(sent.target, meta.load, deps.clock.nowMs());
+    deps.work.recordReport(sent.target);
+  }
   if (statesNotRun(status, meta)) {
     // The target is full, is changing its stage or isn't the expected one. It will accept no
     // requests for some time.
