--- a/packages/relay/src/placing/engine-placement.ts
+++ b/packages/relay/src/placing/engine-placement.ts
@@ -77,8 +77,6 @@
   readonly promptTokens: number;
   /** 0 is the most urgent. */
   readonly urgency: number;
-  /** Latency objective for the first token; undefined if it doesn't matter for the placement. */
-  readonly objectiveMs?: number;
 }
 
 /** Inputs of a placement other than the prompt and the engines. */
--- a/packages/relay/src/placing/engine-work-placement.ts
+++ b/packages/relay/src/placing/engine-work-placement.ts
@@ -12,7 +12,6 @@
   stageOf,
   stallPenaltyMs,
 } from './engine-placement.js';
-import {findLane, PromptLane, recordLaneWork, selectLane} from './prompt-lanes.js';
 import {TargetSpeed} from './speed-model.js';
 import {
   PrefillExpectation,
@@ -121,7 +120,9 @@
   }
   const direct = choosePrefill(byStage.decode, work, 'decode', context);
   if (!direct) return {type: 'none'};
-  const staged = context.allowsStaging ? chooseStaged(byStage.prefill, work, context) : undefined;
+  const staged = context.allowsStaging
+    ? choosePrefill(byStage.prefill, work, 'prefill', context)
+    : undefined;
   const decode = staged && chooseDecodeByWork(byStage.decode, staged.target, context);
   const transferMs = estimates.handoverMs + work.promptTokens / estimates.transferTokensPerMs;
   const stallMs = stallPenaltyMs(direct.newTokens, work.promptTokens, estimates);
@@ -132,30 +133,11 @@
   return {...direct, type: 'direct', decode: direct.target};
 }
 
-/** Chooses a prefill engine in the lane of the prompt, or any if that lane is too busy. */
-function chooseStaged(
-  targets: readonly TargetState[],
-  work: PromptWork,
-  context: WorkPlacementContext,
-): Candidate | undefined {
-  const {objectiveMs} = work;
-  if (objectiveMs === undefined) return choosePrefill(targets, work, 'prefill', context);
-  const {prefillTokensPerMs} = context.estimates;
-  const prefix = sharedPrefix(work.parts);
-  const lane = findLane(prefix, work.promptTokens, objectiveMs, prefillTokensPerMs);
-  const selected = selectLane(targets, lane, context.service.laneWork);
-  const candidate = choosePrefill(selected, work, 'prefill', context, lane);
-  if (candidate && candidate.queueMs <= objectiveMs) return candidate;
-  const other = choosePrefill(targets, work, 'prefill', context, lane);
-  return candidate && other && candidate.costMs <= other.costMs ? candidate : other;
-}
-
 function choosePrefill(
   targets: readonly TargetState[],
   work: PromptWork,
   stage: EngineStage,
   context: WorkPlacementContext,
-  lane?: PromptLane,
 ): Candidate | undefined {
   const {estimates, nowMs, random} = context;
   const prefix = sharedPrefix(work.parts);
@@ -191,7 +173,6 @@
       expectation: {
         target,
         stage,
-        lane,
         totalMs: waitMs,
         promptTokens: work.promptTokens,
         prefixTokens,
@@ -385,12 +366,10 @@
 /** Records that a prompt is sent to the engine that prefills it. */
 export function recordPrefillSent(
   work: WorkModel,
-  {target, lane, newTokens, tokensPerMs, timeFactor}: PrefillExpectation,
+  {target, newTokens, tokensPerMs, timeFactor}: PrefillExpectation,
   nowMs: number,
 ): void {
-  const service = work.ofService(target.entry.service);
-  recordWorkLength(service, newTokens);
-  if (lane) recordLaneWork(service.laneWork, lane, newTokens);
+  recordWorkLength(work.ofService(target.entry.service), newTokens);
   const workMs = (FIXED_MS + newTokens / tokensPerMs) * timeFactor;
   work.speeds.recordWork(work.keyOf(target), workMs, nowMs);
 }
--- a/packages/relay/src/placing/work-model.ts
+++ b/packages/relay/src/placing/work-model.ts
@@ -1,7 +1,6 @@
 import {EngineStage, ServiceName, WorkReport} from '../model.js';
 import {Backlog} from './backlog.js';
 import {CostModel} from './cost-model.js';
-import {createLaneWork, LaneWork, PromptLane} from './prompt-lanes.js';
 import {SpeedModel} from './speed-model.js';
 import {incarnationKey} from '../targets/leaving-targets.js';
 import {TargetState} from '../targets/target-state.js';
@@ -20,8 +19,6 @@
   /** Means of the work of a request and of its square, in uncached tokens or in ms. */
   meanWork: number;
   meanSquareWork: number;
-  /** Work by the lane of the prompts. */
-  readonly laneWork: LaneWork;
   /** Mean absolute difference between expected and actual time. */
   errorMs: number;
   /** Number of responses in that mean. */
@@ -32,8 +29,6 @@
 export interface PrefillExpectation {
   readonly target: TargetState;
   readonly stage: EngineStage;
-  /** Lane of a prompt that is prefilled at a prefill engine. */
-  readonly lane?: PromptLane;
   /** Time until the prompt is prefilled. */
   readonly totalMs: number;
   readonly promptTokens: number;
@@ -74,13 +69,7 @@
   ofService(service: ServiceName): ServiceWork {
     let work = this.services.get(service);
     if (!work) {
-      work = {
-        laneWork: createLaneWork(),
-        meanWork: 0,
-        meanSquareWork: 0,
-        errorMs: 0,
-        errorCount: 0,
-      };
+      work = {meanWork: 0, meanSquareWork: 0, errorMs: 0, errorCount: 0};
       this.services.set(service, work);
     }
     return work;
--- a/packages/relay/src/request/serve-stream.ts
+++ b/packages/relay/src/request/serve-stream.ts
@@ -309,10 +309,8 @@
 
 function choosePlacement(state: StreamState, allowsStaging: boolean): EnginePlacement {
   const {deps, request, tried} = state;
-  const {meta, service, urgency, route} = request;
-  const {objectiveMs} = route;
-  const promptTokens = meta.promptTokens ?? 0;
-  const work = {parts: meta.promptParts, promptTokens, urgency, objectiveMs};
+  const {meta, service, urgency} = request;
+  const work = {parts: meta.promptParts, promptTokens: meta.promptTokens ?? 0, urgency};
   const engines = listEngines(state);
   const context = {
     hostCount: deps.countHosts(),
