--- a/packages/relay/src/placing/engine-placement.ts
+++ b/packages/relay/src/placing/engine-placement.ts
@@ -184,7 +184,8 @@
   return (estimateRequests(target, nowMs) + random.next()) / target.entry.slots;
 }
 
-interface PrefillCandidate extends PlacementTimes {
+/** An engine at which a prompt may be prefilled. */
+export interface PrefillCandidate extends PlacementTimes {
   readonly target: TargetState;
   /** Estimated wait plus the cost of evicting other cached parts. */
   readonly costMs: number;
@@ -259,6 +260,29 @@
   work: PromptWork,
   tried: ReadonlySet<TargetId>,
   context: PlacementContext,
+): EnginePlacement {
+  return combineStages(all, work, tried, context, {
+    choosePrefill: (targets, stage) => choosePrefillEngine(targets, work, stage, context),
+    chooseDecode: (targets, prefillEngine) => chooseDecode(targets, prefillEngine, context),
+  });
+}
+
+/** Choices among the engines of one stage. */
+export interface StageChoices {
+  choosePrefill(targets: readonly TargetState[], stage: EngineStage): PrefillCandidate | undefined;
+  chooseDecode(
+    targets: readonly TargetState[],
+    prefillEngine: TargetState,
+  ): TargetState | undefined;
+}
+
+/** Decides by its cost whether a prompt is prefilled at an engine of its own or at its decode engine. */
+export function combineStages(
+  all: Iterable<TargetState>,
+  work: PromptWork,
+  tried: ReadonlySet<TargetId>,
+  context: PlacementContext,
+  choices: StageChoices,
 ): EnginePlacement {
   const {estimates} = context;
   const byStage: Record<EngineStage, TargetState[]> = {prefill: [], decode: []};
@@ -266,12 +290,12 @@
     if (tried.has(target.entry.id) || !isAvailable(target, context.nowMs)) continue;
     byStage[stageOf(target)].push(target);
   }
-  const direct = choosePrefillEngine(byStage.decode, work, 'decode', context);
+  const direct = choices.choosePrefill(byStage.decode, 'decode');
   if (!direct) return {type: 'none'};
   const staged = context.allowsStaging
-    ? choosePrefillEngine(byStage.prefill, work, 'prefill', context)
+    ? choices.choosePrefill(byStage.prefill, 'prefill')
     : undefined;
-  const decode = staged && chooseDecode(byStage.decode, staged.target, context);
+  const decode = staged && choices.chooseDecode(byStage.decode, staged.target);
   const transferMs = estimates.handoverMs + work.promptTokens / estimates.transferTokensPerMs;
   const stallMs = stallPenaltyMs(direct.newTokens, work.promptTokens, estimates);
   if (staged && decode && staged.costMs + transferMs < direct.costMs + stallMs) {
@@ -282,7 +306,7 @@
 }
 
 /** Penalty for the streams of the decode engine that prefills a prompt itself. */
-export function stallPenaltyMs(
+function stallPenaltyMs(
   newTokens: number,
   promptTokens: number,
   estimates: EngineEstimates,
--- a/packages/relay/src/placing/engine-work-placement.ts
+++ b/packages/relay/src/placing/engine-work-placement.ts
@@ -1,16 +1,16 @@
 import {TargetId} from '@radishgw/core';
 import {EngineStage} from '../model.js';
 import {
+  combineStages,
   countTokens,
   EngineEstimates,
   EnginePlacement,
   PlacementContext,
-  PlacementTimes,
+  PrefillCandidate,
   PromptWork,
   sharedPrefix,
   StagedPlacement,
   stageOf,
-  stallPenaltyMs,
 } from './engine-placement.js';
 import {TargetSpeed} from './speed-model.js';
 import {
@@ -95,10 +95,7 @@
   readonly service: ServiceWork;
 }
 
-interface Candidate extends PlacementTimes {
-  readonly target: TargetState;
-  readonly costMs: number;
-  readonly newTokens: number;
+interface Candidate extends PrefillCandidate {
   readonly expectation: PrefillExpectation;
 }
 
@@ -112,25 +109,10 @@
   tried: ReadonlySet<TargetId>,
   context: WorkPlacementContext,
 ): EnginePlacement {
-  const {estimates} = context;
-  const byStage: Record<EngineStage, TargetState[]> = {prefill: [], decode: []};
-  for (const target of all) {
-    if (tried.has(target.entry.id) || !isAvailable(target, context.nowMs)) continue;
-    byStage[stageOf(target)].push(target);
-  }
-  const direct = choosePrefill(byStage.decode, work, 'decode', context);
-  if (!direct) return {type: 'none'};
-  const staged = context.allowsStaging
-    ? choosePrefill(byStage.prefill, work, 'prefill', context)
-    : undefined;
-  const decode = staged && chooseDecodeByWork(byStage.decode, staged.target, context);
-  const transferMs = estimates.handoverMs + work.promptTokens / estimates.transferTokensPerMs;
-  const stallMs = stallPenaltyMs(direct.newTokens, work.promptTokens, estimates);
-  if (staged && decode && staged.costMs + transferMs < direct.costMs + stallMs) {
-    const waitMs = staged.waitMs + transferMs;
-    return {...staged, type: 'staged', prefill: staged.target, decode, waitMs};
-  }
-  return {...direct, type: 'direct', decode: direct.target};
+  return combineStages(all, work, tried, context, {
+    choosePrefill: (targets, stage) => choosePrefill(targets, work, stage, context),
+    chooseDecode: (targets, prefillEngine) => chooseDecodeByWork(targets, prefillEngine, context),
+  });
 }
 
 function choosePrefill(
