Plan capacity by work only where placement by work is allowed

Slots leave the load uneven, so that fewer engines and fewer decode engines don't suffice; with placement by work 0.635 are served. Both now follow the setting placement, so that a deployment without it is served as before.

--- a/packages/relay/src/duties/capacity-controller.ts
+++ b/packages/relay/src/duties/capacity-controller.ts
@@ -24,6 +24,8 @@
   readonly duties: DutyClient;
   readonly configView: ConfigView;
   readonly targets: TargetPool;
+  /** Whether services may be planned by work, if their targets report slowdowns; if undefined too. */
+  readonly allowsWorkPlans?: boolean;
 }
 
 /** Scales the services by ordering targets while this host holds the fleet lease. */
@@ -62,7 +64,9 @@
       if (isNewTerm) restartPlan(state, entries);
       const work = sumDemand(hosts, service.name);
       const demand = work.tokensPerSecond;
-      const isByWork = state.plan !== undefined || work.isReported || targets.some(reportsSlowdown);
+      const isByWork =
+        deps.allowsWorkPlans !== false &&
+        (state.plan !== undefined || work.isReported || targets.some(reportsSlowdown));
       const nowMs = deps.clock.nowMs();
       const orders = decideCapacity(
         state,
--- a/packages/relay/src/duties/stage-controller.ts
+++ b/packages/relay/src/duties/stage-controller.ts
@@ -26,6 +26,8 @@
   readonly codec: RelayCodec;
   readonly configView: ConfigView;
   readonly targets: TargetPool;
+  /** Whether services may be planned by work, if their targets report slowdowns; if undefined too. */
+  readonly allowsWorkPlans?: boolean;
 }
 
 /** Assigns stages to engines while this host holds the fleet lease. */
@@ -66,7 +68,9 @@
   }
 
   private isByWork(service: ServiceName): boolean {
-    if (this.deps.targets.forService(service).some(reportsSlowdown)) this.byWork.add(service);
+    const {allowsWorkPlans, targets} = this.deps;
+    if (allowsWorkPlans === false) return false;
+    if (targets.forService(service).some(reportsSlowdown)) this.byWork.add(service);
     return this.byWork.has(service);
   }
 
--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -388,6 +388,7 @@
       duties,
       configView: this.configView,
       targets: this.targets,
+      allowsWorkPlans: settings.placement !== 'slots',
     });
   }
 
@@ -429,6 +430,7 @@
         codec: this.options.codec,
         configView: this.configView,
         targets: this.targets,
+        allowsWorkPlans: settings.placement !== 'slots',
       }),
     });
   }
@@ -537,6 +539,7 @@
 
   /** Demand that isn't cached; undefined if no targets have reported a slowdown. */
   private findUncachedDemand(): Record<string, number> | undefined {
+    if (this.options.settings.placement === 'slots') return undefined;
     const levels = this.demand.uncachedLevels(this.options.clock.nowMs());
     const reported = Object.entries(levels).filter(([service]) =>
       this.targets.forService(toId<ServiceName>(service)).some(reportsSlowdown),
