--- a/packages/relay/src/request/prefill-prompt.ts
+++ b/packages/relay/src/request/prefill-prompt.ts
@@ -73,7 +73,7 @@
   if (times.expectation) recordPrefillSent(deps.work, times.expectation, sentMs);
   try {
     const timeoutMs = prefillTimeoutMs(state, times.waitMs);
-    const isLeft = yield* waitPatiently(state, target, sent.attempt, times.waitMs, mayLeave);
+    const isLeft = yield* waitUntilLate(state, target, sent.attempt, times.waitMs, mayLeave);
     if (isLeft) {
       sent.finish('timeout');
       deps.metrics.count('prefills_left_total', `route="${request.route.name}"`);
@@ -129,7 +129,7 @@
  * frozen, which could meet their objective at another one. The prefill isn't ended if there is no
  * attempt to spare, so that a slow engine isn't left for nothing.
  */
-function* waitPatiently(
+function* waitUntilLate(
   state: StreamState,
   target: PooledTarget,
   attempt: Attempt,
@@ -140,9 +140,9 @@
   if (standby || !deps.work.isPlacedByWork(request.service)) return false;
   const {route, exchange} = request;
   const objectiveMs = Math.max(0, route.objectiveMs - exchange.ageMs()) * LEAVE_OBJECTIVE_SHARE;
-  const patienceMs = Math.max(MIN_LEAVE_MS, objectiveMs, PREFILL_TIMEOUT_FACTOR * waitMs);
-  if (patienceMs >= prefillTimeoutMs(state, waitMs)) return false;
-  yield* call(() => waitForEvent(deps.clock, [attempt], patienceMs));
+  const leaveAfterMs = Math.max(MIN_LEAVE_MS, objectiveMs, PREFILL_TIMEOUT_FACTOR * waitMs);
+  if (leaveAfterMs >= prefillTimeoutMs(state, waitMs)) return false;
+  yield* call(() => waitForEvent(deps.clock, [attempt], leaveAfterMs));
   return attempt.peek() === undefined && mayLeave();
 }
 
