--- a/packages/relay/src/request/prefill-prompt.ts
+++ b/packages/relay/src/request/prefill-prompt.ts
@@ -1,5 +1,6 @@
 import {call, Procedure} from '@radishgw/core';
 import {PlacementTimes, sharedPrefix} from '../placing/engine-placement.js';
+import {recordPrefilled, recordPrefillSent} from '../placing/engine-work-placement.js';
 import {CacheSource} from '../model.js';
 import {recordStep} from './request-context.js';
 import {hasGoneOn} from './relay-stream.js';
@@ -13,7 +14,7 @@
 import {PooledTarget} from '../targets/target-pool.js';
 import {Attempt, waitForEvent} from '../targets/target-connections.js';
 import {createAnswerReader, sendToTarget, writeTargetRequest} from './target-request.js';
-import {recordLoad, recordParts, reportsSlowdown} from '../targets/target-state.js';
+import {recordLoad, recordParts} from '../targets/target-state.js';
 import {recordWait} from '../placing/wait-calibration.js';
 
 /**
@@ -69,6 +70,7 @@
   const removePending = addPendingTokens(target, state);
   const sentMs = deps.clock.nowMs();
   const sent = sendToTarget(deps, request, target, outgoing, true);
+  if (times.expectation) recordPrefillSent(deps.work, times.expectation, sentMs);
   try {
     const timeoutMs = prefillTimeoutMs(state, times.waitMs);
     const isLeft = yield* waitPatiently(state, target, sent.attempt, times.waitMs, mayLeave);
@@ -94,6 +96,7 @@
       return undefined;
     }
     if (answer.meta.load) recordLoad(target, answer.meta.load, deps.clock.nowMs());
+    deps.work.recordReport(target);
     const actualMs = deps.clock.nowMs() - sentMs;
     recordWait(deps.calibration, 'prefill', request.urgency, times.uncalibratedMs, actualMs);
     const matchesRequest =
@@ -103,6 +106,9 @@
     const isRejected = statesNotRun(answer.status, answer.meta);
     sent.finish(prefill ? 'finished' : isRejected ? refusalOutcome(answer.meta) : 'failed');
     if (prefill) state.hasPrefilled = true;
+    if (prefill && times.expectation) {
+      recordPrefilled(deps.work, times.expectation, actualMs, deps.clock.nowMs());
+    }
     if (!prefill) recordFailure(state, `${target.entry.id}:prefill ${answer.status}`);
     return prefill && {address: target.entry.address, handle: prefill.handle};
   } finally {
@@ -125,7 +131,7 @@
   mayLeave: () => boolean,
 ): Procedure<boolean> {
   const {deps, request, standby} = state;
-  if (standby || !reportsSlowdown(target)) return false;
+  if (standby || !deps.work.isPlacedByWork(request.service)) return false;
   const {route, exchange} = request;
   const objectiveMs = Math.max(0, route.objectiveMs - exchange.ageMs()) * LEAVE_OBJECTIVE_SHARE;
   const patienceMs = Math.max(MIN_LEAVE_MS, objectiveMs, PREFILL_TIMEOUT_FACTOR * waitMs);
--- a/packages/relay/src/request/relay-stream.ts
+++ b/packages/relay/src/request/relay-stream.ts
@@ -97,6 +97,7 @@
         return {type: 'broken'};
       }
       if (event.meta.load) recordLoad(sent.target, event.meta.load, deps.clock.nowMs());
+      deps.work.recordReport(sent.target);
       run.head = event;
       expectEvent(state, run);
       continue;
@@ -318,7 +319,10 @@
     sent.finish('failed');
     return {type: 'broken'};
   }
-  if (meta.load) recordLoad(sent.target, meta.load, deps.clock.nowMs());
+  if (meta.load) {
+    recordLoad(sent.target, meta.load, deps.clock.nowMs());
+    deps.work.recordReport(sent.target);
+  }
   if (statesNotRun(status, meta)) {
     // The target is full, is changing its stage or isn't the expected one. It will accept no
     // requests for some time.
--- a/packages/relay/src/request/request-context.ts
+++ b/packages/relay/src/request/request-context.ts
@@ -25,6 +25,7 @@
 import {TargetPool} from '../targets/target-pool.js';
 import {ReturnSchedule} from './return-schedule.js';
 import {WaitCalibration} from '../placing/wait-calibration.js';
+import {WorkModel} from '../placing/work-model.js';
 
 /** Dependencies of the functions that serve requests. */
 export interface RelayDependencies {
@@ -43,6 +44,8 @@
   readonly calibration: WaitCalibration;
   /** Prompts that wait until it is their turn, by service. */
   readonly admissions: Map<ServiceName, AdmissionState>;
+  /** Estimates for services that are placed by expected work. */
+  readonly work: WorkModel;
   readonly pendingAverages: Map<ServiceName, PendingAverage>;
   /** Times at which refused clients are told to return, by service. */
   readonly returns: Map<ServiceName, ReturnSchedule>;
