--- a/packages/relay/src/placing/work-model.ts
+++ b/packages/relay/src/placing/work-model.ts
@@ -1,4 +1,6 @@
 import {EngineStage, ServiceName, WorkReport} from '../model.js';
+import {Backlog} from './backlog.js';
+import {CostModel} from './cost-model.js';
 import {SpeedModel} from './speed-model.js';
 import {incarnationKey} from '../targets/leaving-targets.js';
 import {TargetState} from '../targets/target-state.js';
@@ -19,6 +21,8 @@
   meanSquareWork: number;
   /** Mean absolute difference between expected and actual time. */
   errorMs: number;
+  /** Number of responses in that mean. */
+  errorCount: number;
 }
 
 /** What was expected of a prefill; compared with the actual time. */
@@ -41,6 +45,8 @@
 /** What this host knows of the work of requests and of the speed of targets. */
 export class WorkModel {
   readonly speeds = new SpeedModel();
+  readonly costs = new CostModel();
+  readonly backlog = new Backlog();
   private readonly reporting = new Set<string>();
   private readonly services = new Map<ServiceName, ServiceWork>();
   private readonly keys = new WeakMap<TargetState['entry'], string>();
@@ -63,7 +69,7 @@
   ofService(service: ServiceName): ServiceWork {
     let work = this.services.get(service);
     if (!work) {
-      work = {meanWork: 0, meanSquareWork: 0, errorMs: 0};
+      work = {meanWork: 0, meanSquareWork: 0, errorMs: 0, errorCount: 0};
       this.services.set(service, work);
     }
     return work;
@@ -122,5 +128,7 @@
 
 /** Records the difference between the expected and the actual time of a response. */
 export function recordError(service: ServiceWork, expectedMs: number, actualMs: number): void {
-  service.errorMs += SMOOTHING_FACTOR * (Math.abs(actualMs - expectedMs) - service.errorMs);
+  service.errorCount++;
+  const weight = Math.max(SMOOTHING_FACTOR, 1 / service.errorCount);
+  service.errorMs += weight * (Math.abs(actualMs - expectedMs) - service.errorMs);
 }
