--- a/packages/relay/src/relay-host.ts
+++ b/packages/relay/src/relay-host.ts
@@ -56,7 +56,6 @@
 import {ColdBounds} from './targets/cold-shares.js';
 import {TargetAccess} from './targets/target-access.js';
 import {TargetPool} from './targets/target-pool.js';
-import {reportsSlowdown} from './targets/target-state.js';
 import {createWaitCalibration} from './placing/wait-calibration.js';
 import {WorkModel} from './placing/work-model.js';
 import {
@@ -539,10 +538,9 @@
 
   /** Demand that isn't cached; undefined if no targets have reported a slowdown. */
   private findUncachedDemand(): Record<string, number> | undefined {
-    if (this.options.settings.placement === 'slots') return undefined;
     const levels = this.demand.uncachedLevels(this.options.clock.nowMs());
     const reported = Object.entries(levels).filter(([service]) =>
-      this.targets.forService(toId<ServiceName>(service)).some(reportsSlowdown),
+      this.work.isPlacedByWork(toId<ServiceName>(service)),
     );
     return reported.length > 0 ? Object.fromEntries(reported) : undefined;
   }
--- a/packages/relay/src/request/admit-prompt.ts
+++ b/packages/relay/src/request/admit-prompt.ts
@@ -68,8 +68,11 @@
       leftMs: deadlineAtMs - nowMs,
       promptTokens: meta.promptTokens ?? 0,
     },
-    // The placement gives no error of its estimates.
-    {queueMs, workMs: Math.max(0, waitMs - queueMs), errorMs: 0},
+    {
+      queueMs,
+      workMs: Math.max(0, waitMs - queueMs),
+      errorMs: deps.work.ofService(service).errorMs,
+    },
     nowMs,
   );
   const count = (result: string) =>
