Drop the blocks of a body that is given up

Cause: a listener that stays on the request shares its closure with the blocks of the body, so that an evicted body lived until its client closed the connection, while the budget counted it as free. With callers that stay, the gateway reached 260 to 287 MiB where 260 are allowed. Ruled out: load, late collections, the bytes that are discarded after a refusal.

Change: the blocks are dropped when the body is read or given up.

--- a/packages/core/src/body-blocks.ts
+++ b/packages/core/src/body-blocks.ts
@@ -41,6 +41,11 @@
     return this.blocks.length === 0 ? rest : Buffer.concat([...this.blocks, rest]);
   }
 
+  /** Drops all blocks. */
+  clear(): void {
+    this.blocks.length = 0;
+  }
+
   private addBlock(neededBytes: number): boolean {
     const grownBytes = Math.max(MIN_BLOCK_BYTES, this.capacityBytes, neededBytes);
     const bytes = Math.min(MAX_BLOCK_BYTES, grownBytes);
--- a/packages/core/src/client-guard.ts
+++ b/packages/core/src/client-guard.ts
@@ -413,6 +413,9 @@
         timer?.cancel();
         this.onEvict = () => undefined;
         request.off('data', onData).off('end', onEnd).off('close', onClose);
+        // The closures of this function live as long as the request, whose client may stay.
+        blocks.clear();
+        whole = undefined;
         resolve(result);
       };
       const onData = (chunk: Buffer) => {
