--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -12,6 +12,7 @@
 export * from './connector.js';
 export * from './errors.js';
 export * from './events.js';
+export * from './guarded-request.js';
 export * from './hash.js';
 export * from './ids.js';
 export * from './invariants.js';
