--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -1,4 +1,5 @@
-// Clients send requests ahead, with many small fields and without the usual ones, and read no answer.
+/* global Buffer, clearTimeout, setImmediate, setTimeout */
+// One of four servers answers with an error whose body comes in chunks of one byte, without end.
 import {connect} from 'node:net';
 import {
   API_KEY,
@@ -15,124 +16,117 @@
   wait,
 } from '../standin-2.mjs';
 
-/** Clients of each host. */
-const CLIENTS = 40;
+/** Clients of each host; each sends one request in a round. */
+const CLIENTS = 8;
 
-/** Requests of each client. */
-const REQUESTS = 250;
+/** Time budget of a request and timeout of its route, as on the sheet of `menu-audit`. */
+const BUDGET_MS = 6000;
 
-/** Small fields of a head; its size stays below the limit of the configuration (16,384 bytes). */
-const FIELDS = 1900;
+/** Objective of the route. */
+const OBJECTIVE_MS = 1500;
+
+/** Clients leave a stream after a gap of four times the objective. */
+const PATIENCE_MS = 4 * OBJECTIVE_MS;
 
 /** The rule counts machines on which processes end by themselves so often. */
 const ENDS = 3;
+const MAX_ROUNDS = 5;
 
-/** Time for which a crowd is watched. */
-const ROUND_MS = 8000;
-
-let requestCount = 0;
-
-function formatOrdinary() {
-  return [
-    'POST /order/one HTTP/1.1',
-    `host: ${HOST_NAME}`,
-    `radishgw-request-id: r-${requestCount++}`,
-    'radishgw-deadline-milliseconds: 3000',
-    `radishgw-credential: ${API_KEY}`,
-    'content-length: 0',
-    '',
-    '',
-  ].join('\r\n');
-}
+const EVENTS = 10;
+const EVENT_GAP_MS = 20;
 
-const SMALL_FIELDS = Array.from({length: FIELDS}, (_, i) => `${i.toString(36)}:1`);
-const LARGE_HEAD = ['GET /one HTTP/1.1', 'host: x', ...SMALL_FIELDS, '', ''].join('\r\n');
+/** Chunks that are written at a time. */
+const CHUNKS = Buffer.from('1\r\nx\r\n'.repeat(10_000));
 
-function open(host, sockets) {
-  const socket = connect(host.port, LOOPBACK);
-  socket.on('error', () => undefined); // Reported by `close`.
-  sockets.push(socket);
-  return socket;
-}
+let requestCount = 0;
 
-function write(socket, text) {
+/** Sends one request; resolves with what its client saw. */
+function send(host) {
   return new Promise(resolve => {
-    socket.once('close', resolve);
-    socket.write(text, () => {
-      socket.off('close', resolve);
-      resolve();
+    const id = `r-${requestCount++}`;
+    const socket = connect(host.port, LOOPBACK);
+    let text = '';
+    const timer = setTimeout(() => socket.destroy(), PATIENCE_MS);
+    socket.on('error', () => undefined); // Reported by `close`.
+    socket.on('data', chunk => (text += chunk.toString('latin1')));
+    socket.on('close', () => {
+      clearTimeout(timer);
+      resolve(`${id} gets ${text === '' ? 'no answer' : text.slice(9, 12)}`);
     });
+    socket.write(
+      [
+        'POST /audit/one HTTP/1.1',
+        `host: ${HOST_NAME}`,
+        `radishgw-request-id: ${id}`,
+        `radishgw-deadline-milliseconds: ${BUDGET_MS}`,
+        `radishgw-credential: ${API_KEY}`,
+        'connection: close',
+        'content-length: 0',
+        '',
+        '',
+      ].join('\r\n'),
+    );
   });
 }
 
-/** Sends all requests ahead and reads nothing. */
-async function sendAhead(host, sockets, counts) {
-  const socket = open(host, sockets);
-  socket.pause();
-  for (let i = 0; i < REQUESTS && !socket.destroyed; i++) {
-    counts.sent++;
-    await write(socket, i === 0 ? formatOrdinary() : LARGE_HEAD);
+/** Answers with a whole stream. */
+async function stream(server, request, response) {
+  server.run(request);
+  response.writeHead(200, {...server.headers(request), 'content-type': 'text/event-stream'});
+  for (let id = 1; id <= EVENTS; id++) {
+    response.write(`id: ${id}\ndata: piece ${id}\n\n`);
+    await wait(EVENT_GAP_MS);
   }
+  response.end();
 }
 
-/** Sends the requests one after the other, each when the answer to the one before has arrived. */
-async function sendInTurn(host, sockets, counts, isOver) {
-  const socket = open(host, sockets);
-  let onAnswer;
-  socket.on('data', () => {
-    counts.answered++;
-    onAnswer();
-  });
-  socket.on('close', () => onAnswer());
-  for (let i = 0; i < REQUESTS && !socket.destroyed && !isOver(); i++) {
-    const answered = new Promise(resolve => (onAnswer = resolve));
-    counts.sent++;
-    await write(socket, formatOrdinary());
-    await answered;
-  }
+/** Answers with a whole error. */
+function fail(server, request, response) {
+  server.run(request);
+  response.writeHead(500, {...server.headers(request), 'content-type': 'text/plain'});
+  response.end('failed');
 }
 
-/** One ordinary request on a channel of its own; its status, or 0 without an answer. */
-function sendOrdinary(host) {
-  return new Promise(resolve => {
-    const socket = connect(host.port, LOOPBACK);
-    socket.on('error', () => resolve(0));
-    socket.on('close', () => resolve(0));
-    socket.on('data', chunk => {
-      resolve(Number(chunk.toString('latin1').slice(9, 12)));
-      socket.destroy();
-    });
-    socket.write(formatOrdinary());
-  });
+/** Answers with an error whose body has no end, until the caller closes. */
+function failWithoutEnd(server, request) {
+  server.run(request);
+  const {socket} = request;
+  const fields = {
+    ...server.headers(request),
+    'content-type': 'text/plain',
+    'transfer-encoding': 'chunked',
+  };
+  const lines = Object.entries(fields).map(([name, value]) => `${name}: ${value}\r\n`);
+  socket.on('error', () => undefined); // The caller has closed.
+  socket.write(`HTTP/1.1 500 Internal Server Error\r\n${lines.join('')}\r\n`);
+  const writeMore = () => {
+    if (socket.destroyed) return;
+    if (socket.write(CHUNKS)) setImmediate(writeMore);
+    else socket.once('drain', writeMore);
+  };
+  writeMore();
 }
 
-async function playRound(round, host, server, record) {
+async function playRound(round, host, record) {
   if (!host.isRunning) await host.restart();
   await host.waitUntilReady();
-  record.write(
-    `round ${round}: an ordinary request to ${host.name} gets ${await sendOrdinary(host)}`,
-  );
-  const endMs = Date.now() + ROUND_MS;
-  const sockets = [];
-  const counts = {sent: 0, answered: 0};
-  const runsBefore = server.runs.length;
-  const isOver = () => !host.isRunning || Date.now() >= endMs;
-  for (let i = 0; i < CLIENTS; i++) {
-    if (HAS_TROUBLE) void sendAhead(host, sockets, counts);
-    else void sendInTurn(host, sockets, counts, isOver);
-  }
+  record.write(`round ${round}: ${CLIENTS} requests are sent to ${host.name}`);
   let peakMib = 0;
-  while (!isOver()) {
-    peakMib = Math.max(peakMib, host.peakMemoryMib() ?? 0);
-    await wait(50);
-  }
-  for (const socket of sockets) socket.destroy();
+  let isOver = false;
+  const watch = (async () => {
+    while (!isOver && host.isRunning) {
+      peakMib = Math.max(peakMib, host.peakMemoryMib() ?? 0);
+      await wait(50);
+    }
+  })();
+  const results = await Promise.all(Array.from({length: CLIENTS}, () => send(host)));
+  isOver = true;
+  await watch;
+  for (const result of results) record.write(`round ${round}: ${result} from ${host.name}`);
+  // A process that has just failed ends a moment after its connections.
+  await wait(500);
   const reason = /FATAL ERROR: .*/.exec(host.output)?.[0] ?? '';
   const state = host.isRunning ? 'runs' : `has ended by itself (${host.end}) ${reason}`;
-  const runs = server.runs.length - runsBefore;
-  record.write(
-    `round ${round}: ${counts.sent} requests sent, ${counts.answered} answers read, ${runs} runs`,
-  );
   record.write(`round ${round}: ${host.name} ${state}; greatest memory seen ${peakMib} MiB of 350`);
   return !host.isRunning;
 }
@@ -140,22 +134,28 @@
 await runCase(import.meta.dirname, async ({record, own}) => {
   const store = await own(new Store()).start();
   const duties = await own(new Duties()).start();
-  const server = await own(new TargetServer('i-one', 'desk', record)).start();
-  // Thousands of runs are not recorded one by one.
-  server.run = request => server.runs.push(request.headers['radishgw-request-id']);
-  const routes = [makeRoute('order', 'unsafe', 'desk')];
-  store.write('config', 'main', makeConfiguration(routes, ['desk']));
-  store.write('servers', server.id, server.entry());
+  const route = makeRoute('audit', 'streaming', 'models', {
+    'timeout-ms': BUDGET_MS,
+    'target-latency-ms': OBJECTIVE_MS,
+    'target-gap-ms': 250,
+    'allow-resume': false,
+    attempts: 1,
+  });
+  store.write('config', 'main', makeConfiguration([route], ['models']));
+  for (let i = 1; i <= 4; i++) {
+    const server = await own(new TargetServer(`i-${i}`, 'models', record)).start();
+    const answer = i > 1 ? stream : HAS_TROUBLE ? failWithoutEnd : fail;
+    server.respond = (request, response) => answer(server, request, response);
+    store.write('servers', server.id, server.entry());
+  }
   const addresses = {storeAddress: store.address, dutyAddress: duties.address, record};
   const hosts = [];
   for (const name of ['host-1', 'host-2']) hosts.push(await own(new Host(name, addresses)).start());
-  record.write(`${CLIENTS} clients a host, ${REQUESTS} requests each`);
-  if (HAS_TROUBLE) record.write(`heads of ${LARGE_HEAD.length} bytes with ${FIELDS} small fields`);
   const ends = new Map(hosts.map(({name}) => [name, 0]));
-  for (let round = 1; round <= ENDS; round++) {
+  for (let round = 1; round <= MAX_ROUNDS; round++) {
     for (const host of hosts) {
-      if (await playRound(round, host, server, record))
-        ends.set(host.name, ends.get(host.name) + 1);
+      if (ends.get(host.name) >= ENDS) continue;
+      if (await playRound(round, host, record)) ends.set(host.name, ends.get(host.name) + 1);
     }
   }
   for (const [name, count] of ends)
