Remember requests with large identities by their digests

Cause: RecentRequests remembers 4,096 requests and bounds the sizes of their bodies only. A fingerprint holds all that its digest is computed from, here 60 KB of parts.

Change: a fingerprint holds its content only until its digest is known; that of a request with more than 1 KiB beside the body is computed when it is remembered. The number of remembered requests is the same.

Ruled out: requests in progress (six at a time), parts known at targets, and answers, by their bounds.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -3,6 +3,7 @@
 export * from './answer-memory.js';
 export * from './answer-status.js';
 export * from './bound-call.js';
+export * from './bound-id.js';
 export * from './bound-reads.js';
 export * from './body-blocks.js';
 export * from './bounded-pool.js';
--- a/packages/relay/src/quarantine/recent-requests.ts
+++ b/packages/relay/src/quarantine/recent-requests.ts
@@ -9,14 +9,20 @@
 /** Maximum size of the body of a request that is remembered. */
 const MAX_BODY_BYTES = 64 * 1024;
 
+/** Maximum memory of the content of one request, without its body, that is held to be digested. */
+const MAX_TEXT_BYTES = 1024;
+
 interface WholeRequest {
   readonly fingerprint: RequestFingerprint;
+  /** Size of the body if it is held. */
+  readonly heldBodyBytes: number;
   readonly atMs: number;
 }
 
 /**
  * Remembers the latest requests that ran whole at this host. Their digests are computed only once a
- * request with a body of the same size is looked for, after a crash.
+ * request with a body of the same size is looked for, after a crash, but for those with long paths or
+ * many parts, whose digests take far less memory than what they are computed from.
  */
 export class RecentRequests {
   /** Oldest first. */
@@ -30,9 +36,11 @@
   add(fingerprint: RequestFingerprint, atMs: number): void {
     const {bodyBytes} = fingerprint;
     if (bodyBytes > MAX_BODY_BYTES) return;
-    const request = {fingerprint, atMs};
+    const isHeld = fingerprint.textBytes <= MAX_TEXT_BYTES;
+    if (!isHeld) void fingerprint.digest;
+    const request = {fingerprint, heldBodyBytes: isHeld ? bodyBytes : 0, atMs};
     this.requests.add(request);
-    this.totalBodyBytes += bodyBytes;
+    this.totalBodyBytes += request.heldBodyBytes;
     for (const oldest of this.requests) {
       const isOver = this.totalBodyBytes > MAX_TOTAL_BODY_BYTES;
       if (this.requests.size <= MAX_REQUESTS && !isOver) break;
@@ -65,9 +73,9 @@
   }
 
   private forget(request: WholeRequest): void {
-    const {fingerprint, atMs} = request;
+    const {fingerprint, heldBodyBytes, atMs} = request;
     this.requests.delete(request);
-    this.totalBodyBytes -= fingerprint.bodyBytes;
+    this.totalBodyBytes -= heldBodyBytes;
     if (!this.indexedBodyBytes.has(fingerprint.bodyBytes)) return;
     if (this.wholeMs.get(fingerprint.digest) === atMs) this.wholeMs.delete(fingerprint.digest);
   }
--- a/packages/relay/src/targets/run-identity.ts
+++ b/packages/relay/src/targets/run-identity.ts
@@ -28,22 +28,39 @@
 /** Length of a digest in base64url, 132 bits. */
 const DIGEST_LENGTH = 22;
 
-/** Computes the digest of a request when it is first wanted: most requests never need theirs. */
-export class RequestFingerprint {
-  private computed: RequestDigest | undefined;
+/** Approximate memory of a string in a list, beside its characters. */
+const STRING_BYTES = 32;
 
-  constructor(private readonly content: RequestContent) {}
+/**
+ * Computes the digest of a request when it is first wanted: most requests never need theirs. The
+ * content is held until then.
+ */
+export class RequestFingerprint {
+  readonly bodyBytes: number;
+  private known: RequestContent | RequestDigest;
 
-  get bodyBytes(): number {
-    return this.content.body.length;
+  constructor(content: RequestContent) {
+    this.bodyBytes = content.body.length;
+    this.known = content;
   }
 
   get digest(): RequestDigest {
-    this.computed ??= computeDigest(this.content);
-    return this.computed;
+    if (typeof this.known !== 'string') this.known = computeDigest(this.known);
+    return this.known;
+  }
+
+  /** Approximate memory of the content that is held, in bytes, without the body. */
+  get textBytes(): number {
+    if (typeof this.known === 'string') return 0;
+    const {host, path, sharedParts} = this.known;
+    return host.length + path.length + partsBytes(sharedParts);
   }
 }
 
+function partsBytes(parts: readonly PromptPartId[]): number {
+  return parts.reduce((sum, part) => sum + STRING_BYTES + part.length, 0);
+}
+
 /** Whether a suspect is a request as a whole. */
 export function isRequestDigest(suspect: string): suspect is RequestDigest {
   return suspect.startsWith(DIGEST_PREFIX);
@@ -78,6 +95,11 @@
   readonly fingerprint: RequestFingerprint;
 }
 
+/** Approximate memory of what identifies a run, in bytes, without the body of its request. */
+export function identityBytes({sharedParts, fingerprint}: RunIdentity): number {
+  return Math.max(partsBytes(sharedParts), fingerprint.textBytes);
+}
+
 /** A run of this host that is in progress at a target. */
 export interface RunInProgress {
   readonly identity: RunIdentity;
--- a/packages/relay/test/recent-requests.test.ts
+++ b/packages/relay/test/recent-requests.test.ts
@@ -65,4 +65,20 @@
     recent.add(fingerprint('x'.repeat(64 * 1024 + 1)), 1);
     expect(recent.find(fingerprint('x'.repeat(64 * 1024 + 1)).digest)).to.equal(undefined);
   });
+
+  it('are all remembered by their digests alone if their prompts have many parts', () => {
+    // Guards against contents that fill the memory, and against fewer requests in its place.
+    const recent = new RecentRequests();
+    const identify = (index: number) => {
+      const parts = Array.from({length: 1000}, (_, i) => `${index}.${i}`);
+      return makeIdentity(toId<RequestId>('r'), parts, 'a body').fingerprint;
+    };
+    const fingerprints = Array.from({length: 4096}, (_, i) => {
+      const fingerprint = identify(i);
+      recent.add(fingerprint, i);
+      return fingerprint;
+    });
+    expect(fingerprints.reduce((sum, {textBytes}) => sum + textBytes, 0)).to.equal(0);
+    for (const [i, {digest}] of fingerprints.entries()) expect(recent.find(digest)).to.equal(i);
+  });
 });
