Bound what identifies cancelled runs, and the log line of a crash

A run that its client abandons is watched for a crash of its target for 500 ms. Up to 1,000 were kept with 8 MiB of bodies, but with all parts of their prompts and their paths: 60 KB each for 1,850 parts. They share 4 MiB now. The log line of a crash named all parts of 16 runs; it names 8 of each and their number.

--- a/packages/relay/src/quarantine/crash-monitor.ts
+++ b/packages/relay/src/quarantine/crash-monitor.ts
@@ -1,7 +1,7 @@
 import {connect} from 'node:net';
 import {Clock, EventLog} from '@radishgw/core';
 import {RelayMetrics} from '../metrics.js';
-import {RunInProgress} from '../targets/run-identity.js';
+import {identityBytes, RunInProgress} from '../targets/run-identity.js';
 import {PooledTarget} from '../targets/target-pool.js';
 
 /** Timeout of the connection that tells a crash from a lost connection. */
@@ -20,9 +20,15 @@
 const MAX_CANCELLED_BYTES = 8 * 1024 * 1024;
 const MAX_CANCELLED_RUNS = 1000;
 
+/** Maximum memory of what else identifies the cancelled runs that are kept. */
+const MAX_CANCELLED_IDENTITY_BYTES = 4 * 1024 * 1024;
+
 /** Maximum number of runs that are named in the log. */
 const MAX_LOGGED_RUNS = 16;
 
+/** Maximum number of parts of one run that are named in the log. */
+const MAX_LOGGED_PARTS = 8;
+
 /** A crash of a target and the runs of this host that were in progress there. */
 export interface ObservedCrash {
   readonly target: PooledTarget;
@@ -50,6 +56,7 @@
   private readonly checks = new WeakMap<PooledTarget, Check>();
   private cancelledCount = 0;
   private cancelledBytes = 0;
+  private cancelledIdentityBytes = 0;
 
   constructor(private readonly deps: CrashMonitorDependencies) {}
 
@@ -72,14 +79,22 @@
       if (target.runs.get(requestId) === run) target.runs.delete(requestId);
     };
     const bytes = this.cancelledBytes + fingerprint.bodyBytes;
-    if (bytes > MAX_CANCELLED_BYTES || this.cancelledCount >= MAX_CANCELLED_RUNS) {
+    const ownIdentityBytes = identityBytes(run.identity);
+    const totalIdentityBytes = this.cancelledIdentityBytes + ownIdentityBytes;
+    if (
+      bytes > MAX_CANCELLED_BYTES ||
+      totalIdentityBytes > MAX_CANCELLED_IDENTITY_BYTES ||
+      this.cancelledCount >= MAX_CANCELLED_RUNS
+    ) {
       remove();
       return;
     }
     this.cancelledBytes = bytes;
+    this.cancelledIdentityBytes = totalIdentityBytes;
     this.cancelledCount++;
     this.deps.clock.setTimer(CANCELLED_RUN_MS, () => {
       this.cancelledBytes -= fingerprint.bodyBytes;
+      this.cancelledIdentityBytes -= ownIdentityBytes;
       this.cancelledCount--;
       void this.checkWithin(target, SAME_CANCELLATION_MS);
       remove();
@@ -114,7 +129,8 @@
       runs: crash.runs.slice(-MAX_LOGGED_RUNS).map(({identity}) => ({
         request: identity.requestId,
         digest: identity.fingerprint.digest,
-        parts: identity.sharedParts,
+        parts: identity.sharedParts.slice(0, MAX_LOGGED_PARTS),
+        partCount: identity.sharedParts.length,
       })),
     });
     this.deps.onCrash(crash);
--- a/packages/relay/test/crash-monitor.test.ts
+++ b/packages/relay/test/crash-monitor.test.ts
@@ -113,4 +113,15 @@
     }
     expect(target.runs.size).to.equal(8);
   });
+
+  it('keeps a bounded number of parts of cancelled runs', () => {
+    // Guards against clients that fill the memory with prompts of many parts which they abandon.
+    for (let i = 0; i < 100; i++) {
+      const parts = Array.from({length: 2000}, (_, j) => `${i}.${j}`);
+      const run = {identity: makeIdentity(toId<RequestId>(`r-${i}`), parts, ''), sentMs: 0};
+      target.runs.set(run.identity.requestId, run);
+      monitor.watchCancelled(target, run);
+    }
+    expect(target.runs.size).to.be.within(20, 70);
+  });
 });
