Bound the ids of requests in the evidence of crashes

A host writes the runs that were in progress at a crash into one entry of the store, which takes 1 MiB. Ids of requests were written as clients chose them: 256 runs with ids of 10,000 characters make 2.6 MB. The store would refuse the entry each time, and no other host would hear of the crashes. Long ids are replaced by their digests.

--- a/packages/relay/src/quarantine/quarantine-service.ts
+++ b/packages/relay/src/quarantine/quarantine-service.ts
@@ -1,4 +1,5 @@
 import {
+  boundId,
   call,
   Clock,
   EventLog,
@@ -198,7 +199,7 @@
       this.wallMs() - (this.deps.clock.nowMs() - monotonicMs);
     const suspectRuns = runs
       .map(({identity: {requestId, sharedParts, fingerprint}, sentMs}) => ({
-        requestId,
+        requestId: boundId(requestId),
         sentAtMs: wallMsOf(sentMs),
         suspects: [
           ...this.listUnproven([fingerprint.digest]),
--- a/packages/relay/test/request-evidence.test.ts
+++ b/packages/relay/test/request-evidence.test.ts
@@ -228,6 +228,22 @@
     expect(new Set(digests).size).to.equal(1);
   });
 
+  it('fits into one entry of the store whatever ids and parts its requests have', async () => {
+    // Guards against evidence that the store refuses, so that no host hears of a crash.
+    const long = 'x'.repeat(10_000);
+    for (let i = 0; i < 30; i++) {
+      const runs = Array.from({length: 16}, (_, j) => {
+        const parts = Array.from({length: 1850}, (_, k) => `${i}.${j}.${k}`);
+        return makeIdentity(toId<RequestId>(`${long}${i}.${j}`), parts);
+      });
+      crash(0, ...runs);
+    }
+    await share();
+    const {crashes} = stored.get(HOSTS[0])!;
+    expect(crashes.flatMap(({runs}) => runs)).to.have.length(256);
+    expect(JSON.stringify(stored.get(HOSTS[0])).length).to.be.lessThan(1024 * 1024);
+  });
+
   it('costs no digest while nothing is suspected', () => {
     CountedFingerprint.count = 0;
     const [service] = services;
