Bound the prompt parts that are tracked over all targets

2,000 parts were tracked for each target, whatever the number of targets: about 200 KB each, more than the heap for some hundreds of targets if prompts have many parts. 100,000 parts are shared evenly now; up to 50 targets nothing changes.

--- a/packages/relay/src/request/prefill-prompt.ts
+++ b/packages/relay/src/request/prefill-prompt.ts
@@ -14,7 +14,7 @@
 import {PooledTarget} from '../targets/target-pool.js';
 import {Attempt, waitForEvent} from '../targets/target-connections.js';
 import {createAnswerReader, sendToTarget, writeTargetRequest} from './target-request.js';
-import {recordLoad, recordParts} from '../targets/target-state.js';
+import {recordLoad} from '../targets/target-state.js';
 import {recordWait} from '../placing/wait-calibration.js';
 
 /**
@@ -40,12 +40,11 @@
 /** Counts prompt tokens as pending at a target until the returned function is called. */
 export function addPendingTokens(target: PooledTarget, state: StreamState): () => void {
   const {meta} = state.request;
-  const nowMs = state.deps.clock.nowMs();
   const shared = sharedPrefix(meta.promptParts);
   const isCached = shared.every(part => target.partsMs.has(part.id));
   const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0);
   const tokens = Math.max(0, (meta.promptTokens ?? 0) - (isCached ? sharedTokens : 0));
-  recordParts(target, meta.promptParts, nowMs);
+  state.deps.targets.recordParts(target, meta.promptParts);
   target.ownPromptTokens += tokens;
   let isPending = true;
   return () => {
--- a/packages/relay/src/request/serve-stream.ts
+++ b/packages/relay/src/request/serve-stream.ts
@@ -47,13 +47,7 @@
 import {preferWarm} from '../targets/target-access.js';
 import {PooledTarget} from '../targets/target-pool.js';
 import {sendToTarget, writeTargetRequest} from './target-request.js';
-import {
-  estimateCachedTokens,
-  isAvailable,
-  isClosed,
-  recordParts,
-  TargetState,
-} from '../targets/target-state.js';
+import {estimateCachedTokens, isAvailable, isClosed, TargetState} from '../targets/target-state.js';
 import {recordWait} from '../placing/wait-calibration.js';
 import {waitForTarget} from './wait-for-target.js';
 
@@ -487,7 +481,7 @@
   });
   progress.addRun(target.entry.id);
   const removePending = source ? () => undefined : addPendingTokens(target, state);
-  if (source) recordParts(target, meta.promptParts, deps.clock.nowMs());
+  if (source) deps.targets.recordParts(target, meta.promptParts);
   const sentMs = deps.clock.nowMs();
   target.runs.set(meta.requestId, {identity, sentMs});
   const sent = sendToTarget(deps, request, target, outgoing, state.mayRepeat);
--- a/packages/relay/src/targets/target-pool.ts
+++ b/packages/relay/src/targets/target-pool.ts
@@ -29,6 +29,7 @@
 import {
   AnswerMeta,
   EvacuationList,
+  PromptPart,
   Region,
   RelayCodec,
   ServiceName,
@@ -39,7 +40,14 @@
 import {TargetAccess} from './target-access.js';
 import {backoffUntil} from './target-backoff.js';
 import {Attempt, OutgoingRequest, TargetConnections} from './target-connections.js';
-import {AccessRefusal, createTargetState, isClosed, TargetState} from './target-state.js';
+import {
+  AccessRefusal,
+  createTargetState,
+  isClosed,
+  partsPerTarget,
+  recordParts,
+  TargetState,
+} from './target-state.js';
 import {createTargetView, isSameIncarnation, updateTargets} from './target-view.js';
 
 /** Failed targets are excluded only briefly because most failures last only seconds. */
@@ -88,6 +96,11 @@
 
   constructor(private readonly deps: TargetPoolDependencies) {}
 
+  /** Records the parts of a prompt that is sent to a target, whose cache will hold them. */
+  recordParts(target: TargetState, parts: readonly PromptPart[]): void {
+    recordParts(target, parts, this.deps.clock.nowMs(), partsPerTarget(this.targets.size));
+  }
+
   get hasSynced(): boolean {
     return this.view.readAtMs > -Infinity;
   }
--- a/packages/relay/src/targets/target-state.ts
+++ b/packages/relay/src/targets/target-state.ts
@@ -15,6 +15,9 @@
 /** Maximum number of prompt parts tracked per target. */
 const MAX_CACHED_PARTS = 2000;
 
+/** Maximum number of prompt parts tracked over all targets; each takes about a hundred bytes. */
+const MAX_TOTAL_PARTS = 100_000;
+
 /** Why a request may not be sent to a target now. */
 export type AccessRefusal = 'cold' | 'evacuated' | 'outsideHome';
 
@@ -127,14 +130,24 @@
   return state.ownRequests + state.othersRequests * loadWeight(state, nowMs);
 }
 
-/** Records the parts of a prompt that was sent to the target. */
-export function recordParts(state: TargetState, parts: readonly PromptPart[], nowMs: number): void {
+/** Number of prompt parts that are tracked for each of so many targets. */
+export function partsPerTarget(targetCount: number): number {
+  return Math.min(MAX_CACHED_PARTS, Math.ceil(MAX_TOTAL_PARTS / targetCount));
+}
+
+/** Records the parts of a prompt that was sent to the target; forgets the oldest over `maxParts`. */
+export function recordParts(
+  state: TargetState,
+  parts: readonly PromptPart[],
+  nowMs: number,
+  maxParts = MAX_CACHED_PARTS,
+): void {
   for (const part of parts) {
     state.partsMs.delete(part.id);
     state.partsMs.set(part.id, nowMs);
   }
   for (const id of state.partsMs.keys()) {
-    if (state.partsMs.size <= MAX_CACHED_PARTS) break;
+    if (state.partsMs.size <= maxParts) break;
     state.partsMs.delete(id);
   }
 }
