Collect the answers of targets in blocks

Cause: bodies of answers are bounded by their bytes, and each chunk was kept as a Buffer of its own, which takes a hundred bytes and more on the heap: up to 65,536 in the events of an attempt, and up to 8 million in the collector of a whole answer.

Change: chunks that nobody has taken are joined to one event, and whole answers and all that readText reads are collected in blocks, as clients' bodies are. Limits and content are the same. A short body no longer keeps its whole block.

--- a/packages/core/src/body-blocks.ts
+++ b/packages/core/src/body-blocks.ts
@@ -14,10 +14,10 @@
   byteCount = 0;
 
   /** `reserve` is called before memory is allocated; false if there is none. */
-  constructor(private readonly reserve: (bytes: number) => boolean) {}
+  constructor(private readonly reserve: (bytes: number) => boolean = () => true) {}
 
   /** Adds a chunk; false if there is no memory for it. */
-  push(chunk: Buffer): boolean {
+  push(chunk: Uint8Array): boolean {
     let offset = 0;
     while (offset < chunk.length) {
       const last = this.blocks.at(-1);
@@ -25,20 +25,23 @@
         if (!this.addBlock(chunk.length - offset)) return false;
         continue;
       }
-      const copied = chunk.copy(last, this.lastUsedBytes, offset);
-      offset += copied;
-      this.lastUsedBytes += copied;
+      const endOffset = Math.min(chunk.length, offset + last.length - this.lastUsedBytes);
+      const isWhole = offset === 0 && endOffset === chunk.length;
+      last.set(isWhole ? chunk : chunk.subarray(offset, endOffset), this.lastUsedBytes);
+      this.lastUsedBytes += endOffset - offset;
+      offset = endOffset;
     }
     this.byteCount += chunk.length;
     return true;
   }
 
-  /** Returns the whole body. */
+  /** Removes and returns the whole body. */
   take(): Buffer {
     const last = this.blocks.pop();
     if (!last) return Buffer.alloc(0);
     const rest = last.subarray(0, this.lastUsedBytes);
-    return this.blocks.length === 0 ? rest : Buffer.concat([...this.blocks, rest]);
+    const blocks = this.blocks.splice(0);
+    return blocks.length === 0 ? shrink(rest) : Buffer.concat([...blocks, rest]);
   }
 
   /** Drops all blocks. */
@@ -56,3 +59,11 @@
     return true;
   }
 }
+
+/** Copies a small part of a block, which would keep the whole block otherwise. */
+function shrink(part: Buffer): Buffer {
+  if (2 * part.length >= part.buffer.byteLength) return part;
+  const copy = Buffer.allocUnsafeSlow(part.length);
+  part.copy(copy);
+  return copy;
+}
--- a/packages/core/src/read-text.ts
+++ b/packages/core/src/read-text.ts
@@ -1,3 +1,5 @@
+import {BodyBlocks} from './body-blocks.js';
+
 /** The body of an HTTP response is larger than allowed. */
 export class BodyTooLargeError extends Error {
   constructor(maxBytes: number) {
@@ -10,12 +12,10 @@
  * `maxBytes`, which also ends the iteration and so closes the connection of an HTTP response.
  */
 export async function readText(body: AsyncIterable<Uint8Array>, maxBytes: number): Promise<string> {
-  const chunks: Uint8Array[] = [];
-  let bytes = 0;
+  const blocks = new BodyBlocks();
   for await (const chunk of body) {
-    bytes += chunk.length;
-    if (bytes > maxBytes) throw new BodyTooLargeError(maxBytes);
-    chunks.push(chunk);
+    if (blocks.byteCount + chunk.length > maxBytes) throw new BodyTooLargeError(maxBytes);
+    blocks.push(chunk);
   }
-  return Buffer.concat(chunks).toString('utf8');
+  return blocks.take().toString('utf8');
 }
--- a/packages/relay/src/targets/target-answer.ts
+++ b/packages/relay/src/targets/target-answer.ts
@@ -1,6 +1,7 @@
 import {
   AnswerBody,
   AnswerBuffer,
+  BodyBlocks,
   BodyFields,
   BodyFraming,
   call,
@@ -98,8 +99,12 @@
 export class AnswerCollector {
   private head: AnswerHead | undefined;
   private body: AnswerBody | undefined;
-  private readonly chunks: Buffer[] = [];
-  bytes = 0;
+  private readonly blocks = new BodyBlocks();
+
+  /** Size of the body so far. */
+  get bytes(): number {
+    return this.blocks.byteCount;
+  }
 
   /**
    * Adds an event; returns the result with the last one. `mayBuffer` says whether the body may be
@@ -116,18 +121,18 @@
       return {type: 'failed', wasSent: true, detail: 'answer has no head'};
     }
     if (event.type === 'data') {
-      this.bytes += event.chunk.length;
+      const {chunk} = event;
+      this.blocks.push(chunk);
       if (this.bytes > MAX_ANSWER_BYTES || !mayBuffer()) {
         return {type: 'failed', wasSent: true, detail: 'answer is too large'};
       }
-      this.chunks.push(event.chunk);
-      this.body.push(event.chunk);
+      this.body.push(chunk);
       return undefined;
     }
     const fault = this.body.findFault(event.framing);
     if (fault) return {type: 'failed', wasSent: true, detail: fault};
     const {status, headers, meta} = this.head;
-    const body = Buffer.concat(this.chunks);
+    const body = this.blocks.take();
     return {type: 'answer', status, headers, meta, body, framing: event.framing};
   }
 }
--- a/packages/relay/src/targets/target-connections.ts
+++ b/packages/relay/src/targets/target-connections.ts
@@ -1,5 +1,6 @@
 import {connect, Socket} from 'node:net';
 import {
+  BodyBlocks,
   BodyFraming,
   boundReads,
   Clock,
@@ -80,10 +81,16 @@
   readonly framing: BodyFraming;
 }
 
+/** Bytes of an answer's body that arrived one after the other. */
+export interface AnswerData {
+  readonly type: 'data';
+  readonly chunk: Buffer;
+}
+
 /** Events of an attempt, in order; `failed` or `end` is the last one. */
 export type AttemptEvent =
   | AnswerHead
-  | {readonly type: 'data'; readonly chunk: Buffer}
+  | AnswerData
   | AnswerEnd
   | {readonly type: 'failed'; readonly wasSent: boolean; readonly detail: string}
   /** No event arrived within the timeout of {@link Attempt.next}; the attempt continues. */
@@ -104,6 +111,25 @@
 /** Maximum number of interim answers (status 1xx) before the answer. */
 const MAX_INTERIM_ANSWERS = 16;
 
+/** Joins chunks that nobody has taken yet: each one of them may have a single byte. */
+class JoinedData implements AnswerData {
+  readonly type = 'data';
+  private readonly blocks = new BodyBlocks();
+
+  /** `only` isn't copied unless more follows. */
+  constructor(private only: Buffer | undefined) {}
+
+  append(chunk: Buffer): void {
+    if (this.only) this.blocks.push(this.only);
+    this.only = undefined;
+    this.blocks.push(chunk);
+  }
+
+  get chunk(): Buffer {
+    return (this.only ??= this.blocks.take());
+  }
+}
+
 /** One request that is sent to a target. */
 export class Attempt {
   private readonly events: AttemptEvent[] = [];
@@ -193,7 +219,7 @@
         this.observer.onAnswer(status, meta);
         return this.push(head);
       },
-      onData: chunk => this.push({type: 'data', chunk}),
+      onData: chunk => this.pushData(chunk),
       onComplete: () => {
         this.push({type: 'end', framing: connection.framing});
         this.finish();
@@ -221,11 +247,23 @@
     this.abortRequest?.(new Error(detail));
   }
 
+  private pushData(chunk: Buffer): boolean {
+    if (this.isFinished) return true;
+    this.bufferedBytes += chunk.length;
+    const latest = this.events.at(-1);
+    if (!(latest instanceof JoinedData)) return this.push(new JoinedData(chunk));
+    latest.append(chunk);
+    return this.mayReadOn();
+  }
+
   private push(event: AttemptEvent): boolean {
     if (this.isFinished) return true;
     this.events.push(event);
-    if (event.type === 'data') this.bufferedBytes += event.chunk.length;
     this.notify();
+    return this.mayReadOn();
+  }
+
+  private mayReadOn(): boolean {
     if (this.bufferedBytes < MAX_BUFFERED_BYTES) return true;
     this.resume = this.resumeBody;
     return false;
--- a/packages/testkit/src/endless-server.ts
+++ b/packages/testkit/src/endless-server.ts
@@ -47,6 +47,26 @@
   };
 }
 
+/** Creates answers that never end and come in very small pieces, by description. */
+export function createSmallPieces(
+  fields: readonly string[],
+): Readonly<Record<string, EndlessAnswer>> {
+  const start = (status: string, ...more: string[]) =>
+    [`HTTP/1.1 ${status}`, ...fields, ...more, '', ''].join('\r\n');
+  const chunked = start('200 OK', 'transfer-encoding: chunked');
+  const brokenChunked = start('500 Internal Server Error', 'transfer-encoding: chunked');
+  return {
+    'an error in chunks of one byte': {start: brokenChunked, repeated: '1\r\na\r\n'},
+    'an error in chunks of seven bytes': {start: brokenChunked, repeated: '7\r\naaaaaaa\r\n'},
+    'chunks of one byte': {start: chunked, repeated: '1\r\na\r\n'},
+    'chunks of seven bytes': {start: chunked, repeated: '7\r\naaaaaaa\r\n'},
+    'chunks of one line end': {start: chunked, repeated: '1\r\n\n\r\n'},
+    'tiny events': {start: start('200 OK'), repeated: 'data:a\n\n'},
+    comments: {start: start('200 OK'), repeated: ':\n\n'},
+    'lines of one byte': {start: start('200 OK'), repeated: 'a\n'},
+  };
+}
+
 /** HTTP server whose answers never end. */
 export class EndlessServer {
   readonly sockets = new Set<Socket>();
