Split streams into events without work and objects for each one

A server that sent a stream in chunks of one byte made the event loop stand still for seconds: all pending bytes were joined and searched again for each chunk. Comments or events of a few bytes took 300 bytes each, which each stream held while it waited for its client.

--- a/packages/relay/src/request/engine-run.ts
+++ b/packages/relay/src/request/engine-run.ts
@@ -1,4 +1,4 @@
-import {EventSplitter, StreamEvent} from './events.js';
+import {EventSplitter, StreamEvents} from './events.js';
 import {AnswerMeta} from '../model.js';
 import {statesNotRun} from '../targets/target-answer.js';
 import {AnswerEnd, AnswerHead} from '../targets/target-connections.js';
@@ -12,7 +12,7 @@
   readonly waitMs: number;
   readonly splitter: EventSplitter;
   /** Events that were received while the run was on standby. */
-  readonly received: StreamEvent[];
+  readonly received: StreamEvents[];
   head: AnswerHead | undefined;
   hasEvents: boolean;
   /** Whether the engine has been silent since its last event. */
--- a/packages/relay/src/request/relay-stream.ts
+++ b/packages/relay/src/request/relay-stream.ts
@@ -1,6 +1,6 @@
 import {AnswerBody, call, isEventStreamType, Procedure} from '@radishgw/core';
 import {EngineRun, MAX_EVENT_BYTES, readStandby} from './engine-run.js';
-import {StreamEvent} from './events.js';
+import {StreamEvents} from './events.js';
 import {recordStep} from './request-context.js';
 import {releaseReturn, RunResult, StreamState} from './stream-state.js';
 import {checkLoss} from './suspect-runs.js';
@@ -133,7 +133,7 @@
       state.leftEngine = undefined;
       endStandby(state);
       releaseReturn(state);
-      state.eventCount += events.length;
+      for (const {count} of events) state.eventCount += count;
       if (state.eventCount > maxEvents(state)) {
         addStep('too many events');
         sent.finish('failed');
@@ -273,13 +273,15 @@
 function* forwardEvents(
   state: StreamState,
   head: AnswerHead,
-  events: readonly StreamEvent[],
+  events: readonly StreamEvents[],
 ): Procedure<void> {
   const {exchange} = state.request;
   if (!exchange.hasStarted) startAnswer(state, head);
-  for (const {id} of events) state.lastEventId = id ?? state.lastEventId;
-  const drained = exchange.write(Buffer.concat(events.map(({bytes}) => bytes)));
-  if (drained) yield* call(() => drained);
+  for (const {bytes, lastId} of events) {
+    state.lastEventId = lastId ?? state.lastEventId;
+    const drained = exchange.write(bytes);
+    if (drained) yield* call(() => drained);
+  }
 }
 
 /** Handles an answer whose status isn't 200. */
