Collect answers of engines and services in blocks on the own interface

The copy of a service's answer that is stored for repeats was a list of chunks, and the text of an engine's error grew by chunks. Both are bounded by 64 KiB of content and took up to a hundred times that. The operators' API reads its body in the same way.

--- a/packages/gateway/src/engine/engine-stream.ts
+++ b/packages/gateway/src/engine/engine-stream.ts
@@ -1,4 +1,4 @@
-import {AttemptId, Clock, createConnector, isValidStatus, Timer} from '@radishgw/core';
+import {AttemptId, BodyBlocks, Clock, createConnector, isValidStatus, Timer} from '@radishgw/core';
 import {Client, Dispatcher as HttpDispatcher} from 'undici';
 import {describeTargetFault, INVALID_STATUS_FAULT} from '../target-faults.js';
 import {EngineEvent, EventDecoder} from './event-decoder.js';
@@ -48,7 +48,7 @@
   /** Undefined until the request has started. */
   controller: HttpDispatcher.DispatchController | undefined;
   statusCode: number;
-  errorBody: string;
+  readonly errorBody: BodyBlocks;
   notRun: boolean;
   ended: boolean;
 }
@@ -118,7 +118,7 @@
       client,
       controller: undefined,
       statusCode: 0,
-      errorBody: '',
+      errorBody: new BodyBlocks(),
       notRun: false,
       ended: false,
     };
@@ -184,8 +184,9 @@
   ): void {
     if (!this.isCurrent(connection)) return;
     if (connection.statusCode !== 200) {
-      connection.errorBody += Buffer.from(chunk).toString('utf8');
-      if (connection.errorBody.length >= MAX_ERROR_BODY_BYTES) this.handleErrorAnswer(connection);
+      connection.errorBody.push(chunk);
+      if (connection.errorBody.byteCount >= MAX_ERROR_BODY_BYTES)
+        this.handleErrorAnswer(connection);
       return;
     }
     this.lastActivityMs = this.call.clock.nowMs();
@@ -243,7 +244,8 @@
   private handleErrorAnswer(connection: Connection): void {
     const {statusCode, errorBody, notRun} = connection;
     if (!connection.client) {
-      this.fail(new EngineError(`status ${statusCode}`, !notRun, statusCode, errorBody));
+      const body = errorBody.take().toString();
+      this.fail(new EngineError(`status ${statusCode}`, !notRun, statusCode, body));
     } else if (statusCode === 404) {
       this.fail(new EngineError(`engine lost the stream after event ${this.lastSequence}`, true));
     } else {
--- a/packages/gateway/src/operator/operator-server.ts
+++ b/packages/gateway/src/operator/operator-server.ts
@@ -1,4 +1,5 @@
 import {createServer, IncomingMessage, Server, ServerResponse} from 'node:http';
+import {readText} from '@radishgw/core';
 import findMyWay from 'find-my-way';
 import {z} from 'zod';
 import {DecisionLog} from './decision-log.js';
@@ -30,12 +31,7 @@
 }
 
 async function readJson(request: IncomingMessage): Promise<unknown> {
-  let text = '';
-  for await (const chunk of request) {
-    text += String(chunk);
-    if (text.length > MAX_BODY_BYTES) throw new Error('body is too large');
-  }
-  return JSON.parse(text);
+  return JSON.parse(await readText(request, MAX_BODY_BYTES));
 }
 
 async function handleWithdrawal(
--- a/packages/gateway/src/request/service-attempt.ts
+++ b/packages/gateway/src/request/service-attempt.ts
@@ -3,6 +3,7 @@
   abortResponse,
   AnswerBody,
   AttemptId,
+  BodyBlocks,
   BodyFraming,
   Clock,
   createConnector,
@@ -157,7 +158,7 @@
         },
         onResponseData: (current, chunk) => {
           if (settled || !sink) return;
-          const size = sink.write(Buffer.from(chunk), current);
+          const size = sink.write(chunk, current);
           if (size > MAX_RESPONSE_BYTES) {
             fail(new ServiceError(`response exceeds ${MAX_RESPONSE_BYTES} bytes`, true));
           }
@@ -179,7 +180,7 @@
 /** Writes a response to the caller and, for retries, to a copy of limited size. */
 class ResponseSink {
   private size = 0;
-  private readonly copy: Buffer[] = [];
+  private readonly copy = new BodyBlocks();
   private readonly response: ServerResponse;
   private readonly body: AnswerBody;
 
@@ -199,11 +200,12 @@
   }
 
   /** Writes a chunk; returns the size of the body so far. */
-  write(chunk: Buffer, controller: HttpDispatcher.DispatchController): number {
+  write(chunk: Uint8Array, controller: HttpDispatcher.DispatchController): number {
     this.size += chunk.length;
     this.body.push(chunk);
     this.start();
     if (this.keepCopy && this.size <= MAX_STORED_BODY_BYTES) this.copy.push(chunk);
+    else this.copy.clear();
     if (!this.response.destroyed && !this.response.write(chunk)) {
       controller.pause();
       const resume = () => {
@@ -244,7 +246,7 @@
     return {
       statusCode: this.statusCode,
       headers: this.headers,
-      ...(isStorable ? {bodyBase64: Buffer.concat(this.copy).toString('base64')} : {}),
+      ...(isStorable ? {bodyBase64: this.copy.take().toString('base64')} : {}),
     };
   }
 }
--- a/packages/gateway/test/endless-answers.test.ts
+++ b/packages/gateway/test/endless-answers.test.ts
@@ -12,6 +12,9 @@
 import {HttpEngineControl} from '@radishgw/fleet';
 import {createEndlessBodies, ENDLESS_HEADS, EndlessServer} from '@radishgw/testkit';
 import {expect} from 'chai';
+import {setTimeout as wait} from 'node:timers/promises';
+import {setFlagsFromString} from 'node:v8';
+import {runInNewContext} from 'node:vm';
 import {Agent} from 'undici';
 import {LoadPollerDependencies, pollLoads} from '../src/dispatch/load-poller.js';
 import {EngineError, runEngineStream} from '../src/engine/engine-stream.js';
@@ -26,6 +29,15 @@
 
 const ATTEMPT = toId<AttemptId>('attempt');
 
+setFlagsFromString('--expose-gc');
+const collectGarbage = runInNewContext('gc') as () => void;
+setFlagsFromString('--no-expose-gc');
+
+/** Number and memory of answers in small pieces; a piece in a list takes a hundred bytes. */
+const PIECES = 60_000;
+const ANSWERS = 10;
+const MAX_KEPT_BYTES = 8 * 1024 * 1024;
+
 describe('endless answers of targets', () => {
   const clock = new SystemClock();
   const server = new EndlessServer();
@@ -69,6 +81,28 @@
       onResume: () => undefined,
     });
 
+  const callService = (keepCopy: boolean) => {
+    const response = {
+      destroyed: false,
+      writeHead: () => undefined,
+      write: () => true,
+      end: () => undefined,
+    };
+    const signal = AbortSignal.timeout(DEADLINE_MS);
+    const context = {response, signal, mayHaveRun: false} as unknown as RequestContext;
+    return sendCall(http, context, url, {
+      clock,
+      method: 'GET',
+      path: '/',
+      headers: {},
+      body: Buffer.alloc(0),
+      attemptId: ATTEMPT,
+      connectTimeoutMs: 300,
+      headersTimeoutMs: undefined,
+      keepCopy,
+    });
+  };
+
   for (const [description, answer] of Object.entries({...ENDLESS_HEADS, ...bodies})) {
     it(`of ${description} end a stream of an engine`, async () => {
       // Guards against a request that an engine holds beyond its deadline.
@@ -156,28 +190,28 @@
     it(`of ${description} end a call of a service`, async () => {
       // Guards against a call that a service holds beyond its deadline.
       server.answer = () => ENDLESS_HEADS[description] ?? bodies[description];
-      const response = {
-        destroyed: false,
-        writeHead: () => undefined,
-        write: () => true,
-        end: () => undefined,
-      };
-      const signal = AbortSignal.timeout(DEADLINE_MS);
-      const context = {response, signal, mayHaveRun: false} as unknown as RequestContext;
-      const result = await expectEnd(
-        sendCall(http, context, url, {
-          clock,
-          method: 'GET',
-          path: '/',
-          headers: {},
-          body: Buffer.alloc(0),
-          attemptId: ATTEMPT,
-          connectTimeoutMs: 300,
-          headersTimeoutMs: undefined,
-          keepCopy: false,
-        }),
-      );
+      const result = await expectEnd(callService(false));
       expect(result).to.be.instanceOf(Error);
     });
   }
+
+  const SMALL_PIECES: Readonly<Record<string, {status: string; send: () => Promise<unknown>}>> = {
+    'an error of an engine': {status: '500 Internal Server Error', send: () => runStream()},
+    'an answer of a service that is stored': {status: '200 OK', send: () => callService(true)},
+  };
+  for (const [description, {status, send}] of Object.entries(SMALL_PIECES)) {
+    it(`keep little memory for ${description} that comes in chunks of one byte`, async () => {
+      // Guards against a list of chunks, which takes far more memory than their bytes.
+      const start = `HTTP/1.1 ${status}\r\ntransfer-encoding: chunked\r\n\r\n`;
+      server.answer = () => ({start: start + '1\r\na\r\n'.repeat(PIECES), repeated: ''});
+      collectGarbage();
+      const beforeBytes = process.memoryUsage().heapUsed;
+      const ended = Promise.allSettled(Array.from({length: ANSWERS}, send));
+      await wait(DEADLINE_MS - 300);
+      collectGarbage();
+      const keptBytes = process.memoryUsage().heapUsed - beforeBytes;
+      await ended;
+      expect(keptBytes).to.be.below(MAX_KEPT_BYTES);
+    });
+  }
 });
