--- a/review/lib-3/rig.mjs
+++ b/review/lib-3/rig.mjs
@@ -1,3 +1,4 @@
+/* global AbortSignal, Buffer, URL, clearTimeout, fetch, performance, setTimeout */
 /**
  * Stand-ins and processes for the cases of the third review: the platform's store, the platform's
  * interface for duties, raw servers, clients, and entry hosts that are started as the deploy file
