--- a/review/lib-3/rig.mjs
+++ b/review/lib-3/rig.mjs
@@ -229,9 +229,9 @@
 }
 
 /** Answers the calls that a host makes for itself; false for requests of clients. */
-export function answerControl({method, path}, socket, id) {
+export function answerControl({method, path}, socket, id, stage = 'decode') {
   if (method !== 'GET' || path !== '/v1/report') return false;
-  const body = JSON.stringify({stage: 'decode', busy: false, sequence: 0, waiting: 0, running: 0});
+  const body = JSON.stringify({stage, busy: false, sequence: 0, waiting: 0, running: 0});
   const fields = `Content-Type: application/json\r\nRadishgw-Instance-Id: ${id}\r\n`;
   socket.write(`HTTP/1.1 200 OK\r\n${fields}Content-Length: ${body.length}\r\n\r\n${body}`);
   return true;
