--- a/review/lib-3/rig.mjs
+++ b/review/lib-3/rig.mjs
@@ -75,6 +75,9 @@
   });
 }
 
+/** Size at which a page of the store ends. */
+const PAGE_BYTES = 1_000_000;
+
 /** The platform's metadata store, as far as the hosts use it. */
 export class Store {
   kinds = new Map();
@@ -119,10 +122,16 @@
     if (method === 'GET' && name === undefined) {
       const after = searchParams.get('after') ?? '';
       const names = [...objects.keys()].sort().filter(text => text > after);
-      const items = names.slice(0, 500).map(text => objects.get(text));
+      const items = [];
+      let bytes = 0;
+      while (items.length < Math.min(names.length, 500) && bytes < PAGE_BYTES) {
+        const object = objects.get(names[items.length]);
+        items.push(object);
+        bytes += JSON.stringify(object).length;
+      }
       return {
         status: 200,
-        answer: {items, 'more-pages': names.length > 500, 'current-rev': this.revision},
+        answer: {items, 'more-pages': names.length > items.length, 'current-rev': this.revision},
       };
     }
     const object = objects.get(name);
