--- a/review/12/run.mjs
+++ b/review/12/run.mjs
@@ -1,10 +1,10 @@
-/* global clearInterval, setInterval, setTimeout */
+/* global clearInterval, setInterval */
 /**
  * Model servers answer a part of their requests with bytes that are no answer and come without end:
  * a head of very short fields. Counts how often the processes of two hosts end by themselves.
  */
 import process from 'node:process';
-import {EVENTS, LoadedHosts} from '../lib-3/load.mjs';
+import {LoadedHosts} from '../lib-3/load.mjs';
 import * as rig from '../lib-3/rig.mjs';
 
 const TROUBLE = process.env.TROUBLE !== '0';
@@ -26,7 +26,7 @@
 store.write('config', 'main', rig.makeConfiguration());
 
 let isSpoiling = false;
-const counts = {spoiled: 0, whole: 0};
+let spoiledCount = 0;
 
 /** Writes the start of a head and then one field after the other, until the caller closes. */
 function writeHeadWithoutEnd(socket) {
@@ -35,18 +35,17 @@
   socket.once('close', () => clearInterval(timer));
 }
 
+function spoil(request, socket) {
+  if (!isSpoiling || Math.random() >= SPOILED_SHARE) return false;
+  spoiledCount++;
+  writeHeadWithoutEnd(socket);
+  return true;
+}
+
+const engines = [];
 for (let i = 0; i < MODEL_SERVERS; i++) {
-  const server = await new rig.RawServer((request, socket) => {
-    if (rig.answerControl(request, socket, `m-${i}`)) return;
-    if (isSpoiling && Math.random() < SPOILED_SHARE) {
-      counts.spoiled++;
-      writeHeadWithoutEnd(socket);
-      return;
-    }
-    counts.whole++;
-    setTimeout(() => socket.write(rig.formatAnswer(request, EVENTS, 'text/event-stream')), 120);
-  }).start();
-  store.write('servers', `m-${i}`, rig.serverEntry('models', server.address, {stage: 'decode'}));
+  const stage = i % 2 === 0 ? 'prefill' : 'decode';
+  engines.push(await new rig.EngineServer(store, `m-${i}`, stage, spoil).start());
 }
 
 const load = new LoadedHosts(record, store, duties);
@@ -58,7 +57,10 @@
   isSpoiling = false;
   await load.untilRunning();
 }
-record.write(`answers of model servers: ${JSON.stringify(counts)}`);
+const sum = kind => engines.reduce((total, {counts}) => total + counts[kind], 0);
+record.write(
+  `answers: ${sum('prefills')} prefills, ${sum('streams')} streams, ${spoiledCount} spoiled`,
+);
 const isBroken = load.finish();
 record.write(isBroken ? 'broken: Fault' : 'held');
 await rig.cleanUp();
--- a/review/lib-3/load.mjs
+++ b/review/lib-3/load.mjs
@@ -9,12 +9,6 @@
 const DESK_WORK_MS = 86;
 const DESK_PAUSE_MS = 50;
 
-/** Events of a stream of the small site. */
-export const EVENTS = Array.from(
-  {length: 11},
-  (_, i) => `id: ${i + 1}\ndata: piece ${i + 1}\n\n`,
-).join('');
-
 const STREAM_HEADERS = {
   'Radishgw-Deadline-Milliseconds': '5000',
   'Radishgw-Model': 'm',
--- a/review/lib-3/rig.mjs
+++ b/review/lib-3/rig.mjs
@@ -237,13 +237,105 @@
   ].join('\r\n');
 }
 
-/** Answers the calls that a host makes for itself; false for requests of clients. */
-export function answerControl({method, path}, socket, id, stage = 'decode') {
-  if (method !== 'GET' || path !== '/v1/report') return false;
-  const body = JSON.stringify({stage, busy: false, sequence: 0, waiting: 0, running: 0});
-  const fields = `Content-Type: application/json\r\nRadishgw-Instance-Id: ${id}\r\n`;
-  socket.write(`HTTP/1.1 200 OK\r\n${fields}Content-Length: ${body.length}\r\n\r\n${body}`);
-  return true;
+/** Writes an answer with a JSON body; it names the request if that has an id. */
+export function writeJson(request, socket, body, status = 200) {
+  const id = request.headers['radishgw-request-id'];
+  const fields = [
+    `HTTP/1.1 ${status} OK`,
+    ...(id ? [`Radishgw-Request-Id: ${id}`] : []),
+    'Content-Type: application/json',
+    `Content-Length: ${body.length}`,
+  ];
+  socket.write(`${fields.join('\r\n')}\r\n\r\n${body}`);
+}
+
+/** Events of a stream of the small site. */
+const EVENTS = Array.from({length: 11}, (_, i) => `id: ${i + 1}\ndata: piece ${i + 1}\n\n`).join(
+  '',
+);
+
+const PREFILL_MS = 25;
+const STREAM_MS = 120;
+const STAGE_SWITCH_MS = 3000;
+
+/** A sound model server: prefills, streams, reports and orders. */
+export class EngineServer {
+  counts = {prefills: 0, streams: 0};
+  sequence = 0;
+  isSwitching = false;
+  handleCount = 0;
+
+  /** `spoil(request, socket, stage)` returns true if it has written the answer to a client's request. */
+  constructor(store, id, stage, spoil = () => false) {
+    Object.assign(this, {store, id, stage, spoil});
+  }
+
+  async start() {
+    const server = await new RawServer((request, socket) => this.answer(request, socket)).start();
+    this.address = server.address;
+    this.register();
+    return this;
+  }
+
+  register() {
+    const entry = serverEntry('models', this.address, {stage: this.stage, sequence: this.sequence});
+    this.store.write('servers', this.id, entry);
+  }
+
+  answer(request, socket) {
+    const {method, path, headers} = request;
+    if (path === '/v1/report') {
+      const {stage, sequence} = this;
+      const report = {stage, busy: this.isSwitching, sequence, waiting: 0, running: 0};
+      writeJson(request, socket, JSON.stringify(report));
+    } else if (path === '/v1/order') {
+      this.takeOrder(request, socket);
+    } else if (method === 'DELETE') {
+      writeJson(request, socket, '{}');
+    } else if (this.isSwitching) {
+      this.refuse(request, socket, '503 Service Unavailable');
+    } else {
+      const isPrefill = headers['radishgw-serving-stage'] === 'prefill';
+      if (isPrefill !== (this.stage === 'prefill')) this.refuse(request, socket, '421 Misdirected');
+      else if (this.spoil(request, socket, this.stage)) return;
+      else if (isPrefill) this.prefill(request, socket);
+      else this.stream(request, socket);
+    }
+  }
+
+  prefill(request, socket) {
+    this.counts.prefills++;
+    const handle = `3fa0${this.id}${(this.handleCount++).toString(16).padStart(6, '0')}`;
+    const answer = JSON.stringify({'cache-handle': handle, tokens: 1460, version: 1});
+    setTimeout(() => writeJson(request, socket, answer), PREFILL_MS);
+  }
+
+  stream(request, socket) {
+    this.counts.streams++;
+    const answer = formatAnswer(request, EVENTS, 'text/event-stream');
+    setTimeout(() => socket.write(answer), STREAM_MS);
+  }
+
+  refuse({headers}, socket, status) {
+    const id = headers['radishgw-request-id'];
+    const fields = `Radishgw-Request-Id: ${id}\r\nRadishgw-Not-Executed: 1\r\nContent-Length: 0`;
+    socket.write(`HTTP/1.1 ${status}\r\n${fields}\r\n\r\n`);
+  }
+
+  takeOrder(request, socket) {
+    const {operation, stage, expect} = JSON.parse(request.body.toString());
+    if (operation !== 'stage') return writeJson(request, socket, '{}', 400);
+    if (stage === this.stage) return writeJson(request, socket, '{}');
+    if (this.isSwitching || expect !== this.sequence) return writeJson(request, socket, '{}', 409);
+    this.sequence++;
+    this.isSwitching = true;
+    setTimeout(() => {
+      this.stage = stage;
+      this.isSwitching = false;
+      this.register();
+    }, STAGE_SWITCH_MS);
+    return writeJson(request, socket, '{}', 202);
+  }
 }
 
 export function serverEntry(service, address, fields = {}) {
