--- a/review/lib-3/rig.mjs
+++ b/review/lib-3/rig.mjs
@@ -174,6 +174,7 @@
         response.end('{}');
       });
     });
+    this.server.keepAliveTimeout = 60_000;
     this.address = await listen(this.server);
     return this;
   }
