--- a/review/lib-3/rig.mjs
+++ b/review/lib-3/rig.mjs
@@ -599,3 +599,13 @@
   for (let i = 0; i < 50 && children.size > 0; i++) await wait(20);
   for (const folder of folders) rmSync(folder, {recursive: true, force: true});
 }
+
+/** Ends the processes also if the script is ended or fails; it couldn't run then. */
+async function giveUp(reason) {
+  process.stdout.write(`the case couldn't run: ${reason}\n`);
+  await cleanUp();
+  process.exit(2);
+}
+
+for (const signal of ['SIGTERM', 'SIGINT']) process.once(signal, () => void giveUp(signal));
+process.once('uncaughtException', error => void giveUp(error.stack));
