--- a/review/14/run.mjs
+++ b/review/14/run.mjs
@@ -4,8 +4,8 @@
  * the lease over. Counts the calls that the platform gets from the first one afterwards.
  */
 import process from 'node:process';
-import {Link} from '../lib-3/link.mjs';
-import * as rig from '../lib-3/rig.mjs';
+import {Link} from '../standin-3-link.mjs';
+import * as rig from '../standin-3.mjs';
 
 const TROUBLE = process.env.TROUBLE !== '0';
 const CUT_MS = 12_000;
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,6 +3,6 @@
 set -e
 cd "$(dirname "$0")/.."
 [ -f target/radishgw.mjs ] || npm run --silent build:deploy
-for file in review/lib-3/*.mjs review/1[1-5]/*.mjs; do
+for file in review/standin-3*.mjs review/1[1-5]/*.mjs; do
   [ ! -f "$file" ] || node --check "$file"
 done
--- a/review/lib-3/load.mjs
+++ b/review/standin-3-load.mjs
@@ -1,7 +1,7 @@
 /* global performance, setTimeout */
 /** Hosts that are started again when they end, and ordinary traffic at them. */
 import {connect} from 'node:net';
-import * as rig from './rig.mjs';
+import * as rig from './standin-3.mjs';
 
 const RESTART_DELAY_MS = 500;
 const DESK_SERVERS = 4;
--- a/review/lib-3/rig.mjs
+++ b/review/standin-3.mjs
@@ -14,7 +14,7 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 
-export const ROOT = fileURLToPath(new URL('../..', import.meta.url));
+export const ROOT = fileURLToPath(new URL('..', import.meta.url));
 
 const PROGRAM = join(ROOT, 'target', 'radishgw.mjs');
 
