Bound answers to prefills and reports of engines before they are decoded

Seen by callers: engines that answer a prefill with 8 MB of JSON end the process of the host that reads it, and its clients lose their answers. A handle that can't be sent in a header costs its request a 502.

Cause: answers are bounded as text, by 8 MiB whatever they are for, and decoded whole. An empty object takes two bytes of text and 56 of memory. Ruled out: the text itself, which the shared memory for answers bounds.

Change: the reader of an answer says how large it can be: 16 KiB for a prefill, 256 KiB for a report or an order.

--- a/packages/relay/src/duties/stage-controller.ts
+++ b/packages/relay/src/duties/stage-controller.ts
@@ -15,6 +15,12 @@
 /** Timeout of a call to an engine. */
 const CALL_TIMEOUT_MS = 700;
 
+/**
+ * Maximum size of an answer, which is decoded. A report lists the runs of an engine, each with the id
+ * of its request.
+ */
+const MAX_ANSWER_BYTES = 256 * 1024;
+
 /** Limit on the orders sent in one step, which delay the other fleet duties. */
 const MAX_ORDERS_PER_STEP = 12;
 
@@ -118,7 +124,8 @@
     const buffer = targets.openBuffer();
     const sent = targets.send(target, {method, path, headers, body}, method === 'GET');
     try {
-      const answer = yield* readCompleteAnswer(sent.attempt, {clock, buffer}, CALL_TIMEOUT_MS);
+      const reader = {clock, buffer, maxBytes: MAX_ANSWER_BYTES};
+      const answer = yield* readCompleteAnswer(sent.attempt, reader, CALL_TIMEOUT_MS);
       // The caller logs a failed order. An answer that names a request is a late one to a client.
       if (answer.type !== 'answer' || answer.meta.requestId !== undefined) return undefined;
       sent.finish('finished');
--- a/packages/relay/src/request/prefill-prompt.ts
+++ b/packages/relay/src/request/prefill-prompt.ts
@@ -34,6 +34,12 @@
 /** Maximum share of the remaining time that a prefill may take. */
 const MAX_PREFILL_TIME_SHARE = 0.7;
 
+/**
+ * Maximum size of the answer to a prefill, which is decoded: a handle of the longest size, escaped,
+ * and a few numbers take a fraction of it.
+ */
+const MAX_PREFILL_ANSWER_BYTES = 16 * 1024;
+
 /** Timeout of a release; short because a handle that isn't released expires on its own. */
 const RELEASE_TIMEOUT_MS = 500;
 
@@ -79,7 +85,10 @@
       recordFailure(state, `${target.entry.id}:prefill left`);
       return undefined;
     }
-    const reader = createAnswerReader(deps, request, findStandby(state));
+    const reader = {
+      ...createAnswerReader(deps, request, findStandby(state)),
+      maxBytes: MAX_PREFILL_ANSWER_BYTES,
+    };
     const leftMs = timeoutMs - (deps.clock.nowMs() - sentMs);
     const answer = yield* readCompleteAnswer(sent.attempt, reader, leftMs);
     if (answer.type === 'overtaken') {
--- a/packages/relay/src/targets/target-answer.ts
+++ b/packages/relay/src/targets/target-answer.ts
@@ -82,6 +82,8 @@
   readonly clock: Clock;
   /** Holds the body; it stays in use when the answer has been read. */
   readonly buffer: AnswerBuffer;
+  /** Maximum size of the body; that of an answer to a client if undefined. */
+  readonly maxBytes?: number;
   readonly standby?: Standby;
 }
 
@@ -101,6 +103,8 @@
   private body: AnswerBody | undefined;
   private readonly blocks = new BodyBlocks();
 
+  constructor(private readonly maxBytes = MAX_ANSWER_BYTES) {}
+
   /** Size of the body so far. */
   get bytes(): number {
     return this.blocks.byteCount;
@@ -123,7 +127,7 @@
     if (event.type === 'data') {
       const {chunk} = event;
       this.blocks.push(chunk);
-      if (this.bytes > MAX_ANSWER_BYTES || !mayBuffer()) {
+      if (this.bytes > this.maxBytes || !mayBuffer()) {
         return {type: 'failed', wasSent: true, detail: 'answer is too large'};
       }
       this.body.push(chunk);
@@ -140,12 +144,12 @@
 /** Reads a complete answer, which must end within `timeoutMs`. */
 export function* readCompleteAnswer(
   attempt: Attempt,
-  {clock, buffer, standby}: AnswerReader,
+  {clock, buffer, maxBytes, standby}: AnswerReader,
   timeoutMs: number,
   firstEvent?: AttemptEvent,
 ): Procedure<CompleteAnswer | {readonly type: 'overtaken'}> {
   const endMs = clock.nowMs() + timeoutMs;
-  const collector = new AnswerCollector();
+  const collector = new AnswerCollector(maxBytes);
   let event = firstEvent;
   for (;;) {
     const answer = event && collector.push(event, () => buffer.resize(collector.bytes));
--- a/packages/relay/test/stage-orders.test.ts
+++ b/packages/relay/test/stage-orders.test.ts
@@ -50,6 +50,8 @@
   accepted = 0;
   /** Whether a report is sent byte by byte and never ends. */
   isReportEndless = false;
+  /** Spaces before the number in its report. */
+  reportPadding = 0;
   /** Slowdown in the head of its report; undefined if it reports none. */
   slowdown: number | undefined;
   readonly orders: Order[] = [];
@@ -65,7 +67,7 @@
       }
       if (this.slowdown !== undefined) response.setHeader('slowdown', this.slowdown);
       if (request.url === REPORT_PATH) {
-        response.end(String(this.accepted));
+        response.end(' '.repeat(this.reportPadding) + String(this.accepted));
         return;
       }
       response.statusCode = this.accept(JSON.parse(text) as Order);
@@ -139,6 +141,16 @@
     expect(engine.orders).to.deep.equal([{stage: 'decode', token: 7, expected: 0}]);
   });
 
+  it('are not sent to an engine whose report is far larger than any', async () => {
+    // Guards against reports that decode to more than the memory of a host.
+    engine.reportPadding = 1_000_000;
+    await step(() => 7);
+    expect(engine.orders).to.deep.equal([]);
+    engine.reportPadding = 10_000;
+    await step(() => 7);
+    expect(engine.orders).to.have.length(1);
+  });
+
   it('go on when the report of an engine never ends', async () => {
     // Guards against duties that wait for one engine for ever.
     engine.isReportEndless = true;
--- a/packages/testkit/src/endless-server.ts
+++ b/packages/testkit/src/endless-server.ts
@@ -67,6 +67,31 @@
   };
 }
 
+/** Creates whole answers of JSON that takes far more memory than its text, by description. */
+export function createLargeDocuments(
+  fields: readonly string[],
+  maxBytes: number,
+): Readonly<Record<string, EndlessAnswer>> {
+  const repeat = (item: string) => `${item},`.repeat(maxBytes / (item.length + 1) - 10);
+  const list = (item: string) => `[${repeat(item)}${item}]`;
+  const makeFields = (_: unknown, i: number) => `"field-${i}":0`;
+  const documents = {
+    'a list of empty objects': list('{}'),
+    'a list of empty lists': list('[]'),
+    'a list of fractions': list('0.1'),
+    'an object of many fields': `{${Array.from({length: maxBytes / 20}, makeFields).join()}}`,
+    'a handle beside a list of empty lists': `{"cache-handle":"h","version":${list('[]')}}`,
+    'a long handle': `{"cache-handle":"${'h'.repeat(maxBytes - 100)}"}`,
+    'a handle of escapes': `{"cache-handle":"${'\\u0068'.repeat(maxBytes / 6 - 100)}"}`,
+  };
+  const answers = Object.entries(documents).map(([description, text]) => {
+    const length = `content-length: ${Buffer.byteLength(text)}`;
+    const head = ['HTTP/1.1 200 OK', ...fields, 'content-type: application/json', length];
+    return [description, {start: [...head, '', text].join('\r\n'), repeated: ''}];
+  });
+  return Object.fromEntries(answers) as Record<string, EndlessAnswer>;
+}
+
 /** HTTP server whose answers never end. */
 export class EndlessServer {
   readonly sockets = new Set<Socket>();
