Bound what bodies and events of JSON decode to before they are decoded

Seen by callers, on the product's own interface: a chat request whose messages are numbers ends the process of the host, with the answers of all its callers.

Cause: as for answers to prefills, the bound is on the text. The schema also reports each invalid message as an issue of its own, and a body stays decoded until its request has ended while only its text counts.

Only the first invalid message is reported.

--- a/packages/core/src/client-memory.ts
+++ b/packages/core/src/client-memory.ts
@@ -83,7 +83,7 @@
   private readonly evictable = new Set<ClientAccount>();
 
   constructor(
-    private readonly maxBytes: number,
+    readonly maxBytes: number,
     private readonly nowMs: () => number,
   ) {}
 
--- a/packages/core/src/guarded-request.ts
+++ b/packages/core/src/guarded-request.ts
@@ -36,7 +36,7 @@
   private onEvict: () => void = () => undefined;
 
   constructor(
-    memory: ClientMemory,
+    private readonly memory: ClientMemory,
     private readonly request: IncomingMessage,
     private readonly hooks: GuardedRequestHooks,
   ) {
@@ -53,6 +53,15 @@
     return this.hasMemory;
   }
 
+  /**
+   * Holds memory for what is made of the body; `tooLarge` if there would be none even without other
+   * requests.
+   */
+  hold(bytes: number): 'held' | 'noMemory' | 'tooLarge' {
+    if (this.account.heldBytes + bytes > this.memory.maxBytes) return 'tooLarge';
+    return this.account.grow(bytes) ? 'held' : 'noMemory';
+  }
+
   /** Counts bytes that are read of a refused request. */
   countDiscarded(bytes: number): void {
     this.hooks.onChunk(bytes);
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -17,6 +17,7 @@
 export * from './hash.js';
 export * from './ids.js';
 export * from './invariants.js';
+export * from './parse-json.js';
 export * from './procedure.js';
 export * from './random.js';
 export * from './read-gate.js';
--- a/packages/fleet/src/http-engine-control.ts
+++ b/packages/fleet/src/http-engine-control.ts
@@ -4,6 +4,7 @@
   Err,
   Ok,
   OrderId,
+  parseJson,
   readText,
   Result,
   TargetId,
@@ -35,6 +36,9 @@
 const STALE_STATUS = 409;
 const MAX_ANSWER_BYTES = 1_048_576;
 
+/** Memory that the values of an engine's state may take: tens of thousands of names. */
+const MAX_STATE_VALUE_BYTES = 2 * 1024 * 1024;
+
 class UnauthorisedError extends Error {}
 
 interface Exchange {
@@ -63,7 +67,7 @@
     const answer = await this.exchange(targetId, {method: 'GET', path: '/v1/state'});
     if (answer.err) return answer;
     try {
-      return Ok(stateSchema.parse(JSON.parse(answer.val)));
+      return Ok(stateSchema.parse(parseJson(answer.val, MAX_STATE_VALUE_BYTES)));
     } catch (error) {
       return Err({kind: 'rejected', detail: `invalid state of ${targetId}: ${error}`});
     }
--- a/packages/gateway/src/engine/completion.ts
+++ b/packages/gateway/src/engine/completion.ts
@@ -1,3 +1,8 @@
+import {parseJson} from '@radishgw/core';
+
+/** Memory that the values of an event may take: those of some hundred tokens and alternatives. */
+const MAX_EVENT_VALUE_BYTES = 4 * 1024 * 1024;
+
 /** Token counts of a completion as reported by the engine. */
 export interface TokenUsage {
   readonly promptTokens: number;
@@ -26,7 +31,7 @@
 export function parseChunk(data: string): Chunk {
   let chunk: Chunk | null;
   try {
-    chunk = JSON.parse(data) as Chunk | null;
+    chunk = parseJson(data, MAX_EVENT_VALUE_BYTES) as Chunk | null;
   } catch (cause) {
     throw new Error('event is not JSON', {cause});
   }
--- a/packages/gateway/src/request/body.ts
+++ b/packages/gateway/src/request/body.ts
@@ -1,3 +1,4 @@
+import {estimateDecodedBytes} from '@radishgw/core';
 import {z} from 'zod';
 import {RequestContext} from './context.js';
 import {Refusal} from './refusal.js';
@@ -22,6 +23,16 @@
   throw new Error('caller disconnected before the request body was complete');
 }
 
+/** Holds the memory that a body of JSON takes once it is decoded; throws if there is none. */
+export function reserveDecoded({guarded}: RequestContext, body: Buffer): void {
+  // The characters that separate values are the same in both encodings.
+  const held = guarded.hold(estimateDecodedBytes(body.toString('latin1')));
+  if (held === 'noMemory') throw createMemoryRefusal();
+  if (held === 'tooLarge') {
+    throw new Refusal('requestTooLarge', 'request body has too many JSON values');
+  }
+}
+
 /** Creates the refusal of a request that there is no memory for. */
 export function createMemoryRefusal(): Refusal {
   const message = 'the host has no memory for the request';
@@ -40,11 +51,26 @@
   max_completion_tokens: z.number().int().positive().nullish(),
   n: z.number().int().positive().nullish(),
 });
-const chatSchema = modelRequestSchema.extend({messages: z.array(z.looseObject({})).min(1)});
+
+/** Messages as they are; only the first one that isn't an object is reported. */
+const messagesSchema = z
+  .array(z.unknown())
+  .min(1)
+  .superRefine((messages, context) => {
+    const index = messages.findIndex(isNoObject);
+    if (index < 0) return;
+    const input = messages[index];
+    context.addIssue({code: 'invalid_type', expected: 'object', input, path: [index]});
+  });
+const chatSchema = modelRequestSchema.extend({messages: messagesSchema});
 const completionSchema = modelRequestSchema.extend({
   prompt: z.union([z.string(), z.array(z.unknown())]),
 });
 
+function isNoObject(value: unknown): boolean {
+  return typeof value !== 'object' || value === null || Array.isArray(value);
+}
+
 /** Schema and response object type of each kind of model request, by path. */
 export const MODEL_REQUEST_KINDS = {
   '/v1/chat/completions': {schema: chatSchema, objectType: 'chat.completion'},
--- a/packages/gateway/src/request/serve-model.ts
+++ b/packages/gateway/src/request/serve-model.ts
@@ -14,7 +14,13 @@
 import {TokenUsage} from '../engine/completion.js';
 import {cancelAttempt, EngineError, runEngineStream} from '../engine/engine-stream.js';
 import {describeCause} from '../target-faults.js';
-import {estimatePromptTokens, ModelRequestPath, parseModelRequest, readBody} from './body.js';
+import {
+  estimatePromptTokens,
+  ModelRequestPath,
+  parseModelRequest,
+  readBody,
+  reserveDecoded,
+} from './body.js';
 import {CompletionRelay} from './completion-relay.js';
 import {RequestContext} from './context.js';
 import {refuseKeyInText} from './headers.js';
@@ -58,6 +64,7 @@
   path: ModelRequestPath,
 ): Procedure<void> {
   const bytes = yield* call(() => readBody(context, services.maxBodyBytes));
+  reserveDecoded(context, bytes);
   const request = parseModelRequest(path, bytes);
   context.resource = request.model;
   const model = findModel(services.config, team, request.model);
