Reset the connections of calls that are given up without an answer

Seen by the platform: the usage report of a holder that was cut off arrives 0.6 s after its link works again, with a lower fencing token than that of its successor. Orders to engines and requests of clients come late, too.

Cause: a call that is given up closes its connection, and the kernel goes on sending the bytes of a closed connection, also when its process has ended. Ruled out: a host that acts after its term; the call was sent in time.

Change: a connection that is destroyed before anything of the answer to its latest request has arrived is reset, at once, whatever destroys it; the end of the process destroys all. Others are closed as before.

--- a/packages/core/src/bounded-pool.ts
+++ b/packages/core/src/bounded-pool.ts
@@ -32,7 +32,8 @@
 /**
  * Connections to one server. Each call ends within its timeout, which includes the wait for a
  * connection. A failed call retires all connections, as the others may be as silent as its own;
- * calls in progress on them still end, but no call waits behind them.
+ * calls in progress on them still end, but no call waits behind them. The connection of a call that
+ * is given up is reset, so that the call can't arrive later.
  */
 export class BoundedPool {
   private current: Generation;
--- a/packages/core/src/connector.ts
+++ b/packages/core/src/connector.ts
@@ -1,11 +1,13 @@
 import {Socket} from 'node:net';
 import {buildConnector, errors} from 'undici';
 import {boundReads} from './bound-reads.js';
+import {resetUnanswered} from './reset-unanswered.js';
 import {verifyEnds} from './verify-ends.js';
 
 /**
- * Creates an Undici connector whose connections parse answers in small parts and tell a reset from
- * the end of an answer. `timeoutMs` bounds the time until a connection is established.
+ * Creates an Undici connector whose connections parse answers in small parts, tell a reset from the
+ * end of an answer, and drop requests that are given up. `timeoutMs` bounds the time until a
+ * connection is established.
  */
 export function createConnector(timeoutMs?: number): buildConnector.connector {
   const connect = buildConnector({
@@ -25,7 +27,7 @@
       clearTimeout(timer);
       const [error, connected] = args;
       if (error) callback(error, null);
-      else callback(null, verifyEnds(boundReads(connected)));
+      else callback(null, verifyEnds(boundReads(resetUnanswered(connected))));
     }) as unknown as Socket;
   };
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -22,6 +22,7 @@
 export * from './random.js';
 export * from './read-gate.js';
 export * from './read-text.js';
+export * from './reset-unanswered.js';
 export * from './result.js';
 export * from './socket-address.js';
 export * from './verify-ends.js';
--- a/packages/gateway/src/main.ts
+++ b/packages/gateway/src/main.ts
@@ -1,5 +1,5 @@
 #!/usr/bin/env node
-import {RadishError} from '@radishgw/core';
+import {destroyClientSockets, RadishError} from '@radishgw/core';
 import {hideBin} from 'yargs/helpers';
 import {parseSettings, Settings} from './settings.js';
 import {startEntryHost} from './wire.js';
@@ -18,6 +18,7 @@
 }
 
 const host = await startEntryHost(readSettings(), () => process.exit(0));
+process.on('exit', destroyClientSockets);
 let stopping = false;
 for (const signal of ['SIGTERM', 'SIGINT'] as const) {
   process.on(signal, () => {
--- a/packages/relay/src/program.ts
+++ b/packages/relay/src/program.ts
@@ -4,6 +4,7 @@
   createBoundedWriter,
   createEventLog,
   createSystemRandom,
+  destroyClientSockets,
   EventLog,
   RadishError,
   SystemClock,
@@ -69,6 +70,7 @@
   });
   const rereadSettings = () => binding.readSettings(path).relay;
   process.on('SIGHUP', watchSettings(path, rereadSettings, clock, log));
+  process.on('exit', destroyClientSockets);
   process.on('SIGTERM', () => void host.stop().then(() => process.exit(0)));
   await host.start();
   // A fault in one task, such as one caused by odd data, must not end the others.
--- a/packages/relay/src/targets/target-connections.ts
+++ b/packages/relay/src/targets/target-connections.ts
@@ -8,6 +8,7 @@
   isValidStatus,
   ReadGate,
   RequestId,
+  resetUnanswered,
   verifyEnds,
 } from '@radishgw/core';
 import {Client, Dispatcher} from 'undici';
@@ -355,7 +356,10 @@
           allowHalfOpen: true,
         });
         // Undici itself validates a length and chunks.
-        verifyEnds(boundReads(socket, readGate), () => this.framing === 'connection');
+        verifyEnds(
+          boundReads(resetUnanswered(socket), readGate),
+          () => this.framing === 'connection',
+        );
         this.socket = socket;
         let isSettled = false;
         const settle = (error: Error | undefined) => {
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -9,6 +9,7 @@
 export * from './deployment.js';
 export * from './early-server.js';
 export * from './endless-server.js';
+export * from './held-link.js';
 export * from './hostile-clients.js';
 export * from './hostile-crowd.js';
 export * from './raw-requests.js';
