Check the term of a holder again just before its calls are written

Cause: the term was checked before a call, which then waits for a connection for up to its timeout, and the monotonic clock doesn't count the time for which a machine is suspended. A call could be written after its term.

Change: BoundedPool and the connections to targets ask mayStart when a request has got its connection; reports, orders for targets and orders to engines name their term by it. A call that isn't written wasn't sent.

--- a/packages/core/src/bounded-pool.ts
+++ b/packages/core/src/bounded-pool.ts
@@ -1,5 +1,5 @@
 import {IncomingHttpHeaders} from 'node:http';
-import {Dispatcher, Pool} from 'undici';
+import {DecoratorHandler, Dispatcher, Pool} from 'undici';
 import {boundCall} from './bound-call.js';
 import {createConnector} from './connector.js';
 import {readText} from './read-text.js';
@@ -23,6 +23,13 @@
   readonly text: string;
 }
 
+/** Nothing was sent, as the call might not start any more when it had got a connection. */
+export class CallNotStartedError extends Error {
+  constructor() {
+    super('the call may not start any more');
+  }
+}
+
 /** Connections that were opened together, and how many calls still use them. */
 interface Generation {
   readonly pool: Pool;
@@ -46,18 +53,29 @@
     this.current = this.open();
   }
 
-  /** Sends a request and reads its answer; rejects if that takes longer than `timeoutMs`. */
-  async call(request: Dispatcher.RequestOptions, timeoutMs: number): Promise<TextAnswer> {
+  /**
+   * Sends a request and reads its answer; rejects if that takes longer than `timeoutMs`. `mayStart` is
+   * asked when the request has got a connection; if it returns false, nothing is sent and the call
+   * rejects with a {@link CallNotStartedError}.
+   */
+  async call(
+    request: Dispatcher.RequestOptions,
+    timeoutMs: number,
+    mayStart?: () => boolean,
+  ): Promise<TextAnswer> {
     const generation = this.current;
     generation.calls++;
     try {
       return await boundCall(timeoutMs, async signal => {
-        const answer = await generation.pool.request({...request, signal});
+        const {pool} = generation;
+        const dispatcher = mayStart ? pool.compose(checkStart(mayStart)) : pool;
+        const answer = await dispatcher.request({...request, signal});
         const text = await readText(answer.body, this.options.maxBodyBytes);
         return {statusCode: answer.statusCode, headers: answer.headers, text};
       });
     } catch (error) {
-      if (this.current === generation && !this.isDestroyed) this.current = this.open();
+      const isRetired = this.current !== generation || this.isDestroyed;
+      if (!isRetired && !(error instanceof CallNotStartedError)) this.current = this.open();
       throw error;
     } finally {
       generation.calls--;
@@ -86,3 +104,17 @@
 function destroy(pool: Pool): void {
   void pool.destroy().catch(() => undefined); // Rejects only if it is destroyed already.
 }
+
+/** Asks whether a request may start just before it is written. */
+function checkStart(mayStart: () => boolean): Dispatcher.DispatcherComposeInterceptor {
+  return dispatch => (options, handler) => {
+    // The types don't show the methods of a decorator.
+    const checked = new DecoratorHandler(handler) as Dispatcher.DispatchHandler;
+    const start = checked.onRequestStart!.bind(checked);
+    checked.onRequestStart = (controller, context) => {
+      if (mayStart()) start(controller, context);
+      else controller.abort(new CallNotStartedError());
+    };
+    return dispatch(options, checked);
+  };
+}
--- a/packages/relay/src/duties/capacity-controller.ts
+++ b/packages/relay/src/duties/capacity-controller.ts
@@ -86,7 +86,10 @@
         recordOrder(state, order, nowMs, entries);
         const known = entries.length;
         deps.log.write('orderSent', {...order, term, demand, uncached, planned, known});
-        const answer = yield* call(() => deps.duties.orderTargets(order, deps.hostId, term));
+        const mayAct = () => currentTerm() === term;
+        const answer = yield* call(() =>
+          deps.duties.orderTargets(order, deps.hostId, term, mayAct),
+        );
         if (answer === 'accepted') recordAcceptedOrder(state, order);
         deps.log.write(answer === 'accepted' ? 'orderFinished' : 'orderFailed', {
           ...order,
--- a/packages/relay/src/duties/fleet-duties.ts
+++ b/packages/relay/src/duties/fleet-duties.ts
@@ -275,8 +275,9 @@
     const term = this.currentTerm();
     if (term === undefined) return;
     const {windowIndex, counts} = window;
+    const mayAct = () => this.currentTerm() === term;
     const answer = yield* call(() =>
-      deps.duties.reportUsage(windowIndex, counts, deps.hostId, term),
+      deps.duties.reportUsage(windowIndex, counts, deps.hostId, term, mayAct),
     );
     if (answer !== 'accepted') {
       deps.log.write('usageReportFailed', {windowIndex, term, answer});
--- a/packages/relay/src/duties/stage-controller.ts
+++ b/packages/relay/src/duties/stage-controller.ts
@@ -8,6 +8,7 @@
   StageOrder,
   StageState,
 } from './stage-policy.js';
+import {OutgoingRequest} from '../targets/target-connections.js';
 import {readCompleteAnswer} from '../targets/target-answer.js';
 import {PooledTarget, TargetPool} from '../targets/target-pool.js';
 import {recordSlowdown, reportsSlowdown} from '../targets/target-state.js';
@@ -98,7 +99,12 @@
     this.lastOrders.set(order.target, {stage: order.stage, atMs: nowMs});
     deps.log.write('orderSent', {...order, term, accepted, known: target.entry.stage});
     const message = deps.codec.stageOrder(order.stage, deps.hostId, term, accepted);
-    const status = yield* this.call(target, 'POST', message.path, Buffer.from(message.body));
+    const status = yield* this.call(target, {
+      method: 'POST',
+      path: message.path,
+      body: Buffer.from(message.body),
+      mayStart: () => currentTerm() === term,
+    });
     const isAccepted = status !== undefined && status.code >= 200 && status.code < 300;
     deps.log.write(isAccepted ? 'orderFinished' : 'orderFailed', {
       ...order,
@@ -108,21 +114,20 @@
   }
 
   private *readAcceptedOrders(target: PooledTarget): Procedure<number | undefined> {
-    const answer = yield* this.call(target, 'GET', this.deps.codec.reportPath, undefined);
+    const {reportPath: path} = this.deps.codec;
+    const answer = yield* this.call(target, {method: 'GET', path, body: undefined});
     if (answer?.code !== 200) return undefined;
     return this.deps.codec.readAcceptedOrders(answer.body);
   }
 
   private *call(
     target: PooledTarget,
-    method: string,
-    path: string,
-    body: Buffer | undefined,
+    request: Omit<OutgoingRequest, 'headers'>,
   ): Procedure<{readonly code: number; readonly body: Buffer} | undefined> {
     const {clock, codec, targets} = this.deps;
     const headers = codec.writeControlHeaders(target.entry);
     const buffer = targets.openBuffer();
-    const sent = targets.send(target, {method, path, headers, body}, method === 'GET');
+    const sent = targets.send(target, {...request, headers}, request.method === 'GET');
     try {
       const reader = {clock, buffer, maxBytes: MAX_ANSWER_BYTES};
       const answer = yield* readCompleteAnswer(sent.attempt, reader, CALL_TIMEOUT_MS);
--- a/packages/relay/src/model.ts
+++ b/packages/relay/src/model.ts
@@ -280,7 +280,10 @@
 /** Number of requests of each team that started to run in one window. */
 export type WindowCounts = Readonly<Record<string, number>>;
 
-/** Calls that only the holder of the fleet lease makes. */
+/**
+ * Calls that only the holder of the fleet lease makes. `mayAct` is asked again just before a call is
+ * written, as it may have waited for a connection; it fails if that returns false.
+ */
 export interface DutyClient {
   /** Reports the usage of one window. */
   reportUsage(
@@ -288,9 +291,15 @@
     counts: WindowCounts,
     holder: HostId,
     fencingToken: number,
+    mayAct: () => boolean,
   ): Promise<DutyAnswer>;
   /** Orders an absolute number of targets of a service in a failure domain. */
-  orderTargets(order: CapacityOrder, holder: HostId, fencingToken: number): Promise<DutyAnswer>;
+  orderTargets(
+    order: CapacityOrder,
+    holder: HostId,
+    fencingToken: number,
+    mayAct: () => boolean,
+  ): Promise<DutyAnswer>;
 }
 
 /** Order for an absolute number of targets of one kind. */
--- a/packages/relay/src/targets/target-connections.ts
+++ b/packages/relay/src/targets/target-connections.ts
@@ -62,6 +62,8 @@
   readonly path: string;
   readonly headers: string[];
   readonly body: Buffer | undefined;
+  /** Asked just before the request is written, which isn't sent if it returns false. */
+  readonly mayStart?: () => boolean;
   /** Target from which the receiver fetches the cache of a prompt. */
   readonly cacheTarget?: TargetState;
   /** Regions that the request may not leave; undefined if it may go anywhere. */
@@ -194,9 +196,17 @@
   }
 
   /** Creates the undici handler of this attempt. */
-  createHandler(connection: TargetConnection, method: string): Dispatcher.DispatchHandler {
+  createHandler(
+    connection: TargetConnection,
+    {method, mayStart}: OutgoingRequest,
+  ): Dispatcher.DispatchHandler {
     return {
       onConnect: abort => {
+        if (mayStart && !mayStart()) {
+          this.failUnsent('request may not start any more');
+          abort();
+          return;
+        }
         this.abortRequest = abort;
         this.sentAtMs = this.clock.nowMs();
         if (this.isFinished) abort();
@@ -472,7 +482,7 @@
         body: request.body && request.body.length > 0 ? request.body : null,
         idempotent: false,
       },
-      attempt.createHandler(connection, request.method),
+      attempt.createHandler(connection, request),
     );
     return attempt;
   }
--- a/packages/relay/test/stage-orders.test.ts
+++ b/packages/relay/test/stage-orders.test.ts
@@ -166,4 +166,12 @@
     await step(() => terms.shift());
     expect(engine.orders).to.deep.equal([]);
   });
+
+  it('are not written when the lease is lost while they wait for a connection', async () => {
+    // Guards against an order that was decided in time and is sent after its term.
+    const terms = [7, undefined];
+    await step(() => terms.shift());
+    expect(engine.orders).to.deep.equal([]);
+    expect(terms).to.deep.equal([]);
+  });
 });
