Bound the number of header fields of answers that haven't ended

Seen by callers: servers that send heads or trailers of very short fields without end use up the heap of the hosts that wait, whose processes end.

Cause: the parser bounds the characters of names and values, but some hundred bytes are kept for each field until the head or the trailer ends.

--- a/packages/relay/src/targets/target-connections.ts
+++ b/packages/relay/src/targets/target-connections.ts
@@ -12,6 +12,7 @@
   verifyEnds,
 } from '@radishgw/core';
 import {Client, Dispatcher} from 'undici';
+import {AnswerFields, boundFields} from './answer-fields.js';
 import {AnswerMeta, RawHeaders, Region} from '../model.js';
 import {TargetState} from './target-state.js';
 
@@ -210,6 +211,7 @@
         this.abortRequest = abort;
         this.sentAtMs = this.clock.nowMs();
         if (this.isFinished) abort();
+        connection.fields.expectHead();
       },
       onHeaders: (status, rawHeaders, resume) => {
         if (!isValidStatus(status)) {
@@ -222,6 +224,7 @@
           }
           return true;
         }
+        connection.fields.recordReport();
         this.resumeBody = resume;
         const headers = rawHeaders.map(value => value.toString('latin1'));
         const meta = this.observer.readAnswer(headers);
@@ -230,8 +233,12 @@
         this.observer.onAnswer(status, meta);
         return this.push(head);
       },
-      onData: chunk => this.pushData(chunk),
+      onData: chunk => {
+        connection.fields.recordReport();
+        return this.pushData(chunk);
+      },
       onComplete: () => {
+        connection.fields.recordReport();
         this.push({type: 'end', framing: connection.framing});
         this.finish();
       },
@@ -323,6 +330,8 @@
   private socket: Socket | undefined;
   private hasOpened = false;
   framing: BodyFraming = 'length';
+  /** Header fields of the answer that is due. */
+  readonly fields = new AnswerFields();
   /**
    * Whether the answers to later requests could be told from others: not after an answer that named
    * no request, which may come again, nor after one to another request, as the answer that is due
@@ -367,7 +376,7 @@
         });
         // Undici itself validates a length and chunks.
         verifyEnds(
-          boundReads(resetUnanswered(socket), readGate),
+          boundFields(boundReads(resetUnanswered(socket), readGate), this.fields),
           () => this.framing === 'connection',
         );
         this.socket = socket;
--- a/packages/testkit/src/endless-server.ts
+++ b/packages/testkit/src/endless-server.ts
@@ -47,6 +47,11 @@
   };
 }
 
+const SHORT_FIELD = 'a:\r\n';
+/** Fewer characters of names and values than parsers usually allow, in as many fields. */
+const SHORT_FIELDS = SHORT_FIELD.repeat(15_000);
+const FIELD_INTERVAL_MS = 50;
+
 /** Creates answers that never end and come in very small pieces, by description. */
 export function createSmallPieces(
   fields: readonly string[],
@@ -64,6 +69,16 @@
     'tiny events': {start: start('200 OK'), repeated: 'data:a\n\n'},
     comments: {start: start('200 OK'), repeated: ':\n\n'},
     'lines of one byte': {start: start('200 OK'), repeated: 'a\n'},
+    'short fields of a head': {
+      start: `HTTP/1.1 200 OK\r\n${SHORT_FIELDS}`,
+      repeated: SHORT_FIELD,
+      intervalMs: FIELD_INTERVAL_MS,
+    },
+    'short fields of a trailer': {
+      start: `${chunked}0\r\n${SHORT_FIELDS}`,
+      repeated: SHORT_FIELD,
+      intervalMs: FIELD_INTERVAL_MS,
+    },
   };
 }
 
