Take the ports of all tests below the range of outgoing connections

Cause: findFreePorts of the test kit chose ports of the range from which the kernel assigns ports to outgoing connections and to servers that ask for any port, and freed them before a host listened on them. Another process could have one by then; the hook of limits.test.ts that KNOWN-RED.txt listed read "x" as the status of its host from such a server, and status-range.test.ts once ended with EADDRINUSE. The tests of platform/ have reserved blocks below that range since they met the same.

--- a/packages/gateway/test/services.test.ts
+++ b/packages/gateway/test/services.test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import {BASE_KEY, BaseConfig} from '@radishgw/config';
 import {createSeededRandom} from '@radishgw/core';
-import {Deployment, findFreePorts, HostHandle, startDeployment, waitUntil} from '@radishgw/testkit';
+import {allocatePort, Deployment, HostHandle, startDeployment, waitUntil} from '@radishgw/testkit';
 import {CallerError, createProxies, findExecutions, setFaults} from './support.js';
 
 const NO_SERVICE_FAULTS = {
@@ -54,7 +54,7 @@
 
   /** Adds a route whose only target has nothing listening at its address. */
   async function addUnreachableRoute(): Promise<void> {
-    const [port] = await findFreePorts(1);
+    const port = await allocatePort();
     const {base, platform} = deployment;
     const route = base.routes.find(({routeId}) => routeId === 'orders')!;
     const target = base.targets.find(({kind}) => kind === 'service')!;
--- a/packages/testkit/src/child.ts
+++ b/packages/testkit/src/child.ts
@@ -95,18 +95,3 @@
 }
 
 const POLL_INTERVAL_MS = 25;
-
-/** Returns free ports of the loopback interface; another process may take them before their use. */
-export async function findFreePorts(count: number): Promise<number[]> {
-  const {createServer} = await import('node:net');
-  const servers = await Promise.all(
-    Array.from({length: count}, async () => {
-      const server = createServer().listen(0, '127.0.0.1');
-      await once(server, 'listening');
-      return server;
-    }),
-  );
-  const ports = servers.map(server => (server.address() as {port: number}).port);
-  await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
-  return ports;
-}
--- a/packages/testkit/src/deployment.ts
+++ b/packages/testkit/src/deployment.ts
@@ -12,7 +12,8 @@
 import {HttpPlatform} from '@radishgw/coordination';
 import {createCertificate} from './certificates.js';
 import {FaultProxy, startFaultProxy} from './fault-proxy.js';
-import {Child, findFreePorts, startChild, startStandIn, waitForUrl} from './child.js';
+import {Child, startChild, startStandIn, waitForUrl} from './child.js';
+import {allocatePorts} from './ports.js';
 
 /** Options of {@link startDeployment}. */
 export interface DeploymentOptions {
@@ -180,7 +181,7 @@
   const certificate = await createCertificate();
   const hostChildren: Child[] = [];
   const startHost = async (index: number, flags: readonly string[] = []): Promise<HostHandle> => {
-    const [callerPort, operatorPort, innerPort] = await findFreePorts(PORTS_PER_HOST);
+    const [callerPort, operatorPort, innerPort] = await allocatePorts(PORTS_PER_HOST);
     const hostId = `host-${index + 1}`;
     const entryUrl = `http://127.0.0.1:${callerPort}`;
     const operatorUrl = `http://127.0.0.1:${operatorPort}`;
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -12,6 +12,7 @@
 export * from './held-link.js';
 export * from './hostile-clients.js';
 export * from './hostile-crowd.js';
+export * from './ports.js';
 export * from './raw-requests.js';
 export * from './raw-server.js';
 export * from './silent-listener.js';
